--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,2 @@
+/** The `kelpstep` command. */
+process.stdout.write('kelpstep\n');
--- /dev/null
+++ b/packages/failover/index.ts
@@ -0,0 +1,2 @@
+/** Group state, confirmation by majority, failure detection and promotion. */
+export * from './src/group_view';
--- /dev/null
+++ b/packages/manifest/index.ts
@@ -0,0 +1,2 @@
+/** The manifest that describes groups, members and request kinds. */
+export * from './src/manifest_schema';
--- /dev/null
+++ b/packages/membership/index.ts
@@ -0,0 +1,2 @@
+/** Which proxies live, and which of them are responsible for what. */
+export * from './src/membership';
--- /dev/null
+++ b/packages/protocol/src/method.ts
@@ -0,0 +1,24 @@
+/** Definition of a remote method by the schemas of its messages. */
+import {z} from 'zod';
+
+/** A method name with the schemas of its parameters and its result. */
+export interface Method<P, R> {
+  readonly name: string;
+  readonly parameters: z.ZodType<P>;
+  readonly result: z.ZodType<R>;
+}
+
+/** Defines a method; the message types are inferred from the schemas. */
+export function defineMethod<P, R>(
+  name: string,
+  parameters: z.ZodType<P>,
+  result: z.ZodType<R>,
+): Method<P, R> {
+  return {name, parameters, result};
+}
+
+/** The parameters of a method. */
+export type ParametersOf<M> = M extends Method<infer P, unknown> ? P : never;
+
+/** The result of a method. */
+export type ResultOf<M> = M extends Method<unknown, infer R> ? R : never;
--- /dev/null
+++ b/packages/rpc/__tests__/peer.spec.ts
@@ -0,0 +1,117 @@
+import {createFailure, defineMethod} from '@kelpstep/protocol';
+import {
+  createRealTimer,
+  promiseFromFuture,
+  settledFuture,
+} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {connect} from 'node:net';
+import {describe, test} from 'node:test';
+import {Err, Ok} from 'ts-results';
+import {z} from 'zod';
+
+import {
+  Connection,
+  createHandlerTable,
+  createRpcPeer,
+  createTcpTransport,
+  parseAddress,
+} from '..';
+
+const double = defineMethod(
+  'double',
+  z.strictObject({value: z.number()}),
+  z.number(),
+);
+const refuse = defineMethod('refuse', z.strictObject({}), z.number());
+const silent = defineMethod('silent', z.strictObject({}), z.number());
+
+async function startServer() {
+  const timer = createRealTimer();
+  const transport = createTcpTransport({maximumFrameBytes: 1000});
+  const handlers = createHandlerTable()
+    .handle(double, ({value}) => settledFuture(Ok(2 * value)))
+    .handle(refuse, () =>
+      settledFuture(Err(createFailure('OVERLOADED', {retryAfter: 7}))),
+    )
+    .handle(silent, () => ({
+      isSettled: () => false,
+      onSettled: () => () => {},
+    }));
+  const accepted: Connection[] = [];
+  const listening = await promiseFromFuture(
+    transport.listen('127.0.0.1:0', connection => {
+      accepted.push(connection);
+      createRpcPeer({connection, timer, handlers});
+    }),
+  );
+  const listener = listening.unwrap();
+  const dialled = await promiseFromFuture(
+    transport.dial(listener.address, 1000),
+  );
+  const peer = createRpcPeer({connection: dialled.unwrap(), timer});
+  function stop(): void {
+    peer.close('test over');
+    accepted.forEach(connection => connection.close('test over'));
+    listener.close();
+  }
+  return {peer, transport, address: listener.address, stop};
+}
+
+describe('a JSON-RPC peer over TCP', () => {
+  test('answers requests, each with its own result', async () => {
+    const {peer, stop} = await startServer();
+    const values = [1, 2, 3, 4];
+    const replies = await Promise.all(
+      values.map(value =>
+        promiseFromFuture(peer.request(double, {value}, 1000)),
+      ),
+    );
+    stop();
+    expect(replies.map(reply => reply.unwrap())).toEqual([2, 4, 6, 8]);
+  });
+
+  test('passes a failure with its time to come back', async () => {
+    const {peer, stop} = await startServer();
+    const reply = await promiseFromFuture(peer.request(refuse, {}, 1000));
+    stop();
+    expect(reply.err && reply.val.failure.name).toEqual('OVERLOADED');
+    expect(reply.err && reply.val.failure.retryAfter).toEqual(7);
+  });
+
+  test('gives up a request whose answer does not come', async () => {
+    const {peer, stop} = await startServer();
+    const reply = await promiseFromFuture(peer.request(silent, {}, 20));
+    stop();
+    expect(reply.err && reply.val.kind).toEqual('timeout');
+    expect(peer.pendingRequests()).toEqual(0);
+  });
+
+  test('fails what is pending when the connection ends', async () => {
+    const {peer, stop} = await startServer();
+    const pending = promiseFromFuture(peer.request(silent, {}, 60_000));
+    stop();
+    const reply = await pending;
+    expect(reply.err && reply.val.kind).toEqual('closed');
+  });
+
+  test('closes a connection that sends no JSON or too long a line', async () => {
+    const {address, stop} = await startServer();
+    for (const bytes of ['{"half\n', 'x'.repeat(2000)]) {
+      const socket = connect(parseAddress(address));
+      socket.on('error', () => {});
+      const ended = new Promise(resolve => socket.on('close', resolve));
+      socket.write(bytes);
+      await ended;
+    }
+    stop();
+  });
+
+  test('reports a port where nobody listens as refused', async () => {
+    const {address, transport, stop} = await startServer();
+    stop();
+    await new Promise(resolve => setTimeout(resolve, 20));
+    const dialled = await promiseFromFuture(transport.dial(address, 1000));
+    expect(dialled.err && dialled.val.kind).toEqual('refused');
+  });
+});
--- /dev/null
+++ b/packages/rpc/index.ts
@@ -0,0 +1,6 @@
+/** JSON-RPC 2.0 between processes over TCP or over a transport passed in. */
+export * from './src/failure_codec';
+export * from './src/handlers';
+export * from './src/peer';
+export * from './src/tcp_transport';
+export * from './src/transport';
--- /dev/null
+++ b/packages/rpc/src/tcp_transport.ts
@@ -0,0 +1,219 @@
+/** The transport over TCP: each JSON value is a line. */
+import {Deferred, createDeferred} from '@kelpstep/runtime';
+import {createServer, connect, type Server, type Socket} from 'node:net';
+import {Err, Ok, Result} from 'ts-results';
+
+import {
+  Address,
+  Connection,
+  ConnectionListener,
+  Listener,
+  Transport,
+  TransportError,
+} from './transport';
+
+/** Longest line that is read by default, in bytes. */
+export const DEFAULT_MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** Settings of the TCP transport. */
+export interface TcpTransportOptions {
+  /** A connection with a longer line is closed. */
+  readonly maximumFrameBytes?: number;
+}
+
+/** Splits `ip:port`. */
+export function parseAddress(address: Address): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
+
+const LINE_FEED = 0x0a;
+
+/** Cuts a byte stream into lines; undefined once a line is too long. */
+function createLineSplitter(maximumBytes: number) {
+  let chunks: Buffer[] = [];
+  let pendingBytes = 0;
+
+  return function split(chunk: Buffer): string[] | undefined {
+    const lines: string[] = [];
+    let start = 0;
+    let end = chunk.indexOf(LINE_FEED);
+    while (end >= 0) {
+      const tail = chunk.subarray(start, end);
+      const line =
+        chunks.length === 0 ? tail : Buffer.concat([...chunks, tail]);
+      chunks = [];
+      pendingBytes = 0;
+      lines.push(line.toString('utf8'));
+      start = end + 1;
+      end = chunk.indexOf(LINE_FEED, start);
+    }
+    if (start < chunk.length) {
+      const rest = chunk.subarray(start);
+      chunks.push(rest);
+      pendingBytes += rest.length;
+    }
+    return pendingBytes > maximumBytes ? undefined : lines;
+  };
+}
+
+function parseLine(line: string): Result<unknown, undefined> {
+  try {
+    return Ok(JSON.parse(line));
+  } catch {
+    return Err(undefined);
+  }
+}
+
+function createTcpConnection(
+  socket: Socket,
+  maximumFrameBytes: number,
+): Connection {
+  const split = createLineSplitter(maximumFrameBytes);
+  const early: unknown[] = [];
+  let listener: ConnectionListener | undefined;
+  let closeReason: string | undefined;
+
+  // Messages of one turn of the event loop leave in one packet.
+  let outgoing = '';
+
+  function flush(): void {
+    const batch = outgoing;
+    outgoing = '';
+    if (closeReason === undefined) {
+      socket.write(batch);
+    }
+  }
+
+  function send(message: object): void {
+    if (closeReason !== undefined) {
+      return;
+    }
+    if (outgoing === '') {
+      process.nextTick(flush);
+    }
+    outgoing += JSON.stringify(message) + '\n';
+  }
+
+  function end(reason: string): void {
+    if (closeReason !== undefined) {
+      return;
+    }
+    closeReason = reason;
+    socket.destroy();
+    listener?.onClose(reason);
+  }
+
+  function deliver(line: string): void {
+    const message = parseLine(line);
+    if (message.err) {
+      end('not JSON');
+    } else if (listener === undefined) {
+      early.push(message.val);
+    } else {
+      listener.onMessage(message.val);
+    }
+  }
+
+  socket.setNoDelay(true);
+  socket.on('data', chunk => {
+    const lines = split(chunk);
+    if (lines === undefined) {
+      end('frame too large');
+      return;
+    }
+    for (const line of lines) {
+      if (closeReason === undefined) {
+        deliver(line);
+      }
+    }
+  });
+  socket.on('error', error => end(error.message));
+  socket.on('close', () => end('closed by the other end'));
+
+  return {
+    remoteAddress: `${socket.remoteAddress}:${socket.remotePort}`,
+    send,
+    close(reason) {
+      if (outgoing !== '') {
+        flush();
+      }
+      end(reason);
+    },
+    listen(newListener) {
+      listener = newListener;
+      for (const message of early.splice(0)) {
+        listener.onMessage(message);
+      }
+      if (closeReason !== undefined) {
+        listener.onClose(closeReason);
+      }
+    },
+  };
+}
+
+function dialError(error: NodeJS.ErrnoException): TransportError {
+  const kind = error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable';
+  return {kind, message: error.message};
+}
+
+function listenError(error: NodeJS.ErrnoException): TransportError {
+  const kind = error.code === 'EADDRINUSE' ? 'address-in-use' : 'unreachable';
+  return {kind, message: error.message};
+}
+
+/** Creates the transport that daemons use. */
+export function createTcpTransport(
+  options: TcpTransportOptions = {},
+): Transport {
+  const maximumFrameBytes =
+    options.maximumFrameBytes ?? DEFAULT_MAXIMUM_FRAME_BYTES;
+
+  function dial(address: Address, timeout: number) {
+    const deferred = createDeferred<Result<Connection, TransportError>>();
+    const socket = connect(parseAddress(address));
+    socket.setTimeout(timeout, () => {
+      deferred.settle(
+        Err({kind: 'timeout', message: 'No connection in time.'}),
+      );
+      socket.destroy();
+    });
+    socket.once('error', error => deferred.settle(Err(dialError(error))));
+    socket.once('connect', () => {
+      socket.setTimeout(0);
+      deferred.settle(Ok(createTcpConnection(socket, maximumFrameBytes)));
+    });
+    return deferred.future;
+  }
+
+  function listen(address: Address, accept: (connection: Connection) => void) {
+    const deferred = createDeferred<Result<Listener, TransportError>>();
+    const server = createServer(socket =>
+      accept(createTcpConnection(socket, maximumFrameBytes)),
+    );
+    server.once('error', error => deferred.settle(Err(listenError(error))));
+    startListening(server, address, deferred);
+    return deferred.future;
+  }
+
+  return {dial, listen};
+}
+
+function startListening(
+  server: Server,
+  address: Address,
+  deferred: Deferred<Result<Listener, TransportError>>,
+): void {
+  const {host, port} = parseAddress(address);
+  server.listen(port, host, () => {
+    const bound = server.address();
+    const boundPort =
+      bound === null || typeof bound === 'string' ? port : bound.port;
+    deferred.settle(
+      Ok({address: `${host}:${boundPort}`, close: () => server.close()}),
+    );
+  });
+}
--- /dev/null
+++ b/packages/runtime/__tests__/runtime.spec.ts
@@ -0,0 +1,121 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {
+  createDeferred,
+  createMailbox,
+  createRandom,
+  createRuntime,
+  createVirtualTimer,
+  receive,
+  receiveAtMost,
+  sleep,
+  waitAtMost,
+  waitFor,
+} from '..';
+
+function createVirtualRuntime() {
+  const timer = createVirtualTimer();
+  return {
+    timer,
+    runtime: createRuntime({timer, random: createRandom(1)}),
+  };
+}
+
+describe('a task', () => {
+  test('sleeps in virtual time', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    const wakes: number[] = [];
+    runtime.spawn(
+      'sleeper',
+      (function* () {
+        yield* sleep(10);
+        wakes.push(timer.now());
+        yield* sleep(5);
+        wakes.push(timer.now());
+      })(),
+    );
+    timer.advance(12);
+    expect(wakes).toEqual([10]);
+    timer.advance(12);
+    expect(wakes).toEqual([10, 15]);
+  });
+
+  test('gets messages in the order in which they were posted', () => {
+    const {runtime} = createVirtualRuntime();
+    const mailbox = createMailbox<number>();
+    const seen: number[] = [];
+    runtime.spawn(
+      'reader',
+      (function* () {
+        for (;;) {
+          seen.push(yield* receive(mailbox));
+        }
+      })(),
+    );
+    mailbox.post(1);
+    mailbox.post(2);
+    expect(seen).toEqual([1, 2]);
+  });
+
+  test('stops waiting for a message at its limit and loses none', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    const mailbox = createMailbox<string>();
+    const seen: Array<string | undefined> = [];
+    runtime.spawn(
+      'reader',
+      (function* () {
+        seen.push(yield* receiveAtMost(mailbox, 10));
+        seen.push(yield* receiveAtMost(mailbox, 10));
+      })(),
+    );
+    timer.advance(10);
+    mailbox.post('late');
+    expect(seen).toEqual([undefined, 'late']);
+  });
+
+  test('waits for a future at most the given time', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    const deferred = createDeferred<string>();
+    const handle = runtime.spawn('waiter', waitAtMost(deferred.future, 10));
+    timer.advance(11);
+    const results: unknown[] = [];
+    handle.result.onSettled(value => results.push(value));
+    expect(results).toEqual([undefined]);
+  });
+
+  test('runs its cleanup when it is cancelled, and nothing after', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    const steps: string[] = [];
+    const handle = runtime.spawn(
+      'worker',
+      (function* () {
+        try {
+          yield* sleep(10);
+          steps.push('woke');
+        } finally {
+          steps.push('cleaned');
+        }
+      })(),
+    );
+    handle.cancel();
+    timer.advance(20);
+    expect(steps).toEqual(['cleaned']);
+  });
+
+  test('passes a hundred thousand settled futures on a flat stack', () => {
+    const {runtime} = createVirtualRuntime();
+    const deferred = createDeferred<number>();
+    deferred.settle(1);
+    let sum = 0;
+    runtime.spawn(
+      'summer',
+      (function* () {
+        for (let round = 0; round < 100_000; round++) {
+          sum += yield* waitFor(deferred.future);
+        }
+      })(),
+    );
+    expect(sum).toEqual(100_000);
+  });
+});
--- /dev/null
+++ b/packages/runtime/index.ts
@@ -0,0 +1,9 @@
+/** Generator tasks, mailboxes, timer service and seeded random numbers. */
+export * from './src/deferred';
+export * from './src/effect';
+export * from './src/mailbox';
+export * from './src/random';
+export * from './src/real_timer';
+export * from './src/runtime';
+export * from './src/timer';
+export * from './src/virtual_timer';
