--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,20 +23,36 @@
       ],
       '@typescript-eslint/naming-convention': [
         'error',
-        {selector: 'default', format: ['camelCase'], leadingUnderscore: 'forbid'},
+        {
+          selector: 'default',
+          format: ['camelCase'],
+          leadingUnderscore: 'forbid',
+        },
         {selector: 'import', format: null},
         {selector: 'variable', format: ['camelCase', 'UPPER_CASE']},
-        {selector: 'typeLike', format: ['PascalCase'], custom: {regex: '^I[A-Z]', match: false}},
+        {
+          selector: 'typeLike',
+          format: ['PascalCase'],
+          custom: {regex: '^I[A-Z]', match: false},
+        },
         {selector: 'enumMember', format: ['UPPER_CASE']},
         {selector: 'property', format: null},
       ],
-      'no-restricted-exports': ['error', {restrictDefaultExports: {direct: true}}],
+      'no-restricted-exports': [
+        'error',
+        {restrictDefaultExports: {direct: true}},
+      ],
     },
   },
   {
     // Time and chance come from the runtime only, so that tasks replay.
     files: ['packages/*/src/**/*.ts'],
-    ignores: ['packages/runtime/**', 'packages/stand-ins/**', 'packages/cli/**', 'packages/bench/**'],
+    ignores: [
+      'packages/runtime/**',
+      'packages/stand-ins/**',
+      'packages/cli/**',
+      'packages/bench/**',
+    ],
     rules: {
       'no-restricted-properties': [
         'error',
@@ -45,7 +61,12 @@
         {object: 'performance', property: 'now'},
         {object: 'process', property: 'hrtime'},
       ],
-      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate'],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+      ],
     },
   },
 );
