feat(stand-ins): a network in memory and virtual time

Other slices need a transport whose faults a test can set at any time and whose runs replay from a seed. Connections follow TCP: frames stay in order, what meets a cut is sent again once it is healed (losing single frames in the middle of a stream was ruled out: TCP can't), a host that doesn't know a connection resets it. A host timer holds back timers and messages of a frozen process.

--- /dev/null
+++ b/packages/stand-ins/index.ts
@@ -0,0 +1,4 @@
+/** Stand-ins of target, platform and network for tests, demo and bench. */
+export * from './src/network/fake_network';
+export * from './src/network/host_timer';
+export type * from './src/network/message_rules';
