feat(stand-ins): a database with a replicated log

Terms, fence, barrier, pull replication with truncation, keys recorded with their record, transactions bound to their connection, slots, connection limit and faults that change while it runs.

Weighed: locks against first-committer-wins for transactions; the latter can't deadlock on the few slots. Keys are forgotten only after twice their retention, so that KEY_EXPIRED says "not run" only where that is certain and "unknown" beyond. Replication connections don't count against the limit, as a reserve, or a group at its limit could never replicate again. A lagging replica's received records count only once applied.

--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -2,3 +2,5 @@
 export * from './src/network/fake_network';
 export * from './src/network/host_timer';
 export type * from './src/network/message_rules';
+export * from './src/database/database';
+export * from './src/database/database_settings';
--- /dev/null
+++ b/packages/stand-ins/src/database/store.ts
@@ -0,0 +1,164 @@
+/**
+ * Log, tables and keys of one database. A replica that lags has received
+ * records that are not applied yet; they don't count as part of its log.
+ */
+import {
+  EMPTY_LOG_END,
+  Failure,
+  IdempotencyKey,
+  LogPosition,
+  LogRecord,
+  Rows,
+  Statement,
+  TermHistory,
+} from '@kelpstep/protocol';
+import {Ok, Result} from 'ts-results';
+
+import type {IdempotencyKeys} from './idempotency_keys';
+import {LogOutline, createReplicatedLog, historyUpTo} from './replicated_log';
+import {prepareStatement} from './statements';
+import {CommittedTables, createCommittedTables} from './tables';
+
+/** What a primary writes as one record. */
+export interface NewRecord {
+  readonly term: number;
+  readonly statements: Statement[];
+  readonly key?: IdempotencyKey;
+  readonly cancelsKey?: boolean;
+  /** Whether the rows of the last statement are the answer. */
+  readonly answersRows: boolean;
+}
+
+/** The answer to a write. */
+export interface Written {
+  readonly rows: Rows;
+  readonly at: LogPosition;
+}
+
+/** The data of one database. */
+export interface Store {
+  readonly tables: CommittedTables;
+  readonly keys: IdempotencyKeys;
+  /** End of the log that is applied. */
+  end(): LogPosition;
+  history(): TermHistory;
+  /** Log with the records that are received but not applied. */
+  received(): LogOutline;
+  recordsAfter(position: number, limit: number): LogRecord[];
+  /** Runs statements and appends their record; a failure changes nothing. */
+  write(record: NewRecord): Result<Written, Failure>;
+  /** Takes records that follow the received end. */
+  receive(records: readonly LogRecord[]): void;
+  /** Applies received records up to a position. */
+  applyUpTo(position: number): void;
+  /** Drops records beyond a position and undoes them. */
+  truncate(keep: number): void;
+}
+
+/** What a store is made of. */
+export interface StoreOptions {
+  readonly keys: IdempotencyKeys;
+  /** Called after each change of the applied log. */
+  readonly onChange: () => void;
+}
+
+/** Creates an empty store. */
+export function createStore(options: StoreOptions): Store {
+  const {keys, onChange} = options;
+  const log = createReplicatedLog();
+  const tables = createCommittedTables();
+  let end = EMPTY_LOG_END;
+
+  function run(statements: readonly Statement[]): Result<Rows, Failure> {
+    let answer: Result<Rows, Failure> = Ok([]);
+    for (const statement of statements) {
+      if (answer.err) {
+        break;
+      }
+      answer = prepareStatement(statement, 'write').andThen(prepared =>
+        prepared.run(tables),
+      );
+    }
+    return answer;
+  }
+
+  function write(newRecord: NewRecord): Result<Written, Failure> {
+    const {term, statements, key, cancelsKey, answersRows} = newRecord;
+    const at = {term, position: end.position + 1};
+    tables.setPosition(at.position);
+    const answer = run(statements);
+    if (answer.err) {
+      return answer;
+    }
+    const rows = answersRows ? answer.val : [];
+    const record: LogRecord = {
+      at,
+      statements,
+      ...(key === undefined ? {} : {key, rows}),
+      ...(cancelsKey === undefined ? {} : {cancelsKey}),
+    };
+    log.append(record);
+    keys.record(record);
+    end = at;
+    onChange();
+    return Ok({rows, at});
+  }
+
+  function apply(record: LogRecord): void {
+    tables.setPosition(record.at.position);
+    run(record.statements);
+    keys.record(record);
+    end = record.at;
+  }
+
+  function replayUpTo(position: number): void {
+    while (end.position < position) {
+      const record = log.recordAt(end.position + 1);
+      if (record === undefined) {
+        break;
+      }
+      apply(record);
+    }
+  }
+
+  function applyUpTo(position: number): void {
+    const before = end;
+    replayUpTo(position);
+    if (end !== before) {
+      onChange();
+    }
+  }
+
+  function receive(records: readonly LogRecord[]): void {
+    for (const record of records) {
+      if (record.at.position === log.end().position + 1) {
+        log.append(record);
+      }
+    }
+  }
+
+  function truncate(keep: number): void {
+    log.truncate(keep);
+    if (keep >= end.position) {
+      return;
+    }
+    tables.clear();
+    keys.clear();
+    end = EMPTY_LOG_END;
+    replayUpTo(keep);
+    onChange();
+  }
+
+  return {
+    tables,
+    keys,
+    end: () => end,
+    history: () => historyUpTo(log.history(), end.position),
+    received: () => ({end: log.end(), history: log.history()}),
+    recordsAfter: log.recordsAfter,
+    write,
+    receive,
+    applyUpTo,
+    truncate,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/database/transactions.ts
@@ -0,0 +1,71 @@
+/** The open transactions of a database. */
+import {Failure, createFailure} from '@kelpstep/protocol';
+import {Err, Ok, Result} from 'ts-results';
+
+import type {Session, Transaction} from './session';
+import type {SlotPool} from './slot_pool';
+import type {Store} from './store';
+import {createTransactionTables} from './tables';
+
+/** The open transactions, each bound to its connection. */
+export interface Transactions {
+  begin(session: Session, term: number): Result<Transaction, Failure>;
+  /** The transaction of this id on this connection. */
+  find(session: Session, id: string): Result<Transaction, Failure>;
+  /** Ends the connection's transaction and gives its slot back. */
+  end(session: Session): void;
+  /** Rolls all back, as when the database stops being primary. */
+  rollBackAll(): void;
+  open(): number;
+}
+
+/** Creates an empty set; ids differ between incarnations. */
+export function createTransactions(
+  store: Store,
+  slots: SlotPool,
+  incarnation: string,
+): Transactions {
+  const sessions = new Set<Session>();
+  let nextNumber = 1;
+
+  function begin(session: Session, term: number): Result<Transaction, Failure> {
+    if (session.transaction !== undefined) {
+      return Err(createFailure('TRANSACTION_BUSY'));
+    }
+    session.transaction = {
+      id: `${incarnation}-${nextNumber++}`,
+      term,
+      tables: createTransactionTables(store.tables),
+      writes: [],
+    };
+    sessions.add(session);
+    return Ok(session.transaction);
+  }
+
+  function find(session: Session, id: string): Result<Transaction, Failure> {
+    const {transaction} = session;
+    if (transaction?.id === id) {
+      return Ok(transaction);
+    }
+    const isLost = session.lostTransaction === id;
+    return Err(
+      createFailure(isLost ? 'TRANSACTION_LOST' : 'TRANSACTION_UNKNOWN'),
+    );
+  }
+
+  function end(session: Session): void {
+    if (sessions.delete(session)) {
+      session.transaction = undefined;
+      slots.release();
+    }
+  }
+
+  function rollBackAll(): void {
+    for (const session of [...sessions]) {
+      session.lostTransaction = session.transaction?.id;
+      end(session);
+    }
+  }
+
+  return {begin, find, end, rollBackAll, open: () => sessions.size};
+}
--- a/packages/stand-ins/src/network/fake_transport.ts
+++ b/packages/stand-ins/src/network/fake_transport.ts
@@ -116,6 +116,9 @@
   }
 
   function listen(address: Address, accept: (connection: Connection) => void) {
+    if (process.timer.isStopped()) {
+      return createDeferred<Result<Listener, TransportError>>().future;
+    }
     const bound = address.endsWith(':0') ? freeAddress() : address;
     if (process.listeners.has(bound)) {
       const message = `${bound} is in use.`;
