feat(stand-ins): the platform, processes of their own, embedded stand-ins

The daemon's path needs the platform over HTTP and stand-ins that start as processes; decisions need the same platform in virtual time. One core in memory serves both. Faults act between the request's arrival and its effect, so that a lost answer comes after the effect.

--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -4,3 +4,8 @@
 export type * from './src/network/message_rules';
 export * from './src/database/database';
 export * from './src/database/database_settings';
+export * from './src/embedded';
+export * from './src/platform/in_process_client';
+export * from './src/platform/platform';
+export * from './src/platform/platform_faults';
+export * from './src/platform/platform_server';
--- /dev/null
+++ b/packages/stand-ins/src/embedded.ts
@@ -0,0 +1,100 @@
+/** Databases and platform on loopback within this process, for the demo. */
+import type {ListedInstance} from '@kelpstep/protocol';
+import {
+  createRandom,
+  createRealTimer,
+  createRuntime,
+  promiseFromFuture,
+} from '@kelpstep/runtime';
+import {Address, createTcpTransport} from '@kelpstep/rpc';
+import {randomInt, randomUUID} from 'node:crypto';
+
+import {Database, createDatabase} from './database/database';
+import type {DatabaseSettings} from './database/database_settings';
+import {PlatformServer, startPlatformServer} from './platform/platform_server';
+
+/** A database to start. */
+export interface EmbeddedMember {
+  /** Member id, as in the manifest. */
+  readonly id: string;
+  /** Where it listens; any free port of 127.0.0.1 by default. */
+  readonly address?: Address;
+  /** Settings that differ from those of all. */
+  readonly settings?: Partial<DatabaseSettings>;
+}
+
+/** What to start. */
+export interface EmbeddedStandInsOptions {
+  readonly members: readonly EmbeddedMember[];
+  /** Settings of all databases. */
+  readonly settings?: Partial<DatabaseSettings>;
+  /** Where the platform listens; any free port by default. */
+  readonly platformAddress?: Address;
+  /** The platform's list; empty by default. */
+  readonly instances?: readonly ListedInstance[];
+}
+
+/** A database that runs, with its address. */
+export interface EmbeddedDatabase extends Database {
+  readonly id: string;
+  readonly address: Address;
+}
+
+/** Stand-ins that run. */
+export interface EmbeddedStandIns {
+  readonly platform: PlatformServer;
+  /** In the order of the members. */
+  readonly databases: readonly EmbeddedDatabase[];
+  stop(): Promise<void>;
+}
+
+const ANY_PORT: Address = '127.0.0.1:0';
+const HIGHEST_SEED = 0x7fffffff;
+
+/** A database on real sockets and time; rejects if it can't listen. */
+export async function startDatabase(
+  member: EmbeddedMember,
+): Promise<EmbeddedDatabase> {
+  const random = createRandom(randomInt(HIGHEST_SEED));
+  const database = createDatabase({
+    runtime: createRuntime({timer: createRealTimer(), random}),
+    transport: createTcpTransport(),
+    target: member.id,
+    address: member.address ?? ANY_PORT,
+    incarnation: randomUUID(),
+    settings: member.settings,
+    defer: setImmediate,
+  });
+  const listening = await promiseFromFuture(database.listening);
+  if (listening.err) {
+    throw new Error(`${member.id}: ${listening.val.message}`);
+  }
+  return {...database, id: member.id, address: listening.val};
+}
+
+/** Starts databases and platform; rejects if one can't listen. */
+export async function startEmbeddedStandIns(
+  options: EmbeddedStandInsOptions,
+): Promise<EmbeddedStandIns> {
+  const platform = await startPlatformServer({
+    address: options.platformAddress ?? ANY_PORT,
+  });
+  platform.platform.setInstances(options.instances ?? []);
+  const databases: EmbeddedDatabase[] = [];
+
+  async function stop(): Promise<void> {
+    databases.forEach(database => database.stop());
+    await platform.stop();
+  }
+
+  try {
+    for (const member of options.members) {
+      const settings = {...options.settings, ...member.settings};
+      databases.push(await startDatabase({...member, settings}));
+    }
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  return {platform, databases, stop};
+}
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,143 @@
+/** The stand-ins as processes of their own: `npm run stand-in -- --help`. */
+import yargs, {type Argv} from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {z} from 'zod';
+
+import {
+  DEFAULT_DATABASE_SETTINGS,
+  databaseSettingsSchema,
+} from './database/database_settings';
+import {startDatabase} from './embedded';
+import {
+  NO_PLATFORM_FAULTS,
+  platformFaultsSchema,
+} from './platform/platform_faults';
+import {startPlatformServer} from './platform/platform_server';
+
+const EXIT_FAILURE = 1;
+
+/** Something that runs until the process is told to stop. */
+interface Running {
+  readonly address: string;
+  stop(): unknown;
+}
+
+/** Option names are the settings' names in kebab case. */
+function addNumbers<T extends object>(
+  parser: Argv<T>,
+  defaults: Readonly<Record<string, number>>,
+): Argv<T> {
+  return Object.entries(defaults).reduce(
+    (extended, [name, value]) =>
+      extended.option(toKebabCase(name), {
+        type: 'number',
+        default: value,
+        requiresArg: true,
+      }) as Argv<T>,
+    parser,
+  );
+}
+
+function toKebabCase(name: string): string {
+  return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
+
+/** Picks the settings out of the parsed command line. */
+function pick(
+  parsed: Readonly<Record<string, unknown>>,
+  names: readonly string[],
+): Record<string, unknown> {
+  return Object.fromEntries(names.map(name => [name, parsed[name]]));
+}
+
+function describe(error: unknown): string {
+  if (error instanceof z.ZodError) {
+    return z.prettifyError(error);
+  }
+  return error instanceof Error ? error.message : String(error);
+}
+
+/** Tells that it listens, and stops on a signal. */
+async function run(starting: Promise<Running>): Promise<void> {
+  const running = await starting;
+  const line = {event: 'listening', address: running.address};
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.once(signal, () => {
+      void Promise.resolve(running.stop()).then(() => process.exit());
+    });
+  }
+}
+
+const PLATFORM_NUMBERS = {
+  latency: NO_PLATFORM_FAULTS.latency,
+  slowness: NO_PLATFORM_FAULTS.slowness,
+  listingLag: NO_PLATFORM_FAULTS.listingLag,
+};
+
+const address = {
+  type: 'string',
+  demandOption: true,
+  requiresArg: true,
+  describe: 'ip:port to listen on',
+} as const;
+
+const commands = yargs(hideBin(process.argv))
+  .scriptName('stand-in')
+  .command(
+    'database',
+    'A target of a group. Durations are in milliseconds.',
+    parser =>
+      addNumbers(
+        parser.option('address', address).option('id', {
+          type: 'string',
+          demandOption: true,
+          requiresArg: true,
+          describe: 'member id, as in the manifest',
+        }),
+        DEFAULT_DATABASE_SETTINGS,
+      ),
+    async parsed =>
+      run(
+        startDatabase({
+          id: parsed.id,
+          address: parsed.address,
+          settings: databaseSettingsSchema.parse(
+            pick(parsed, Object.keys(DEFAULT_DATABASE_SETTINGS)),
+          ),
+        }),
+      ),
+  )
+  .command(
+    'platform',
+    'Table service, object store and instance list over HTTP.',
+    parser => addNumbers(parser.option('address', address), PLATFORM_NUMBERS),
+    async parsed =>
+      run(
+        startPlatformServer({
+          address: parsed.address,
+          faults: platformFaultsSchema
+            .partial()
+            .parse(pick(parsed, Object.keys(PLATFORM_NUMBERS))),
+        }),
+      ),
+  )
+  .demandCommand(1, 'Name a stand-in.')
+  .strict()
+  .help()
+  .version(false)
+  // Thrown, so that no command runs on a faulty command line.
+  .fail((message, error) => {
+    throw error ?? new Error(message);
+  });
+
+async function main(): Promise<void> {
+  try {
+    await commands.parseAsync();
+  } catch (error) {
+    process.stderr.write(`stand-in: ${describe(error)}\n`);
+    process.exitCode = EXIT_FAILURE;
+  }
+}
+
+void main();
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform_routes.ts
@@ -0,0 +1,199 @@
+/** What each path of the platform's HTTP interface does. */
+import {listedInstanceSchema} from '@kelpstep/protocol';
+import {z} from 'zod';
+
+import type {Platform} from './platform';
+import {PlatformOperation, platformFaultsSchema} from './platform_faults';
+
+/** A request, read whole. */
+export interface PlatformRequest {
+  readonly method: string;
+  /** Decoded segments of the path. */
+  readonly segments: readonly string[];
+  readonly query: URLSearchParams;
+  readonly body: string;
+}
+
+/** An answer: JSON, or text as it stands. */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly json?: unknown;
+  readonly text?: string;
+}
+
+/** A route that a request matches. */
+export interface PlatformRoute {
+  /** `undefined`: for tests only, and past all faults. */
+  readonly operation: PlatformOperation | undefined;
+  readonly run: () => PlatformAnswer;
+}
+
+const DEFAULT_LIST_LIMIT = 1000;
+const NO_CONTENT: PlatformAnswer = {status: 204};
+
+const writeRowSchema = z.strictObject({
+  expectedVersion: z.number().int().nonnegative(),
+  value: z.unknown(),
+});
+
+/** An error answer. */
+export function errorAnswer(status: number, error: string): PlatformAnswer {
+  return {status, json: {error}};
+}
+
+/** Parses the body by a schema and runs the rest with it. */
+function withBody<T>(
+  body: string,
+  schema: z.ZodType<T>,
+  run: (value: T) => PlatformAnswer,
+): PlatformAnswer {
+  let value: unknown;
+  try {
+    value = JSON.parse(body);
+  } catch {
+    return errorAnswer(400, 'The body is not JSON.');
+  }
+  const parsed = schema.safeParse(value);
+  return parsed.success
+    ? run(parsed.data)
+    : errorAnswer(400, z.prettifyError(parsed.error));
+}
+
+function rowRoute(
+  platform: Platform,
+  request: PlatformRequest,
+  table: string,
+  key: string,
+): PlatformRoute | undefined {
+  if (request.method === 'GET') {
+    return {
+      operation: 'readRow',
+      run: () => ({status: 200, json: platform.readRow(table, key)}),
+    };
+  }
+  if (request.method !== 'PUT') {
+    return undefined;
+  }
+  return {
+    operation: 'writeRow',
+    run: () =>
+      withBody(request.body, writeRowSchema, ({expectedVersion, value}) => {
+        const written = platform.writeRow(table, key, expectedVersion, value);
+        const status = written.ok ? 200 : 409;
+        return {status, json: {version: written.val}};
+      }),
+  };
+}
+
+function listRoute(
+  platform: Platform,
+  request: PlatformRequest,
+  table: string,
+): PlatformRoute | undefined {
+  if (request.method !== 'GET') {
+    return undefined;
+  }
+  const after = request.query.get('after') ?? '';
+  const limit = Number(request.query.get('limit') ?? DEFAULT_LIST_LIMIT);
+  return {
+    operation: 'listRows',
+    run: () =>
+      Number.isInteger(limit) && limit > 0
+        ? {status: 200, json: platform.listRows(table, after, limit)}
+        : errorAnswer(400, 'The limit is not a positive whole number.'),
+  };
+}
+
+function objectRoute(
+  platform: Platform,
+  request: PlatformRequest,
+  digest: string,
+): PlatformRoute | undefined {
+  if (request.method === 'GET') {
+    return {
+      operation: 'getObject',
+      run() {
+        const text = platform.getObject(digest);
+        return text === undefined
+          ? errorAnswer(404, 'No such object.')
+          : {status: 200, text};
+      },
+    };
+  }
+  if (request.method !== 'PUT') {
+    return undefined;
+  }
+  return {
+    operation: 'putObject',
+    run: () =>
+      platform.putObject(digest, request.body)
+        ? NO_CONTENT
+        : errorAnswer(400, 'The digest is not the SHA-256 of the body.'),
+  };
+}
+
+function instancesRoute(
+  platform: Platform,
+  request: PlatformRequest,
+): PlatformRoute | undefined {
+  if (request.method === 'GET') {
+    return {
+      operation: 'listInstances',
+      run: () => ({status: 200, json: platform.listInstances()}),
+    };
+  }
+  if (request.method !== 'POST') {
+    return undefined;
+  }
+  return {
+    operation: undefined,
+    run: () =>
+      withBody(request.body, z.array(listedInstanceSchema), instances => {
+        platform.setInstances(instances);
+        return NO_CONTENT;
+      }),
+  };
+}
+
+function faultsRoute(
+  platform: Platform,
+  request: PlatformRequest,
+): PlatformRoute | undefined {
+  if (request.method !== 'POST') {
+    return undefined;
+  }
+  return {
+    operation: undefined,
+    run: () =>
+      withBody(request.body, platformFaultsSchema.partial(), change => {
+        platform.configure(change);
+        return NO_CONTENT;
+      }),
+  };
+}
+
+/** Finds the route of a request; `undefined` if there is none. */
+export function findRoute(
+  platform: Platform,
+  request: PlatformRequest,
+): PlatformRoute | undefined {
+  const [first, second, third, fourth, ...rest] = request.segments;
+  if (rest.length > 0) {
+    return undefined;
+  }
+  if (first === 'tables' && second !== undefined && third === 'rows') {
+    return fourth === undefined
+      ? listRoute(platform, request, second)
+      : rowRoute(platform, request, second, fourth);
+  }
+  if (first === 'objects' && second !== undefined && third === undefined) {
+    return objectRoute(platform, request, second);
+  }
+  if (second !== undefined) {
+    return undefined;
+  }
+  if (first === 'instances') {
+    return instancesRoute(platform, request);
+  }
+  return first === 'faults' ? faultsRoute(platform, request) : undefined;
+}
