feat(manifest): read manifest and settings with located findings

A file's findings are reported together with line and column: syntax, schema (strict, unknown keys one by one) and checks across parts. The latter run on a lenient outline of the data, so that a schema finding elsewhere doesn't hide them; running them only on valid data was ruled out for that.

The succession check lets a group change by one member a version, counting a new address as another database, so that majorities of consecutive versions overlap.

--- /dev/null
+++ b/packages/manifest/__tests__/examples.ts
@@ -0,0 +1,23 @@
+/** The examples of the repository, and variants of them, for specs. */
+import {expect} from 'earl';
+import {readFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+/** Directory of the examples. */
+export const EXAMPLES = join(__dirname, '../../../examples');
+
+/** The manifest of the office. */
+export const OFFICE_MANIFEST = readFileSync(
+  join(EXAMPLES, 'office/manifest.yaml'),
+  'utf8',
+);
+
+/** The office's manifest with the first match of each text replaced. */
+export function editedOfficeManifest(
+  ...edits: ReadonlyArray<readonly [string, string]>
+): string {
+  return edits.reduce((text, [from, to]) => {
+    expect(text.includes(from)).toEqual(true);
+    return text.replace(from, to);
+  }, OFFICE_MANIFEST);
+}
--- /dev/null
+++ b/packages/manifest/__tests__/succession.spec.ts
@@ -0,0 +1,55 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {Manifest, checkSuccession, readManifest} from '..';
+import {OFFICE_MANIFEST, editedOfficeManifest} from './examples';
+
+function read(text: string): Manifest {
+  return readManifest(text, 'manifest.yaml').unwrap();
+}
+
+const OFFICE = read(OFFICE_MANIFEST);
+
+/** The office's manifest with the members of its first group replaced. */
+function withMembers(count: number, from = 0): Manifest {
+  const [group, ...others] = OFFICE.groups;
+  const first = group?.members[0];
+  if (group === undefined || first === undefined) {
+    throw new Error('the example has no group');
+  }
+  const members = Array.from({length: count}, (unused, index) => ({
+    ...first,
+    id: `rules-${from + index}`,
+    address: `127.0.0.1:${9000 + from + index}`,
+  }));
+  return {...OFFICE, groups: [{...group, members}, ...others]};
+}
+
+describe('the succession of manifests', () => {
+  test('lets one member come or go at a time', () => {
+    expect(checkSuccession(withMembers(3), withMembers(4))).toEqual([]);
+    expect(checkSuccession(withMembers(4), withMembers(3))).toEqual([]);
+    expect(checkSuccession(OFFICE, OFFICE)).toEqual([]);
+  });
+
+  test('refuses a replacement in one step, also under the same id', () => {
+    expect(
+      checkSuccession(withMembers(3), withMembers(3, 1)).map(({path}) => path),
+    ).toEqual([['groups', 0, 'members']]);
+    const moved = read(editedOfficeManifest(['0.1:7411', '0.1:7499']));
+    expect(checkSuccession(OFFICE, moved).length).toEqual(1);
+  });
+
+  test('refuses a vanished group unless it had one member', () => {
+    const without = {...OFFICE, groups: OFFICE.groups.slice(1)};
+    expect(checkSuccession(OFFICE, without).length).toEqual(1);
+    expect(checkSuccession(withMembers(1), without)).toEqual([]);
+  });
+
+  test('refuses another service and databases of another group', () => {
+    const text = OFFICE_MANIFEST.replace('service: handbook', 'service: other');
+    const renamed = read(text.replace('name: rules', 'name: regulations'));
+    // The service, the vanished group, and three databases that moved.
+    expect(checkSuccession(OFFICE, renamed).length).toEqual(5);
+  });
+});
--- a/packages/manifest/index.ts
+++ b/packages/manifest/index.ts
@@ -1,2 +1,7 @@
-/** The manifest that describes groups, members and request kinds. */
+/** The manifest and the settings: schemas, findings, checks. */
+export * from './src/finding';
 export * from './src/manifest_schema';
+export * from './src/read_manifest';
+export * from './src/settings_schema';
+export * from './src/succession';
+export * from './src/yaml_document';
--- /dev/null
+++ b/packages/manifest/src/manifest_checks.ts
@@ -0,0 +1,214 @@
+/**
+ * Checks of a manifest that go across its parts. They run on whatever of it
+ * can be read, so that they are reported together with the schema's findings.
+ */
+import {z} from 'zod';
+
+import {DataIssue, DataPath} from './finding';
+
+const text = z.string().optional().catch(undefined);
+const number = z.number().optional().catch(undefined);
+
+function list<T extends z.ZodType>(item: T) {
+  return z.array(item).catch([]);
+}
+
+const memberOutlineSchema = z
+  .object({
+    id: text,
+    dataCentre: text,
+    address: text,
+    state: text,
+    slots: number,
+    connectionLimit: number,
+  })
+  .catch({});
+
+const groupOutlineSchema = z
+  .object({name: text, members: list(memberOutlineSchema)})
+  .catch({members: []});
+
+const kindOutlineSchema = z.object({name: text, deadline: number}).catch({});
+
+const stopOutlineSchema = z
+  .object({drainTime: number, acceptTime: number})
+  .catch({});
+
+const outlineSchema = z.object({
+  dataCentres: list(text),
+  groups: list(groupOutlineSchema),
+  kinds: list(kindOutlineSchema),
+  stop: stopOutlineSchema,
+  keyRetention: number,
+});
+type ManifestOutline = z.infer<typeof outlineSchema>;
+type GroupOutline = z.infer<typeof groupOutlineSchema>;
+type MemberOutline = z.infer<typeof memberOutlineSchema>;
+
+interface Placed {
+  readonly path: DataPath;
+  readonly value: string | undefined;
+}
+
+/** Reports each value that stands at an earlier place as well. */
+function findDuplicates(what: string, places: readonly Placed[]): DataIssue[] {
+  const seen = new Set<string>();
+  const issues: DataIssue[] = [];
+  for (const {path, value} of places) {
+    if (value === undefined) {
+      continue;
+    }
+    if (seen.has(value)) {
+      issues.push({
+        path,
+        expected: `a distinct ${what}`,
+        found: `${JSON.stringify(value)} again`,
+      });
+    }
+    seen.add(value);
+  }
+  return issues;
+}
+
+interface PlacedMember {
+  readonly path: DataPath;
+  readonly member: MemberOutline;
+}
+
+function placedMembers(outline: ManifestOutline): PlacedMember[] {
+  return outline.groups.flatMap((group, groupIndex) =>
+    group.members.map((member, index) => ({
+      path: ['groups', groupIndex, 'members', index],
+      member,
+    })),
+  );
+}
+
+function duplicateIssues(outline: ManifestOutline): DataIssue[] {
+  const members = placedMembers(outline);
+  return [
+    ...findDuplicates(
+      'data centre',
+      outline.dataCentres.map((value, index) => ({
+        path: ['dataCentres', index],
+        value,
+      })),
+    ),
+    ...findDuplicates(
+      'group name',
+      outline.groups.map((group, index) => ({
+        path: ['groups', index, 'name'],
+        value: group.name,
+      })),
+    ),
+    ...findDuplicates(
+      'kind name',
+      outline.kinds.map((kind, index) => ({
+        path: ['kinds', index, 'name'],
+        value: kind.name,
+      })),
+    ),
+    ...findDuplicates(
+      'member id',
+      members.map(({path, member}) => ({
+        path: [...path, 'id'],
+        value: member.id,
+      })),
+    ),
+    ...findDuplicates(
+      'address',
+      members.map(({path, member}) => ({
+        path: [...path, 'address'],
+        value: member.address,
+      })),
+    ),
+  ];
+}
+
+function dataCentreIssues(outline: ManifestOutline): DataIssue[] {
+  const declared = new Set(outline.dataCentres);
+  if (declared.size === 0) {
+    return [];
+  }
+  return placedMembers(outline)
+    .filter(
+      ({member}) =>
+        member.dataCentre !== undefined && !declared.has(member.dataCentre),
+    )
+    .map(({path}) => ({
+      path: [...path, 'dataCentre'],
+      expected: `a data centre of dataCentres (${[...declared].join(', ')})`,
+    }));
+}
+
+function connectionIssues(outline: ManifestOutline): DataIssue[] {
+  return placedMembers(outline)
+    .filter(
+      ({member}) => (member.connectionLimit ?? Infinity) < (member.slots ?? 0),
+    )
+    .map(({path, member}) => ({
+      path: [...path, 'connectionLimit'],
+      expected: `at least as many connections as slots (${member.slots})`,
+    }));
+}
+
+function groupIssues(group: GroupOutline, index: number): DataIssue[] {
+  const path = ['groups', index, 'members'];
+  const {members} = group;
+  const issues: DataIssue[] = [];
+  if (
+    members.length > 0 &&
+    members.every(member => member.state === 'leaving')
+  ) {
+    issues.push({
+      path,
+      expected: 'a member that stays',
+      found: 'only members that are leaving',
+    });
+  }
+  if (members.length > 0 && members.length % 2 === 0) {
+    issues.push({
+      severity: 'warning',
+      path,
+      expected: 'an odd number of members',
+      found: `${members.length}, which survives no more losses than ${members.length - 1}`,
+    });
+  }
+  return issues;
+}
+
+function timeIssues(outline: ManifestOutline): DataIssue[] {
+  const issues: DataIssue[] = [];
+  const {keyRetention = Infinity, stop} = outline;
+  outline.kinds.forEach((kind, index) => {
+    if ((kind.deadline ?? 0) > keyRetention) {
+      issues.push({
+        path: ['kinds', index, 'deadline'],
+        expected: `a deadline within keyRetention (${keyRetention})`,
+      });
+    }
+  });
+  if ((stop.acceptTime ?? 0) > (stop.drainTime ?? Infinity)) {
+    issues.push({
+      path: ['stop', 'acceptTime'],
+      expected: `at most the drainTime (${stop.drainTime})`,
+    });
+  }
+  return issues;
+}
+
+/** Gives what is wrong across the parts of a manifest's data. */
+export function checkManifestData(raw: unknown): DataIssue[] {
+  const parsed = outlineSchema.safeParse(raw);
+  if (!parsed.success) {
+    return [];
+  }
+  const outline = parsed.data;
+  return [
+    ...duplicateIssues(outline),
+    ...dataCentreIssues(outline),
+    ...connectionIssues(outline),
+    ...outline.groups.flatMap(groupIssues),
+    ...timeIssues(outline),
+  ];
+}
--- a/packages/manifest/src/manifest_schema.ts
+++ b/packages/manifest/src/manifest_schema.ts
@@ -1,74 +1,83 @@
 /** Schema of the manifest; its types are inferred. */
 import {z} from 'zod';
 
-const name = z
-  .string()
-  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
+import {
+  addressSchema,
+  milliseconds,
+  nameSchema,
+  positiveNumber,
+  wholeNumber,
+} from './schema_parts';
 
-const address = z
-  .string()
-  .regex(
-    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
-    'IP number and port: 10.0.0.1:5432',
-  );
+/** Largest manifest in bytes: a frame between proxies has to hold it. */
+export const MAXIMUM_MANIFEST_BYTES = 3 * 1024 * 1024;
 
-const milliseconds = z.number().int().nonnegative();
+/** Longest time for an answer that a request kind may state, an hour. */
+const LONGEST_DEADLINE = 3_600_000;
+
+/** Longest drain, an hour, milliseconds. */
+const LONGEST_DRAIN = 3_600_000;
+
+/** Longest retention of idempotency keys, 30 days, milliseconds. */
+const LONGEST_KEY_RETENTION = 2_592_000_000;
 
 /** What an operator intends for a member. */
-export const memberStateSchema = z.enum(['serving', 'leaving']);
+export const memberStateSchema = z.enum(['serving', 'leaving'], {
+  error: 'serving or leaving',
+});
 
 /** A member of a group: one database instance (target). */
 export const memberSchema = z.strictObject({
-  id: name,
-  dataCentre: name,
-  address,
+  id: nameSchema,
+  dataCentre: nameSchema,
+  address: addressSchema,
   /** `leaving`: no new work; a primary is switched over first. */
   state: memberStateSchema.default('serving'),
   /** Statements that it runs at a time. */
-  slots: z.number().int().min(1).max(10_000),
+  slots: wholeNumber(1, 10_000),
   /** Connections that it accepts from all proxies together. */
-  connectionLimit: z.number().int().min(1).max(100_000),
+  connectionLimit: wholeNumber(1, 100_000),
 });
 export type Member = z.infer<typeof memberSchema>;
 
 /** A group of databases with one primary and its replicas. */
 export const groupSchema = z.strictObject({
-  name,
+  name: nameSchema,
   /** Age that a read accepts if it states none, milliseconds. */
-  readStaleness: milliseconds,
+  readStaleness: milliseconds(),
   members: z.array(memberSchema).min(1),
 });
 export type Group = z.infer<typeof groupSchema>;
 
 /** A kind of request, with what it is worth and how long it may take. */
 export const requestKindSchema = z.strictObject({
-  name,
+  name: nameSchema,
   /** Relative worth of an answer in time; orders the queue under overload. */
-  worth: z.number().positive().max(1_000_000),
+  worth: positiveNumber(1_000_000),
   /** Time for an answer if the request states no deadline, milliseconds. */
-  deadline: z.number().int().positive(),
+  deadline: milliseconds(1, LONGEST_DEADLINE),
 });
 export type RequestKind = z.infer<typeof requestKindSchema>;
 
 /** How members and proxies are stopped. */
 export const stopPolicySchema = z.strictObject({
   /** Time that transactions get to end, milliseconds. */
-  drainTime: milliseconds.default(10_000),
+  drainTime: milliseconds(0, LONGEST_DRAIN).default(10_000),
   /** Time that a stopping proxy goes on accepting requests, milliseconds. */
-  acceptTime: milliseconds.default(5_000),
+  acceptTime: milliseconds(0, LONGEST_DRAIN).default(5_000),
 });
 
 /** The manifest. */
 export const manifestSchema = z.strictObject({
   /** Format of the manifest. */
-  format: z.literal(1),
-  service: name,
-  dataCentres: z.array(name).min(1),
+  format: z.literal(1, {error: 'the format 1'}),
+  service: nameSchema,
+  dataCentres: z.array(nameSchema).min(1),
   groups: z.array(groupSchema).min(1),
   kinds: z.array(requestKindSchema).min(1),
   stop: stopPolicySchema.default({drainTime: 10_000, acceptTime: 5_000}),
   /** How long targets remember idempotency keys, milliseconds. */
-  keyRetention: z.number().int().positive().default(86_400_000),
+  keyRetention: milliseconds(1, LONGEST_KEY_RETENTION).default(86_400_000),
 });
 export type Manifest = z.infer<typeof manifestSchema>;
 
--- /dev/null
+++ b/packages/manifest/src/succession.ts
@@ -0,0 +1,101 @@
+/**
+ * Checks that one manifest may follow another. Proxies take a new version at
+ * different moments, so majorities of two consecutive versions of a group must
+ * overlap: else each could confirm records that the other does not see.
+ */
+import {DataIssue} from './finding';
+import type {Group, Manifest} from './manifest_schema';
+
+/** Most members by which a group may change from one version to the next. */
+const MAXIMUM_MEMBER_CHANGES = 1;
+
+/** A member under another address is another database. */
+function memberKeys(group: Group): Set<string> {
+  return new Set(group.members.map(({id, address}) => `${id} at ${address}`));
+}
+
+function difference(left: Set<string>, right: Set<string>): string[] {
+  return [...left].filter(key => !right.has(key));
+}
+
+function checkMembers(
+  previous: Group,
+  next: Group,
+  index: number,
+): DataIssue[] {
+  const before = memberKeys(previous);
+  const after = memberKeys(next);
+  const added = difference(after, before).map(key => `+ ${key}`);
+  const removed = difference(before, after).map(key => `- ${key}`);
+  const changes = [...removed, ...added];
+  if (changes.length <= MAXIMUM_MEMBER_CHANGES) {
+    return [];
+  }
+  return [
+    {
+      path: ['groups', index, 'members'],
+      expected: 'one member added or removed since the version before',
+      found: changes.join(', '),
+    },
+  ];
+}
+
+/** A group is taken down one member at a time; only the last one may go. */
+function checkVanished(previous: Manifest, next: Manifest): DataIssue[] {
+  const names = new Set(next.groups.map(group => group.name));
+  return previous.groups
+    .filter(group => !names.has(group.name) && group.members.length > 1)
+    .map(group => ({
+      path: ['groups'],
+      expected: `the group ${group.name}, or that it had one member before`,
+      found: `no such group, which had ${group.members.length} members`,
+    }));
+}
+
+/** A database holds the log of one group and can't serve another. */
+function checkMoves(previous: Manifest, next: Manifest): DataIssue[] {
+  const groupOf = new Map<string, string>();
+  for (const group of previous.groups) {
+    group.members.forEach(({address}) => groupOf.set(address, group.name));
+  }
+  return next.groups.flatMap((group, groupIndex) =>
+    group.members.flatMap((member, index) => {
+      const before = groupOf.get(member.address);
+      if (before === undefined || before === group.name) {
+        return [];
+      }
+      return {
+        path: ['groups', groupIndex, 'members', index, 'address'],
+        expected: 'a database of this group or a new one',
+        found: `${member.address}, which was in the group ${before}`,
+      };
+    }),
+  );
+}
+
+function checkService(previous: Manifest, next: Manifest): DataIssue[] {
+  return previous.service === next.service
+    ? []
+    : [{path: ['service'], expected: `the service ${previous.service}`}];
+}
+
+/**
+ * Gives what speaks against `next` as the version after `previous`; locate
+ * each issue in the text of `next`.
+ */
+export function checkSuccession(
+  previous: Manifest,
+  next: Manifest,
+): DataIssue[] {
+  const before = new Map(previous.groups.map(group => [group.name, group]));
+  const memberIssues = next.groups.flatMap((group, index) => {
+    const earlier = before.get(group.name);
+    return earlier === undefined ? [] : checkMembers(earlier, group, index);
+  });
+  return [
+    ...checkService(previous, next),
+    ...checkVanished(previous, next),
+    ...checkMoves(previous, next),
+    ...memberIssues,
+  ];
+}
