feat(platform): client over HTTP, retries and circuit breaker

A write whose answer is lost is never sent again by the client, neither to another address nor as a retry: its own effect would look like a conflict. Outcomes are told apart by undici's connect errors (not run) and everything later (unknown).

--- /dev/null
+++ b/packages/platform/__tests__/http_platform_client.spec.ts
@@ -0,0 +1,138 @@
+import {
+  createRandom,
+  createRealTimer,
+  createVirtualTimer,
+  promiseFromFuture,
+  settledFuture,
+} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {createServer, type RequestListener, type Server} from 'node:http';
+import {describe, test} from 'node:test';
+
+import {HttpOutcome, createHttpPlatformClient} from '..';
+
+const REFUSED: HttpOutcome = {kind: 'failed', sent: false, message: 'refused'};
+const SILENT: HttpOutcome = {kind: 'failed', sent: true, message: 'timeout'};
+
+function answer(status: number, body: unknown = {}): HttpOutcome {
+  return {kind: 'answer', status, body: JSON.stringify(body)};
+}
+
+/** A client whose addresses answer as told, and the addresses it asked. */
+function createScriptedClient(outcomes: HttpOutcome[]) {
+  const asked: string[] = [];
+  const client = createHttpPlatformClient({
+    addresses: ['a', 'b'],
+    timer: createVirtualTimer(),
+    random: createRandom(1),
+    exchange: address => {
+      asked.push(address);
+      return settledFuture(outcomes.shift() ?? REFUSED);
+    },
+  });
+  return {client, asked};
+}
+
+async function writeThrough(outcomes: HttpOutcome[]) {
+  const {client, asked} = createScriptedClient(outcomes);
+  const result = await promiseFromFuture(client.writeRow('t', 'k', 0, 1));
+  return {
+    asked: asked.length,
+    version: result.ok ? result.val : undefined,
+    failure: result.err ? result.val.name : undefined,
+    outcome: result.err ? result.val.outcome : undefined,
+  };
+}
+
+function listen(listener: RequestListener): Promise<[Server, string]> {
+  const server = createServer(listener);
+  return new Promise(resolve => {
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      const port = typeof address === 'object' ? address?.port : undefined;
+      resolve([server, `127.0.0.1:${port}`]);
+    });
+  });
+}
+
+describe('the platform client over HTTP', () => {
+  test('tries the next address for a write that did not leave', async () => {
+    const written = await writeThrough([REFUSED, answer(200, {version: 1})]);
+    expect(written.version).toEqual(1);
+    const out = await writeThrough([REFUSED, REFUSED]);
+    expect([out.failure, out.outcome]).toEqual([
+      'PLATFORM_UNAVAILABLE',
+      'not_run',
+    ]);
+  });
+
+  test('never repeats a write that may have had its effect', async () => {
+    for (const lost of [SILENT, answer(503), answer(200, {odd: 1})]) {
+      const written = await writeThrough([lost, answer(200, {version: 1})]);
+      expect([written.asked, written.outcome]).toEqual([1, 'unknown']);
+    }
+  });
+
+  test('reports a conflict and a missing object by name', async () => {
+    expect((await writeThrough([answer(409)])).failure).toEqual(
+      'VERSION_CONFLICT',
+    );
+    const {client} = createScriptedClient([answer(404)]);
+    const missing = await promiseFromFuture(client.getObject('d'));
+    expect(missing.err && missing.val.name).toEqual('OBJECT_MISSING');
+  });
+
+  test('repeats idempotent calls, and says unknown of a lost put', async () => {
+    const read = createScriptedClient([SILENT, answer(200, {rows: []})]);
+    const rows = await promiseFromFuture(read.client.listRows('t', '', 5));
+    expect(rows.unwrap()).toEqual([]);
+    const {client, asked} = createScriptedClient([SILENT, REFUSED]);
+    const put = await promiseFromFuture(client.putObject('d', 'body'));
+    expect(put.err && put.val.outcome).toEqual('unknown');
+    expect([...asked].sort()).toEqual(['a', 'b']);
+  });
+
+  test('speaks the interface over real HTTP and gives up in time', async () => {
+    const seen: string[] = [];
+    const [server, address] = await listen((request, response) => {
+      seen.push(`${request.method} ${request.url}`);
+      if (request.url === '/instances') {
+        return; // Stays silent.
+      }
+      response.end(JSON.stringify({version: 3, value: {a: 1}}));
+    });
+    const client = createHttpPlatformClient({
+      addresses: [address],
+      timer: createRealTimer(),
+      random: createRandom(1),
+      requestTimeout: 100,
+    });
+    const row = await promiseFromFuture(client.readRow('a b', 'k/1'));
+    const version = await promiseFromFuture(client.writeRow('t', 'k', 2, {}));
+    const silent = await promiseFromFuture(client.listInstances());
+    client.close();
+    server.closeAllConnections();
+    server.close();
+    expect(row.unwrap()).toEqual({version: 3, value: {a: 1}});
+    expect(version.unwrap()).toEqual(3);
+    expect(silent.err && silent.val.name).toEqual('PLATFORM_UNAVAILABLE');
+    expect(seen).toEqual([
+      'GET /tables/a%20b/rows/k%2F1',
+      'PUT /tables/t/rows/k',
+      'GET /instances',
+    ]);
+  });
+
+  test('says not run of a write to a port where nobody listens', async () => {
+    const [server, address] = await listen(() => {});
+    await new Promise(resolve => server.close(resolve));
+    const client = createHttpPlatformClient({
+      addresses: [address],
+      timer: createRealTimer(),
+      random: createRandom(1),
+    });
+    const result = await promiseFromFuture(client.writeRow('t', 'k', 0, 1));
+    client.close();
+    expect(result.err && result.val.outcome).toEqual('not_run');
+  });
+});
