--- a/packages/manifest/__tests__/examples.ts
+++ b/packages/manifest/__tests__/examples.ts
@@ -12,6 +12,18 @@
   'utf8',
 );
 
+/** A manifest that is quickly read. */
+export const SMALL_MANIFEST = `format: 1
+service: small
+dataCentres: [here]
+groups:
+  - name: only
+    readStaleness: 0
+    members:
+      - {id: a, dataCentre: here, address: '127.0.0.1:1', slots: 1, connectionLimit: 1}
+kinds: [{name: any, worth: 1, deadline: 1000}]
+`;
+
 /** The office's manifest with the first match of each text replaced. */
 export function editedOfficeManifest(
   ...edits: ReadonlyArray<readonly [string, string]>
--- a/packages/protocol/src/platform_messages.ts
+++ b/packages/protocol/src/platform_messages.ts
@@ -27,6 +27,15 @@
 });
 export type ListedInstance = z.infer<typeof listedInstanceSchema>;
 
+/** An earlier commit, as the manifest row remembers it. */
+export const earlierCommitSchema = z.strictObject({
+  version: z.number().int().positive(),
+  commitId: z.string(),
+  digest: z.string(),
+  committedBy: z.string(),
+});
+export type EarlierCommit = z.infer<typeof earlierCommitSchema>;
+
 /** The manifest row's value: which body is in force. */
 export const manifestRowSchema = z.strictObject({
   /** Unique per commit: tells whose commit won after a lost answer. */
@@ -36,6 +45,11 @@
   committedBy: z.string(),
   /** Wall clock, milliseconds since 1970. */
   committedAt: z.number(),
+  /**
+   * Latest earlier commits, newest first. They settle the lost answer of a
+   * commit on top of which others have come since.
+   */
+  recent: z.array(earlierCommitSchema).optional(),
 });
 export type ManifestRow = z.infer<typeof manifestRowSchema>;
 
