feat(membership): gossip in the manner of SWIM with refutation

Complete views, since responsibility is hashed over all proxies, but only changes are sent: each proxy exchanges with the next two on a ring of hashes and a random one, suspects whoever doesn't answer, and the suspect refutes by raising its revision. Views that stay different are compared by buckets. The platform's list adds addresses to ask and who is leaving, never who is alive.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -10,9 +10,13 @@
   /**
    * The proxies responsible for a name (a group, say), most responsible first,
    * by rendezvous hashing; at most `count`, and from as many data centres as
-   * possible.
+   * possible, or only from one.
    */
-  responsibleFor(name: string, count: number): readonly ProxyIdentity[];
+  responsibleFor(
+    name: string,
+    count: number,
+    dataCentre?: string,
+  ): readonly ProxyIdentity[];
   /** Calls the listener after each change of the live proxies. */
   onChange(listener: () => void): Unsubscribe;
 }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -25,6 +25,37 @@
 });
 export type GroupLeadership = z.infer<typeof groupLeadershipSchema>;
 
+/** `suspect`: did not answer somebody and may still refute that. */
+export const peerConditionSchema = z.enum(['alive', 'suspect', 'dead']);
+export type PeerCondition = z.infer<typeof peerConditionSchema>;
+
+/**
+ * What is known of a proxy. Of two updates the one of the higher revision
+ * counts; at the same revision the worse condition.
+ */
+export const peerUpdateSchema = z.strictObject({
+  proxy: proxyIdentitySchema,
+  /** Raised by the proxy itself when it refutes a worse condition. */
+  revision: z.number().int().nonnegative(),
+  condition: peerConditionSchema,
+  /** True once it stops or the platform calls it leaving; never false again. */
+  leaving: z.boolean(),
+});
+export type PeerUpdate = z.infer<typeof peerUpdateSchema>;
+
+/** A target that the platform's list calls leaving. */
+export const leavingTargetSchema = z.strictObject({
+  /** Member id. */
+  id: z.string(),
+  address: z.string(),
+});
+export type LeavingTarget = z.infer<typeof leavingTargetSchema>;
+
+const checksum = z.number().int().nonnegative().max(0xffffffff);
+
+/** Hash buckets into which proxies fall when two views are compared. */
+export const VIEW_BUCKETS = 64;
+
 /** Heartbeat and gossip between two proxies; the answer has the same form. */
 export const peerStateSchema = z.strictObject({
   from: proxyIdentitySchema,
@@ -36,6 +67,20 @@
   leaderships: z.array(groupLeadershipSchema),
   /** Some of the other proxies that the sender knows to be alive. */
   proxies: z.array(proxyIdentitySchema),
+  /** The sender's revision of itself; 0 if absent. */
+  revision: z.number().int().nonnegative().optional(),
+  /** True once the sender stops. */
+  leaving: z.boolean().optional(),
+  /** News of proxies, and what the sender believes of the receiver. */
+  updates: z.array(peerUpdateSchema).optional(),
+  /** News of leaving targets. */
+  leavingTargets: z.array(leavingTargetSchema).optional(),
+  /** Checksum of all proxies the sender knows, and for how long it stands. */
+  view: z
+    .strictObject({checksum, unchangedFor: z.number().nonnegative()})
+    .optional(),
+  /** Checksums by bucket: asks for what the receiver has otherwise. */
+  buckets: z.array(checksum).length(VIEW_BUCKETS).optional(),
 });
 export type PeerState = z.infer<typeof peerStateSchema>;
 
