--- a/packages/membership/src/create_membership.ts
+++ b/packages/membership/src/create_membership.ts
@@ -30,7 +30,13 @@
 import type {Membership} from './membership';
 import {PaceBase, PacePolicy, proportionalPace} from './pace';
 import {nextOnRing, randomOthers} from './partners';
-import {Candidate, createCandidate, pickResponsible} from './rendezvous';
+import {
+  CandidateSet,
+  createCandidateSet,
+  isPicked,
+  onlyFrom,
+  pickResponsible,
+} from './rendezvous';
 
 /** What a membership is made of. */
 export interface MembershipOptions {
@@ -92,7 +98,8 @@
   const listeners = new Set<() => void>();
   const joined = createDeferred<void>();
   let listedAddresses: readonly string[] = [];
-  let live: readonly Candidate[] | undefined;
+  let live: readonly ProxyIdentity[] | undefined;
+  let candidates: CandidateSet | undefined;
   let burstIsDue = false;
   let lastBurstAt = -Infinity;
 
@@ -118,19 +125,27 @@
 
   function notify(): void {
     live = undefined;
+    candidates = undefined;
     for (const listener of [...listeners]) {
       listener();
     }
   }
 
-  function candidates(): readonly Candidate[] {
+  function liveProxies(): readonly ProxyIdentity[] {
     live ??= table
       .present()
       .filter(({update}) => !update.leaving)
-      .map(({update}) => createCandidate(update.proxy));
+      .map(({update}) => update.proxy);
     return live;
   }
 
+  function eligible(dataCentre?: string): CandidateSet {
+    candidates ??= createCandidateSet(liveProxies());
+    return dataCentre === undefined
+      ? candidates
+      : onlyFrom(candidates, dataCentre);
+  }
+
   function contactRandom(count: number): void {
     const others = randomOthers(
       table.present(),
@@ -221,16 +236,11 @@
 
   return {
     self,
-    liveProxies: () => candidates().map(({identity}) => identity),
-    responsibleFor(name, count, dataCentre) {
-      const eligible =
-        dataCentre === undefined
-          ? candidates()
-          : candidates().filter(
-              ({identity}) => identity.dataCentre === dataCentre,
-            );
-      return pickResponsible(name, eligible, count);
-    },
+    liveProxies,
+    responsibleFor: (name, count, dataCentre) =>
+      pickResponsible(name, eligible(dataCentre), count),
+    isResponsible: (name, count, dataCentre) =>
+      isPicked(name, eligible(dataCentre), count, self),
     onChange(listener) {
       listeners.add(listener);
       return () => void listeners.delete(listener);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -17,6 +17,8 @@
     count: number,
     dataCentre?: string,
   ): readonly ProxyIdentity[];
+  /** True if this proxy is among them; cheaper than to ask for all. */
+  isResponsible(name: string, count: number, dataCentre?: string): boolean;
   /** Calls the listener after each change of the live proxies. */
   onChange(listener: () => void): Unsubscribe;
 }
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -3,51 +3,75 @@
 
 import {hashText, mixHashes} from './hash';
 
-/** A proxy that may be picked, with the hash of its id. */
-export interface Candidate {
-  readonly identity: ProxyIdentity;
-  readonly hash: number;
+/** The proxies of one data centre. */
+interface Centre {
+  readonly identities: readonly ProxyIdentity[];
+  /** Hashes of their ids: a new process with an id takes the old one's place. */
+  readonly hashes: Uint32Array;
 }
 
+/** Proxies that may be picked, by data centre. */
+export type CandidateSet = ReadonlyMap<string, Centre>;
+
 interface Scored {
-  readonly candidate: Candidate;
+  readonly identity: ProxyIdentity;
   readonly score: number;
 }
 
-/** Prepares a proxy for picking: its id counts, not its incarnation. */
-export function createCandidate(identity: ProxyIdentity): Candidate {
-  return {identity, hash: hashText(identity.proxy)};
+/** Prepares proxies for picking. */
+export function createCandidateSet(
+  identities: readonly ProxyIdentity[],
+): CandidateSet {
+  const byCentre = new Map<string, ProxyIdentity[]>();
+  for (const identity of identities) {
+    const centre = byCentre.get(identity.dataCentre) ?? [];
+    centre.push(identity);
+    byCentre.set(identity.dataCentre, centre);
+  }
+  const set = new Map<string, Centre>();
+  for (const [dataCentre, members] of byCentre) {
+    const hashes = Uint32Array.from(members, ({proxy}) => hashText(proxy));
+    set.set(dataCentre, {identities: members, hashes});
+  }
+  return set;
+}
+
+/** The candidates of one data centre. */
+export function onlyFrom(set: CandidateSet, dataCentre: string): CandidateSet {
+  const centre = set.get(dataCentre);
+  return new Map(centre === undefined ? [] : [[dataCentre, centre]]);
 }
 
-function isHigher(left: Scored, right: Scored): boolean {
-  return (
-    left.score > right.score ||
-    (left.score === right.score &&
-      left.candidate.identity.proxy < right.candidate.identity.proxy)
-  );
+/** Equal scores are ordered by id, so that all proxies pick the same. */
+function compareScored(left: Scored, right: Scored): number {
+  const byId = left.identity.proxy < right.identity.proxy ? -1 : 1;
+  return right.score - left.score || byId;
 }
 
-/** The best of each data centre among those that are not taken. */
-function bestByDataCentre(
+/** The best of one data centre; runs over all proxies, so it makes no garbage. */
+function bestOf(
   nameHash: number,
-  candidates: readonly Candidate[],
-  taken: ReadonlySet<Candidate>,
-): Scored[] {
-  const best = new Map<string, Scored>();
-  for (const candidate of candidates) {
-    if (taken.has(candidate)) {
+  {identities, hashes}: Centre,
+  taken: ReadonlySet<ProxyIdentity>,
+): Scored | undefined {
+  let best: ProxyIdentity | undefined;
+  let bestScore = 0;
+  for (let index = 0; index < hashes.length; index++) {
+    const score = mixHashes(nameHash, hashes[index] ?? 0);
+    if (score < bestScore) {
       continue;
     }
-    const scored = {candidate, score: mixHashes(nameHash, candidate.hash)};
-    const {dataCentre} = candidate.identity;
-    const highest = best.get(dataCentre);
-    if (highest === undefined || isHigher(scored, highest)) {
-      best.set(dataCentre, scored);
+    const identity = identities[index];
+    const isBetter =
+      identity !== undefined &&
+      !taken.has(identity) &&
+      (best === undefined || score > bestScore || identity.proxy < best.proxy);
+    if (isBetter) {
+      best = identity;
+      bestScore = score;
     }
   }
-  return [...best.values()].sort((left, right) =>
-    isHigher(left, right) ? -1 : 1,
-  );
+  return best === undefined ? undefined : {identity: best, score: bestScore};
 }
 
 /**
@@ -57,17 +81,46 @@
  */
 export function pickResponsible(
   name: string,
-  candidates: readonly Candidate[],
+  candidates: CandidateSet,
   count: number,
 ): ProxyIdentity[] {
   const nameHash = hashText(name);
-  const taken = new Set<Candidate>();
-  while (taken.size < Math.min(count, candidates.length)) {
-    for (const {candidate} of bestByDataCentre(nameHash, candidates, taken)) {
-      if (taken.size < count) {
-        taken.add(candidate);
-      }
+  const taken = new Set<ProxyIdentity>();
+  while (taken.size < count) {
+    const round = [...candidates.values()]
+      .map(centre => bestOf(nameHash, centre, taken))
+      .filter(best => best !== undefined)
+      .sort(compareScored)
+      .slice(0, count - taken.size);
+    if (round.length === 0) {
+      break;
     }
+    round.forEach(({identity}) => taken.add(identity));
   }
-  return [...taken].map(candidate => candidate.identity);
+  return [...taken];
+}
+
+/**
+ * True if a proxy is among those picked. Mostly settled within its own data
+ * centre: who isn't the best there is not in the first round.
+ */
+export function isPicked(
+  name: string,
+  candidates: CandidateSet,
+  count: number,
+  identity: ProxyIdentity,
+): boolean {
+  const centre = candidates.get(identity.dataCentre);
+  if (centre === undefined) {
+    return false;
+  }
+  if (count <= candidates.size) {
+    const best = bestOf(hashText(name), centre, new Set());
+    if (best?.identity.proxy !== identity.proxy) {
+      return false;
+    }
+  }
+  return pickResponsible(name, candidates, count).some(
+    ({proxy}) => proxy === identity.proxy,
+  );
 }
