--- /dev/null
+++ b/packages/scenarios/src/history.ts
@@ -0,0 +1,68 @@
+/** What sessions asked and what they were told: the input of the checker. */
+import type {ErrorName, Rows, Statement} from '@kelpstep/protocol';
+import type {Milliseconds} from '@kelpstep/runtime';
+
+/** What a session was told of a request in the end. */
+export type ToldOutcome = 'confirmed' | 'not_run' | 'unknown' | 'pending';
+
+/** What a session asked for. */
+export type OperationKind = 'append' | 'list' | 'counter-add' | 'transaction';
+
+/** One operation of a session. Times are virtual milliseconds. */
+export interface Operation {
+  readonly id: number;
+  readonly session: string;
+  readonly kind: OperationKind;
+  /** Proxy that the first request was sent to. */
+  readonly proxy: string;
+  readonly group: string;
+  /** The statements, in order. */
+  readonly statements: readonly Statement[];
+  readonly invokedAt: Milliseconds;
+  /** Oldest data accepted by a read, if stated. */
+  readonly maximumAge?: Milliseconds;
+  /** True if it may be sent again with the same key. */
+  readonly keyed: boolean;
+  /** Set when the answer arrives. */
+  completedAt?: Milliseconds;
+  outcome: ToldOutcome;
+  error?: ErrorName;
+  rows?: Rows;
+  servedByRole?: 'primary' | 'replica';
+  /** Deadline that the request carried, virtual milliseconds. */
+  readonly deadline: Milliseconds;
+}
+
+/** The operations of a run in the order in which they were invoked. */
+export interface History {
+  readonly operations: readonly Operation[];
+  /** Records an operation as invoked and gives it to be completed. */
+  invoke(operation: Omit<Operation, 'id' | 'outcome'>): Operation;
+}
+
+/** Creates an empty history. */
+export function createHistory(): History {
+  const operations: Operation[] = [];
+  return {
+    operations,
+    invoke(operation) {
+      const recorded: Operation = {
+        ...operation,
+        id: operations.length,
+        outcome: 'pending',
+      };
+      operations.push(recorded);
+      return recorded;
+    },
+  };
+}
+
+/** List that holds the records which a session appends. */
+export function sessionList(session: string): string {
+  return `records-of-${session}`;
+}
+
+/** The record that an append operation writes: unique in a run. */
+export function recordText(session: string, sequence: number): string {
+  return `${session}/${sequence}`;
+}
