--- /dev/null
+++ b/packages/session/index.ts
@@ -0,0 +1,3 @@
+/** Session tokens. */
+export * from './src/session';
+export * from './src/token_codec';
