--- /dev/null
+++ b/packages/observability/index.ts
@@ -0,0 +1,5 @@
+/** Logs, metrics and the audit trail. */
+export * from './src/audit_trail';
+export * from './src/logger';
+export * from './src/metrics_registry';
+export * from './src/proxy_metrics';
--- /dev/null
+++ b/packages/observability/src/metrics_registry.ts
@@ -0,0 +1,190 @@
+/**
+ * Counters, gauges and latency summaries, rendered in the Prometheus text
+ * format. Handles are looked up once, so that counting costs an addition.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Label values by label name. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** A number that only grows. */
+export interface Counter {
+  add(amount?: number): void;
+  value(): number;
+}
+
+/** Distribution of durations. */
+export interface Summary {
+  /** Records a duration in milliseconds. */
+  record(milliseconds: number): void;
+  count(): number;
+  /** The duration in milliseconds below which a percentage lies. */
+  percentile(percentage: number): number;
+}
+
+/** One value of a gauge, read when metrics are rendered. */
+export interface GaugeSample {
+  readonly labels: Labels;
+  readonly value: number;
+}
+
+/** Metrics by name and labels. Asking twice gives the same handle. */
+export interface MetricsRegistry {
+  counter(name: string, help: string, labels?: Labels): Counter;
+  summary(name: string, help: string, labels?: Labels): Summary;
+  /** Names the function that is asked for a gauge's values. */
+  gauge(name: string, help: string, read: () => readonly GaugeSample[]): void;
+  /** The text that `/metrics` gives. */
+  render(): string;
+}
+
+interface Family {
+  readonly type: 'counter' | 'gauge' | 'summary';
+  readonly help: string;
+  readonly series: Map<string, () => string[]>;
+}
+
+const MICROSECONDS_PER_MILLISECOND = 1000;
+const MILLISECONDS_PER_SECOND = 1000;
+const LONGEST_DURATION_MICROSECONDS = 120_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const PERCENTILES = [50, 90, 99, 99.9];
+
+function escapeLabel(value: string): string {
+  return value
+    .replaceAll('\\', '\\\\')
+    .replaceAll('"', '\\"')
+    .replaceAll('\n', '\\n');
+}
+
+function renderLabels(labels: Labels): string {
+  const pairs = Object.entries(labels).map(
+    ([name, value]) => `${name}="${escapeLabel(value)}"`,
+  );
+  return pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
+}
+
+function createCounter(): Counter {
+  let total = 0;
+  return {
+    add: (amount = 1) => {
+      total += amount;
+    },
+    value: () => total,
+  };
+}
+
+function createSummary(): Summary & {sumMilliseconds(): number} {
+  const histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: LONGEST_DURATION_MICROSECONDS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    bitBucketSize: 32,
+  });
+  let sum = 0;
+  return {
+    record(milliseconds) {
+      const microseconds = Math.round(
+        milliseconds * MICROSECONDS_PER_MILLISECOND,
+      );
+      sum += milliseconds;
+      histogram.recordValue(
+        Math.min(Math.max(microseconds, 1), LONGEST_DURATION_MICROSECONDS),
+      );
+    },
+    count: () => histogram.totalCount,
+    percentile: percentage =>
+      histogram.getValueAtPercentile(percentage) / MICROSECONDS_PER_MILLISECOND,
+    sumMilliseconds: () => sum,
+  };
+}
+
+function renderSummary(
+  name: string,
+  labels: Labels,
+  summary: ReturnType<typeof createSummary>,
+): string[] {
+  const quantiles = PERCENTILES.map(percentage => {
+    const quantile = String(percentage / 100);
+    const seconds = summary.percentile(percentage) / MILLISECONDS_PER_SECOND;
+    return `${name}${renderLabels({...labels, quantile})} ${seconds}`;
+  });
+  const suffix = renderLabels(labels);
+  const sum = summary.sumMilliseconds() / MILLISECONDS_PER_SECOND;
+  return [
+    ...quantiles,
+    `${name}_sum${suffix} ${sum}`,
+    `${name}_count${suffix} ${summary.count()}`,
+  ];
+}
+
+/** Creates a registry without metrics. */
+export function createMetricsRegistry(): MetricsRegistry {
+  const families = new Map<string, Family>();
+  const handles = new Map<string, Counter | Summary>();
+
+  function family(name: string, type: Family['type'], help: string): Family {
+    const known = families.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const created: Family = {type, help, series: new Map()};
+    families.set(name, created);
+    return created;
+  }
+
+  function counter(name: string, help: string, labels: Labels = {}): Counter {
+    const key = name + renderLabels(labels);
+    const known = handles.get(key);
+    if (known !== undefined) {
+      return known as Counter;
+    }
+    const created = createCounter();
+    handles.set(key, created);
+    family(name, 'counter', help).series.set(key, () => [
+      `${key} ${created.value()}`,
+    ]);
+    return created;
+  }
+
+  function summary(name: string, help: string, labels: Labels = {}): Summary {
+    const key = name + renderLabels(labels);
+    const known = handles.get(key);
+    if (known !== undefined) {
+      return known as Summary;
+    }
+    const created = createSummary();
+    handles.set(key, created);
+    family(name, 'summary', help).series.set(key, () =>
+      renderSummary(name, labels, created),
+    );
+    return created;
+  }
+
+  function gauge(
+    name: string,
+    help: string,
+    read: () => readonly GaugeSample[],
+  ): void {
+    family(name, 'gauge', help).series.set(name, () =>
+      read().map(
+        sample => `${name}${renderLabels(sample.labels)} ${sample.value}`,
+      ),
+    );
+  }
+
+  function renderFamily([name, {type, help, series}]: [string, Family]) {
+    return [
+      `# HELP ${name} ${help}`,
+      `# TYPE ${name} ${type}`,
+      ...[...series.values()].flatMap(render => render()),
+    ];
+  }
+
+  return {
+    counter,
+    summary,
+    gauge,
+    render: () => [...families].flatMap(renderFamily).join('\n') + '\n',
+  };
+}
