--- /dev/null
+++ b/packages/proxy/index.ts
@@ -0,0 +1,6 @@
+/** The proxy daemon and its wiring. */
+export * from './src/caller_edge';
+export * from './src/http_server';
+export * from './src/json_rpc_dispatcher';
+export * from './src/observed_handlers';
+export * from './src/operator_edge';
