--- /dev/null
+++ b/packages/cli/index.ts
@@ -0,0 +1,3 @@
+/** The `kelpstep` command line. */
+export * from './src/command_line';
+export * from './src/exit_code';
--- /dev/null
+++ b/packages/cli/src/command_line.ts
@@ -0,0 +1,66 @@
+/** The command line: commands, help, version and exit codes. */
+import yargs from 'yargs';
+
+import cliPackage from '../package.json';
+import type {CommandBuilder, CommandContext} from './command';
+import {addCallCommands} from './commands/call';
+import {ConsoleOutput} from './console_output';
+import {EXIT_CODES, ExitCode} from './exit_code';
+
+const COMMANDS: readonly CommandBuilder[] = [addCallCommands];
+
+const EXIT_CODE_HELP =
+  'Exit codes: 0 done, 1 failed and not run, 2 wrong usage, 3 findings in a ' +
+  'file, 4 another commit came first, 5 outcome unknown.';
+
+/** What the command line needs of its surroundings. */
+export interface CommandLineOptions {
+  readonly output: ConsoleOutput;
+  readonly environment: Readonly<Record<string, string | undefined>>;
+}
+
+/** Runs a command line without the program's name; gives the exit code. */
+export async function runCommandLine(
+  parameters: readonly string[],
+  options: CommandLineOptions,
+): Promise<ExitCode> {
+  const {output, environment} = options;
+  let exitCode: ExitCode = EXIT_CODES.ok;
+  const context: CommandContext = {
+    output,
+    environment,
+    exit(code) {
+      exitCode = code;
+    },
+  };
+
+  function fail(message: string | undefined, error: Error | undefined): never {
+    throw error ?? new Error(message);
+  }
+
+  const parser = yargs()
+    .scriptName('kelpstep')
+    .locale('en')
+    .usage('$0 <command>\n\nA database proxy with session consistency.')
+    .version(cliPackage.version)
+    .help()
+    .strict()
+    .demandCommand(1, 'Name a command; --help lists them.')
+    .recommendCommands()
+    .epilogue(EXIT_CODE_HELP)
+    .wrap(null)
+    .exitProcess(false)
+    .fail(fail);
+  COMMANDS.forEach(add => add(parser, context));
+  try {
+    await parser.parseAsync([...parameters], {}, (unused, unusedArgv, text) => {
+      if (text !== '') {
+        output.line(text);
+      }
+    });
+  } catch (error) {
+    output.error(error instanceof Error ? error.message : String(error));
+    return EXIT_CODES.usage;
+  }
+  return exitCode;
+}
--- /dev/null
+++ b/packages/cli/src/commands/call_transaction.ts
@@ -0,0 +1,112 @@
+/** `kelpstep call transaction`: runs several statements as one transaction. */
+import {CALLER_METHODS, Failure, Statement} from '@kelpstep/protocol';
+import {Err, Ok, Result} from 'ts-results';
+import type {Argv} from 'yargs';
+
+import {CommandContext, report} from '../command';
+import type {HttpClient} from '../http_client';
+import {
+  RequestOptions,
+  requestFieldsOf,
+  withRequestOptions,
+} from './call_options';
+import {KEY_OPTION, formatKey, parseKey} from './key_option';
+
+interface Step {
+  readonly mode: 'read' | 'write';
+  readonly statement: Statement;
+}
+
+type RequestFields = ReturnType<typeof requestFieldsOf>;
+
+const STEP_PATTERN = /^(read|write):\s*(.+)$/s;
+
+function parseStep(text: string): Step {
+  const match = STEP_PATTERN.exec(text);
+  if (match === null || match[2] === undefined) {
+    throw new Error(
+      'A statement has to look like "read: ..." or "write: ...".',
+    );
+  }
+  const mode = match[1] === 'read' ? 'read' : 'write';
+  return {mode, statement: {text: match[2], parameters: []}};
+}
+
+/** Runs the steps; the first failure ends them. */
+async function runSteps(
+  client: HttpClient,
+  fields: RequestFields,
+  transaction: string,
+  steps: readonly Step[],
+): Promise<Result<unknown[], Failure>> {
+  const rows: unknown[] = [];
+  for (const {mode, statement} of steps) {
+    const request = {...fields, transaction, statement};
+    const reply =
+      mode === 'read'
+        ? await client.request(CALLER_METHODS.read, request)
+        : await client.request(CALLER_METHODS.write, request);
+    if (reply.err) {
+      return reply;
+    }
+    rows.push(reply.val.rows);
+  }
+  return Ok(rows);
+}
+
+/** Begins, runs the steps and commits, or rolls back. */
+async function runTransaction(
+  client: HttpClient,
+  fields: RequestFields,
+  steps: readonly Step[],
+  key: ReturnType<typeof parseKey>,
+): Promise<Result<object, Failure>> {
+  const begun = await client.request(CALLER_METHODS.begin, fields);
+  if (begun.err) {
+    return begun;
+  }
+  const {transaction} = begun.val;
+  const rows = await runSteps(client, fields, transaction, steps);
+  if (rows.err) {
+    await client.request(CALLER_METHODS.rollback, {...fields, transaction});
+    // Nothing of a transaction that was not committed stays.
+    return Err({...rows.val, outcome: 'not_run'});
+  }
+  const request = {...fields, transaction, key};
+  const committed = await client.request(CALLER_METHODS.commit, request);
+  return committed.map(answer => ({
+    ...answer,
+    rows: rows.val,
+    key: formatKey(key),
+  }));
+}
+
+/** Adds the command. */
+export function addTransactionCommand(
+  yargs: Argv,
+  context: CommandContext,
+  clientOf: (options: RequestOptions) => HttpClient,
+): Argv {
+  return yargs.command(
+    'transaction <statements..>',
+    'Run "read: ..." and "write: ..." statements as one transaction',
+    builder =>
+      withRequestOptions(builder)
+        .positional('statements', {
+          type: 'string',
+          array: true,
+          demandOption: true,
+        })
+        .option('key', {...KEY_OPTION, demandOption: true}),
+    async options => {
+      const now = Date.now();
+      const reply = await runTransaction(
+        clientOf(options),
+        requestFieldsOf(options, now),
+        options.statements.map(parseStep),
+        parseKey(options.key, now),
+      );
+      report(context, reply);
+    },
+  );
+}
