--- a/packages/proxy/index.ts
+++ b/packages/proxy/index.ts
@@ -2,5 +2,6 @@
 export * from './src/caller_edge';
 export * from './src/http_server';
 export * from './src/json_rpc_dispatcher';
-export * from './src/observed_handlers';
 export * from './src/operator_edge';
+export * from './src/operator_methods';
+export * from './src/peer_links';
