fix(platform): time the HTTP client's test by virtual time

Ruled out: the client. The test now moves time itself when the silent request has arrived; its assertions stand.

--- a/packages/platform/__tests__/http_platform_client.spec.ts
+++ b/packages/platform/__tests__/http_platform_client.spec.ts
@@ -94,16 +94,19 @@
 
   test('speaks the interface over real HTTP and gives up in time', async () => {
     const seen: string[] = [];
+    // Time moves only here, so that a busy machine cannot end a wait early.
+    const timer = createVirtualTimer();
     const [server, address] = await listen((request, response) => {
       seen.push(`${request.method} ${request.url}`);
       if (request.url === '/instances') {
-        return; // Stays silent.
+        timer.advance(100); // Stays silent until the client has given up.
+        return;
       }
       response.end(JSON.stringify({version: 3, value: {a: 1}}));
     });
     const client = createHttpPlatformClient({
       addresses: [address],
-      timer: createRealTimer(),
+      timer,
       random: createRandom(1),
       requestTimeout: 100,
     });
