--- /dev/null
+++ b/packages/failover/src/ask_members.ts
@@ -0,0 +1,62 @@
+/** Sends one request to several members and collects the answers. */
+import type {Failure, Method} from '@kelpstep/protocol';
+import {
+  Milliseconds,
+  TimerService,
+  Task,
+  createMailbox,
+  receiveAtMost,
+} from '@kelpstep/runtime';
+
+import type {MemberLink} from './member_link';
+
+/** What became of the request at one member. */
+export interface MemberReply<R> {
+  readonly memberId: string;
+  readonly result?: R;
+  /** Present if the member refused; without either it gave no answer. */
+  readonly refusal?: Failure;
+}
+
+/**
+ * Asks all links at once. Ends when each has answered or failed, or after the
+ * timeout; members without an answer by then are not in the list.
+ */
+export function* askMembers<P, R>(
+  timer: TimerService,
+  links: readonly MemberLink[],
+  method: Method<P, R>,
+  parameters: P,
+  timeout: Milliseconds,
+): Task<Array<MemberReply<R>>> {
+  const mailbox = createMailbox<MemberReply<R>>();
+  for (const link of links) {
+    const memberId = link.member.id;
+    link.request(method, parameters, timeout).onSettled(reply => {
+      if (reply.ok) {
+        mailbox.post({memberId, result: reply.val});
+      } else if (reply.val.kind === 'refused') {
+        mailbox.post({memberId, refusal: reply.val.failure});
+      } else {
+        mailbox.post({memberId});
+      }
+    });
+  }
+  const deadline = timer.now() + timeout;
+  const replies: Array<MemberReply<R>> = [];
+  while (replies.length < links.length) {
+    const reply = yield* receiveAtMost(mailbox, deadline - timer.now());
+    if (reply === undefined) {
+      break;
+    }
+    replies.push(reply);
+  }
+  return replies;
+}
+
+/** The results among the replies. */
+export function resultsOf<R>(replies: ReadonlyArray<MemberReply<R>>): R[] {
+  return replies.flatMap(reply =>
+    reply.result === undefined ? [] : [reply.result],
+  );
+}
--- /dev/null
+++ b/packages/failover/src/fresh_connection.ts
@@ -0,0 +1,65 @@
+/** Dialling that leaves no connection behind when it is given up. */
+import {TargetStatus, createFailure, targetStatus} from '@kelpstep/protocol';
+import type {
+  Address,
+  Connection,
+  RequestFailure,
+  RpcPeer,
+  Transport,
+  TransportError,
+} from '@kelpstep/rpc';
+import {Milliseconds, Task, waitAtMost} from '@kelpstep/runtime';
+import {Err, Result} from 'ts-results';
+
+const DIAL_TIMEOUT: TransportError = {
+  kind: 'timeout',
+  message: 'No connection in time.',
+};
+
+const NO_ANSWER: RequestFailure = {
+  kind: 'timeout',
+  sent: true,
+  failure: createFailure('OUTCOME_UNKNOWN', {message: 'No answer in time.'}),
+};
+
+/** Dials; a connection that comes up after the end of the wait is closed. */
+export function* dialWithin(
+  transport: Transport,
+  address: Address,
+  timeout: Milliseconds,
+): Task<Result<Connection, TransportError>> {
+  const dialling = transport.dial(address, timeout);
+  let outcome: Result<Connection, TransportError> | undefined;
+  try {
+    outcome = yield* waitAtMost(dialling, timeout);
+  } finally {
+    if (outcome === undefined) {
+      dialling.onSettled(late => {
+        if (late.ok) {
+          late.val.close('dialled in vain');
+        }
+      });
+    }
+  }
+  return outcome ?? Err(DIAL_TIMEOUT);
+}
+
+/** Asks for the status; closes the connection if the wait is cancelled. */
+export function* firstAnswer(
+  peer: RpcPeer,
+  timeout: Milliseconds,
+): Task<Result<TargetStatus, RequestFailure>> {
+  let ended = false;
+  try {
+    const answer = yield* waitAtMost(
+      peer.request(targetStatus, {}, timeout),
+      timeout,
+    );
+    ended = true;
+    return answer ?? Err(NO_ANSWER);
+  } finally {
+    if (!ended) {
+      peer.close('dialled in vain');
+    }
+  }
+}
--- a/packages/failover/src/group_view.ts
+++ b/packages/failover/src/group_view.ts
@@ -53,6 +53,12 @@
   confirmed(): LogPosition;
   /** True if the member's log holds the record. */
   holds(memberId: string, wanted: LogPosition): boolean;
+  /**
+   * The latest known monotonic time T such that a log that ends at `end`
+   * holds all that was confirmed at T; `undefined` if there is none. For an
+   * answer read at `end`, this bounds the age whoever gave it.
+   */
+  freshAt(end: LogPosition): Milliseconds | undefined;
   /** Waits until the record's fate is known, or a monotonic deadline. */
   confirmation(
     wanted: LogPosition,
--- /dev/null
+++ b/packages/failover/src/switch_over.ts
@@ -0,0 +1,144 @@
+/**
+ * Planned change of primary: pause writes, let the successor reach the end of
+ * the log, then promote it. The gap is a few round trips.
+ */
+import {TargetStatus, logContains, targetPauseWrites} from '@kelpstep/protocol';
+import {Task, createDeferred, waitAtMost, waitFor} from '@kelpstep/runtime';
+
+import type {Leadership} from './group_view';
+import type {MemberLink} from './member_link';
+import {isVoter} from './member_status';
+import {PromotionContext, PromotionOutcome, promote} from './promotion';
+
+/** How a switch-over ended. */
+export type SwitchOverOutcome =
+  | PromotionOutcome
+  /** No other member may take over, or none is close enough. */
+  | {readonly kind: 'no_successor'}
+  /** The primary did not pause its writes. */
+  | {readonly kind: 'not_paused'}
+  /** The successor did not reach the end; the pause lapses by itself. */
+  | {readonly kind: 'successor_late'};
+
+/** What a switch-over is asked to do. */
+export interface SwitchOverRequest {
+  readonly from: Leadership;
+  /** Members that must not lead. */
+  isLeaving(memberId: string): boolean;
+  /** Member wanted as successor; the best one by default. */
+  readonly successor?: string | undefined;
+}
+
+/** Runs one planned switch-over. */
+export function* switchOver(
+  context: PromotionContext,
+  request: SwitchOverRequest,
+): Task<SwitchOverOutcome> {
+  const {state, timings} = context;
+  const {term, primary} = request.from;
+  const successor = findSuccessor(context, request);
+  const primaryLink = state.link(primary);
+  if (successor === undefined || primaryLink === undefined) {
+    return {kind: 'no_successor'};
+  }
+  const paused = yield* waitFor(
+    primaryLink.request(
+      targetPauseWrites,
+      {term, durationMilliseconds: timings.writePause},
+      timings.requestTimeout,
+    ),
+  );
+  if (paused.err) {
+    return {kind: 'not_paused'};
+  }
+  const {end} = paused.val;
+  const reached = yield* waitUntilHeld(context, successor, status =>
+    logContains(status.history, status.end, end),
+  );
+  if (!reached) {
+    return {kind: 'successor_late'};
+  }
+  return yield* promote(
+    {...context, cost: costPreferring(context, request, successor.member.id)},
+    memberId => memberId === primary || request.isLeaving(memberId),
+  );
+}
+
+function costPreferring(
+  context: PromotionContext,
+  request: SwitchOverRequest,
+  successor: string,
+): (memberId: string) => number {
+  return memberId => {
+    if (memberId === successor) {
+      return -Infinity;
+    }
+    return memberId === request.from.primary
+      ? Infinity
+      : context.cost(memberId);
+  };
+}
+
+/** The member with the least lag, if that is small; undefined if none. */
+export function findSuccessor(
+  {state, timings, cost}: PromotionContext,
+  {from, isLeaving, successor}: SwitchOverRequest,
+): MemberLink | undefined {
+  const end = state.link(from.primary)?.status()?.end.position ?? 0;
+  let best: MemberLink | undefined;
+  for (const link of state.links()) {
+    const status = link.status();
+    const {id} = link.member;
+    const eligible =
+      id !== from.primary &&
+      !isLeaving(id) &&
+      (successor === undefined || id === successor) &&
+      link.condition() === 'open' &&
+      status !== undefined &&
+      isVoter(status) &&
+      status.term === from.term &&
+      end - status.end.position <= timings.catchUpRecords;
+    if (eligible && isBetter(link, best, cost)) {
+      best = link;
+    }
+  }
+  return best;
+}
+
+function isBetter(
+  link: MemberLink,
+  best: MemberLink | undefined,
+  cost: (memberId: string) => number,
+): boolean {
+  const position = link.status()?.end.position ?? 0;
+  const bestPosition = best?.status()?.end.position ?? -1;
+  return (
+    position > bestPosition ||
+    (position === bestPosition &&
+      best !== undefined &&
+      cost(link.member.id) < cost(best.member.id))
+  );
+}
+
+/** Waits for the member's stream to show what is wanted. */
+function* waitUntilHeld(
+  {state, timings}: PromotionContext,
+  link: MemberLink,
+  isEnough: (status: TargetStatus) => boolean,
+): Task<boolean> {
+  const reached = createDeferred<true>();
+  function check(): void {
+    const status = link.status();
+    if (status !== undefined && isEnough(status)) {
+      reached.settle(true);
+    }
+  }
+  const unsubscribe = state.onChange(check);
+  try {
+    check();
+    const result = yield* waitAtMost(reached.future, timings.successorWait);
+    return result === true;
+  } finally {
+    unsubscribe();
+  }
+}
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -26,6 +26,12 @@
   following: z.string().optional(),
   /** Milliseconds since it last heard its primary; absent on a primary. */
   primarySilence: z.number().nonnegative().optional(),
+  /**
+   * True while a target that started empty has not reached the end that its
+   * primary's log had when it joined. It counts towards no majority: it may
+   * have forgotten records and fences.
+   */
+  catchingUp: z.boolean().optional(),
   /** Statements that it runs at a time. */
   slots: z.number().int().positive(),
   /** Connections it accepts at most. */
--- a/packages/runtime/__tests__/runtime.spec.ts
+++ b/packages/runtime/__tests__/runtime.spec.ts
@@ -2,6 +2,8 @@
 import {describe, test} from 'node:test';
 
 import {
+  Task,
+  TaskHandle,
   createDeferred,
   createMailbox,
   createRandom,
@@ -103,6 +105,29 @@
     expect(steps).toEqual(['cleaned']);
   });
 
+  test('may cancel itself and runs its cleanup', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    const steps: string[] = [];
+    const handles: Array<TaskHandle<void>> = [];
+    const handle = runtime.spawn(
+      'worker',
+      (function* (): Task<void> {
+        try {
+          yield* sleep(10);
+          handles[0]?.cancel();
+          steps.push('cancelled');
+          yield* sleep(10);
+          steps.push('woke');
+        } finally {
+          steps.push('cleaned');
+        }
+      })(),
+    );
+    handles.push(handle);
+    timer.advance(30);
+    expect(steps).toEqual(['cancelled', 'cleaned']);
+  });
+
   test('passes a hundred thousand settled futures on a flat stack', () => {
     const {runtime} = createVirtualRuntime();
     const deferred = createDeferred<number>();
--- a/packages/runtime/src/runtime.ts
+++ b/packages/runtime/src/runtime.ts
@@ -47,6 +47,7 @@
     const result = createDeferred<T>();
     let giveUp: Unsubscribe = () => {};
     let ended = false;
+    let advancing = false;
 
     function finish(): void {
       ended = true;
@@ -59,6 +60,13 @@
       }
       finish();
       giveUp();
+      // A task that cancels itself is ended once it waits again.
+      if (!advancing) {
+        unwind();
+      }
+    }
+
+    function unwind(): void {
       try {
         task.return(undefined as T);
       } catch (error) {
@@ -93,13 +101,20 @@
         return undefined;
       }
       try {
+        advancing = true;
         const step = task.next(value);
+        advancing = false;
+        if (!step.done && !ended) {
+          return {effect: step.value};
+        }
         if (!step.done) {
-          return ended ? undefined : {effect: step.value};
+          unwind();
+          return undefined;
         }
         finish();
         result.settle(step.value);
       } catch (error) {
+        advancing = false;
         finish();
         onTaskFailure(error, name);
       }
