--- a/packages/scenarios/__tests__/invariants.spec.ts
+++ b/packages/scenarios/__tests__/invariants.spec.ts
@@ -20,17 +20,18 @@
     const operation = history.invoke({
       session: 's1',
       kind: 'append',
-      proxy: 'a',
       group: GROUP,
       statements: [
         {text: 'append ? ?', parameters: [sessionList('s1'), record]},
       ],
       invokedAt: 0,
-      keyed: true,
       deadline: 100,
     });
     operation.completedAt = 10;
     operation.outcome = outcome;
+    if (outcome === 'confirmed') {
+      operation.confirmedAt = 10;
+    }
     final.set('s1', [
       ...(final.get('s1') ?? []),
       ...Array.from({length: copies}, () => record),
@@ -42,11 +43,9 @@
     const operation = history.invoke({
       session: maximumAge === undefined ? 's1' : 's2',
       kind: 'list',
-      proxy: 'a',
       group: GROUP,
       statements: [{text: 'list ?', parameters: [sessionList('s1')]}],
       invokedAt: 20,
-      keyed: false,
       deadline: 100,
       ...(maximumAge === undefined ? {} : {maximumAge}),
     });
--- a/packages/scenarios/src/history.ts
+++ b/packages/scenarios/src/history.ts
@@ -1,5 +1,10 @@
 /** What sessions asked and what they were told: the input of the checker. */
-import type {ErrorName, Rows, Statement} from '@kelpstep/protocol';
+import type {
+  ErrorName,
+  IdempotencyKey,
+  Rows,
+  Statement,
+} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
 
 /** What a session was told of a request in the end. */
@@ -13,18 +18,20 @@
   readonly id: number;
   readonly session: string;
   readonly kind: OperationKind;
-  /** Proxy that the first request was sent to. */
-  readonly proxy: string;
   readonly group: string;
   /** The statements, in order. */
   readonly statements: readonly Statement[];
   readonly invokedAt: Milliseconds;
   /** Oldest data accepted by a read, if stated. */
   readonly maximumAge?: Milliseconds;
-  /** True if it may be sent again with the same key. */
-  readonly keyed: boolean;
+  /** Names a write; it may be sent again with the same key. */
+  key?: IdempotencyKey;
   /** Set when the answer arrives. */
   completedAt?: Milliseconds;
+  /** Set when an answer confirms it. */
+  confirmedAt?: Milliseconds;
+  /** True if its outcome was unknown until it was settled. */
+  wasUnknown?: boolean;
   outcome: ToldOutcome;
   error?: ErrorName;
   rows?: Rows;
--- a/packages/scenarios/src/invariants.ts
+++ b/packages/scenarios/src/invariants.ts
@@ -175,9 +175,8 @@
     operation =>
       operation.session === session &&
       operation.group === read.group &&
-      operation.outcome === 'confirmed' &&
-      operation.completedAt !== undefined &&
-      operation.completedAt <= time,
+      operation.confirmedAt !== undefined &&
+      operation.confirmedAt <= time,
   );
 }
 
--- /dev/null
+++ b/packages/scenarios/src/scenario_actions.ts
@@ -0,0 +1,164 @@
+/** Carries out the actions of a scenario on a cluster. */
+import type {Cluster} from './cluster';
+import type {ActionName, ScenarioAction} from './scenario_language';
+import type {FleetTarget} from './target_fleet';
+
+/** Carries out actions; keeps what later ones refer to. */
+export interface ActionRunner {
+  run(action: ScenarioAction): void;
+  /** Ends every fault that can end: network, pauses, the platform. */
+  recover(): void;
+}
+
+type ActionHandler = (name: string, amount: number) => void;
+
+const LATE_ONE_IN = 2;
+
+/** Creates a runner for a cluster. */
+export function createActionRunner(cluster: Cluster): ActionRunner {
+  const {network, targets, proxies, platform, deployment} = cluster;
+  const frozen = new Map<string, FleetTarget>();
+  const delays = new Map<string, () => void>();
+  const leaving = new Set<string>();
+
+  /** Actions that come in pairs mean the same target by the same name. */
+  function target(name: string): FleetTarget {
+    const found = targets.find(name);
+    if (found === undefined) {
+      throw new Error(`no target ${name}`);
+    }
+    return found;
+  }
+
+  function allHosts(): string[] {
+    return deployment.dataCentres.flatMap((unusedName, index) =>
+      cluster.hostsOf(index),
+    );
+  }
+
+  function isolate(host: string): void {
+    const others = allHosts().filter(other => other !== host);
+    network.cutGroups([host], others);
+  }
+
+  function isolateFromGroup({host, dataCentre}: FleetTarget): void {
+    const near = cluster.hostsOf(dataCentre);
+    network.cutGroups(
+      [host],
+      allHosts().filter(other => !near.includes(other)),
+    );
+    const members = targets.targets.map(other => other.host);
+    network.cutGroups(
+      [host],
+      members.filter(other => other !== host),
+    );
+  }
+
+  function cutDataCentre(name: string): void {
+    const index = deployment.dataCentres.indexOf(name);
+    const inside = cluster.hostsOf(index);
+    const outside = allHosts().filter(host => !inside.includes(host));
+    network.cutGroups(inside, outside);
+  }
+
+  function silence(name: string): void {
+    const host = proxies.hostOf(name);
+    for (const {host: other} of targets.targets) {
+      network.silence(host, other);
+    }
+  }
+
+  function delayAnswers(name: string, duration: number): void {
+    delays.get(name)?.();
+    const {host} = target(name);
+    let count = 0;
+    // Every second answer is late, so that answers come out of order.
+    const cancel = network.delayMessages(
+      ({from, isAnswer}) =>
+        from === host && isAnswer && count++ % LATE_ONE_IN === 0,
+      duration,
+    );
+    delays.set(name, cancel);
+  }
+
+  function freezeTarget(name: string): void {
+    const found = target(name);
+    frozen.set(name, found);
+    network.freezeHost(found.host);
+  }
+
+  function thawTarget(name: string): void {
+    const found = frozen.get(name) ?? target(name);
+    frozen.delete(name);
+    network.thawHost(found.host);
+  }
+
+  function listLeaving(name: string): void {
+    const {id, address, dataCentre} = target(name);
+    platform.list({
+      id,
+      role: 'target',
+      address,
+      dataCentre: deployment.dataCentres[dataCentre] ?? '',
+      state: 'leaving',
+    });
+  }
+
+  function commitLeaving(name: string): void {
+    leaving.add(target(name).id);
+    cluster.commitManifest(leaving);
+  }
+
+  const handlers: Readonly<Record<ActionName, ActionHandler>> = {
+    'kill-target': name => targets.kill(target(name)),
+    'freeze-target': freezeTarget,
+    'thaw-target': thawTarget,
+    'isolate-target': name => isolate(target(name).host),
+    'isolate-from-group': name => isolateFromGroup(target(name)),
+    'lag-target': (name, lag) => target(name).database.control.configure({lag}),
+    'lose-target-answers': (name, count) => {
+      const {host} = target(name);
+      network.loseAnswers(message => message.from === host, count);
+    },
+    'delay-target-answers': delayAnswers,
+    'kill-proxy': name => proxies.kill(name),
+    'freeze-proxy': name => proxies.freeze(name),
+    'thaw-proxy': name => proxies.thaw(name),
+    'stop-proxy': name => proxies.stop(name),
+    'start-proxy': name => proxies.start(name),
+    'silence-proxy': silence,
+    'cut-data-centre': cutDataCentre,
+    'cut-data-centre-from-platform': name =>
+      platform.cutDataCentre(deployment.dataCentres.indexOf(name)),
+    'heal-network': () => {
+      network.healAll();
+      platform.healAll();
+    },
+    'platform-down': () => platform.platform.configure({outage: 'silent'}),
+    'platform-up': () =>
+      platform.platform.configure({outage: 'none', slowness: 0}),
+    'platform-slow': slowness =>
+      platform.platform.configure({slowness: Number(slowness)}),
+    'platform-loses-answers': count =>
+      platform.platform.configure({loseAnswers: {count: Number(count)}}),
+    'manifest-leaving': commitLeaving,
+    'list-leaving': listLeaving,
+  };
+
+  return {
+    run({name, arguments: [first = '', second = 0]}) {
+      handlers[name](String(first), Number(second));
+    },
+    recover() {
+      handlers['heal-network']('', 0);
+      handlers['platform-up']('', 0);
+      for (const cancel of delays.values()) {
+        cancel();
+      }
+      for (const {host} of targets.targets) {
+        network.thawHost(host);
+      }
+      proxies.thawAll();
+    },
+  };
+}
--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -111,25 +111,24 @@
     return attempt;
   }
 
-  function newKey(): IdempotencyKey {
-    const id = `${name}-${sequence}-${random.hexadecimal(8)}`;
-    return {id, issuedAt: timer.wallClock()};
+  function nameWrite(operation: Operation): IdempotencyKey {
+    const id = `${name}-${operation.id}-${random.hexadecimal(8)}`;
+    const key = {id, issuedAt: timer.wallClock()};
+    operation.key = key;
+    return key;
   }
 
   function begin(
     kind: Operation['kind'],
     statements: readonly Statement[],
-    keyed: boolean,
     maximumAge?: Milliseconds,
   ): Operation {
     return history.invoke({
       session: name,
       kind,
-      proxy: '',
       group,
       statements,
       invokedAt: timer.now(),
-      keyed,
       deadline: timer.now() + options.deadline,
       ...(maximumAge === undefined ? {} : {maximumAge}),
     });
@@ -142,6 +141,12 @@
   ): void {
     operation.completedAt = timer.now();
     operation.outcome = told;
+    if (told === 'confirmed') {
+      operation.confirmedAt = timer.now();
+    }
+    if (told === 'unknown') {
+      operation.wasUnknown = true;
+    }
     if (last.error !== undefined) {
       operation.error = last.error;
     }
@@ -187,12 +192,9 @@
 
   function* append(): Task<void> {
     const statement = appendStatement();
-    const operation = begin('append', [statement], true);
-    yield* persist(operation, 'write', {
-      kind: 'record',
-      statement,
-      key: newKey(),
-    });
+    const operation = begin('append', [statement]);
+    const key = nameWrite(operation);
+    yield* persist(operation, 'write', {kind: 'record', statement, key});
   }
 
   function* addToCounter(): Task<void> {
@@ -200,8 +202,9 @@
       text: 'add ? ?',
       parameters: [`counter-of-${name}`, 1],
     };
-    const operation = begin('counter-add', [statement], true);
-    yield* persist(operation, 'write', {statement, key: newKey()});
+    const operation = begin('counter-add', [statement]);
+    const key = nameWrite(operation);
+    yield* persist(operation, 'write', {statement, key});
   }
 
   function* list(): Task<void> {
@@ -212,7 +215,7 @@
       parameters: [sessionList(of)],
     };
     const maximumAge = hasAge ? options.age : undefined;
-    const operation = begin('list', [statement], false, maximumAge);
+    const operation = begin('list', [statement], maximumAge);
     yield* persist(operation, 'read', {
       kind: 'view',
       statement,
@@ -223,7 +226,7 @@
   /** Two records together; another proxy may serve each step. */
   function* transaction(): Task<void> {
     const statements = [appendStatement(), appendStatement()];
-    const operation = begin('transaction', statements, true);
+    const operation = begin('transaction', statements);
     const deadline = timer.wallClock() + options.deadline;
     const begun = yield* request('begin', {}, deadline);
     const id = begun.answer?.transaction;
@@ -240,7 +243,8 @@
         return;
       }
     }
-    yield* persist(operation, 'commit', {transaction: id, key: newKey()});
+    const key = nameWrite(operation);
+    yield* persist(operation, 'commit', {transaction: id, key});
   }
 
   function* write(): Task<void> {
