--- /dev/null
+++ b/packages/scenarios/index.ts
@@ -0,0 +1,9 @@
+/** Scripted failure tests: scenario language, history, invariants. */
+export * from './src/history';
+export * from './src/invariants';
+export * from './src/naive_model';
+export * from './src/scenario_language';
+export * from './src/cluster';
+export * from './src/deployments';
+export * from './src/measurements';
+export * from './src/run_scenario';
