test(failover): failures of primaries, replicas and promoters in virtual time

Scenarios on the database stand-in, several seeds each.

A watcher whose path alone was cut promoted at once after the cut healed, as its wait had run meanwhile: the wait now counts only while replicas tell that they hear the primary.

--- /dev/null
+++ b/packages/failover/__tests__/group_view.spec.ts
@@ -0,0 +1,218 @@
+import {
+  LogPosition,
+  compareLogPositions,
+  targetFence,
+} from '@kelpstep/protocol';
+import {createRpcPeer} from '@kelpstep/rpc';
+import type {Future} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {
+  MEMBERS,
+  MEMBER_HOSTS,
+  MemberId,
+  createCluster,
+  proxyHost,
+} from './cluster';
+
+type Cluster = ReturnType<typeof createCluster>;
+
+function startWriting(options: Parameters<typeof createCluster>[0] = {}) {
+  const cluster = createCluster(options);
+  const primary = cluster.awaitPrimary();
+  cluster.startWriter(1);
+  cluster.timer.advance(500);
+  const others = MEMBERS.filter(id => id !== primary) as [MemberId, MemberId];
+  return {cluster, primary, others};
+}
+
+/** Lets time pass until a future settles. */
+function valueOf<T>(cluster: Cluster, future: Future<T>): T {
+  const values: T[] = [];
+  future.onSettled(value => values.push(value));
+  cluster.settle(() => values.length > 0);
+  return values[0] as T;
+}
+
+function ageOf(cluster: Cluster, proxy: number, id: MemberId): number {
+  const {view} = cluster.proxy(proxy);
+  const found = view.members().find(({member}) => member.id === id);
+  return cluster.timer.now() - (found?.freshAt ?? -Infinity);
+}
+
+describe('a read barrier', () => {
+  test('covers all that any proxy confirmed before it was asked', () => {
+    for (const seed of [1, 2, 3]) {
+      const {cluster} = startWriting({seed});
+      for (let round = 0; round < 20; round++) {
+        const last = cluster.confirmed.at(-1)?.at as LogPosition;
+        const {view} = cluster.proxy(2);
+        const deadline = cluster.timer.now() + 1000;
+        const barrier = valueOf(cluster, view.readBarrier(deadline));
+        expect(barrier && compareLogPositions(barrier, last) >= 0).toEqual(
+          true,
+        );
+        cluster.timer.advance(7);
+      }
+    }
+  });
+
+  test('is shared by those who wait', () => {
+    const {cluster, primary} = startWriting();
+    const {view} = cluster.proxy(2);
+    let asked = 0;
+    cluster.network.delayMessages(({from, to, method, isAnswer}) => {
+      const matches =
+        from === proxyHost(2) &&
+        to === MEMBER_HOSTS[primary] &&
+        method === 'target.status' &&
+        !isAnswer;
+      asked += matches ? 1 : 0;
+      return false;
+    }, 0);
+    const deadline = cluster.timer.now() + 1000;
+    const barriers = Array.from({length: 100}, () =>
+      view.readBarrier(deadline),
+    );
+    barriers.forEach(barrier => {
+      expect(valueOf(cluster, barrier)).not.toEqual(undefined);
+    });
+    expect(asked <= 3).toEqual(true);
+  });
+
+  test('is not had from a primary on the smaller side of a cut', () => {
+    const {cluster, primary, others} = startWriting();
+    cluster.network.cutGroups(
+      [MEMBER_HOSTS[primary], proxyHost(1)],
+      [...others.map(id => MEMBER_HOSTS[id]), proxyHost(0), proxyHost(2)],
+    );
+    const {view} = cluster.proxy(1);
+    cluster.timer.advance(20);
+    const deadline = cluster.timer.now() + 2000;
+    expect(valueOf(cluster, view.readBarrier(deadline))).toEqual(undefined);
+  });
+});
+
+describe('the bound of a member age', () => {
+  test('stays young while the group is in use', () => {
+    const {cluster} = startWriting();
+    for (let look = 0; look < 20; look++) {
+      cluster.timer.advance(50);
+      MEMBERS.forEach(id => expect(ageOf(cluster, 1, id) < 200).toEqual(true));
+    }
+  });
+
+  test('tells the lag of a replica', () => {
+    const {cluster, others} = startWriting();
+    cluster.control(others[0]).configure({lag: 2000});
+    cluster.timer.advance(5000);
+    const age = ageOf(cluster, 1, others[0]);
+    expect(age >= 2000 && age < 2700).toEqual(true);
+    expect(ageOf(cluster, 1, others[1]) < 200).toEqual(true);
+  });
+
+  test('grows in a data centre that is cut off', () => {
+    const {cluster, others} = startWriting();
+    const [near, far] = others;
+    cluster.proxy(2).view.touch();
+    cluster.timer.advance(500);
+    cluster.network.cutGroups(
+      [MEMBER_HOSTS[near], proxyHost(2)],
+      MEMBERS.filter(id => id !== near)
+        .map(id => MEMBER_HOSTS[id])
+        .concat(proxyHost(0), proxyHost(1)),
+    );
+    const cutAt = cluster.timer.now();
+    cluster.timer.advance(3000);
+    cluster.proxy(2).view.touch();
+    const passed = cluster.timer.now() - cutAt;
+    expect(ageOf(cluster, 2, near) >= passed).toEqual(true);
+    expect(ageOf(cluster, 1, far) < 200).toEqual(true);
+  });
+});
+
+describe('a view', () => {
+  test('closes its streams when it is idle and opens them on use', () => {
+    const cluster = createCluster({proxies: 2, watchers: 1});
+    const {view} = cluster.proxy(1);
+    const primary = cluster.awaitPrimary(1);
+    const before = cluster.control(primary).statistics().connections;
+    cluster.timer.advance(15_000);
+    expect(view.isOpen()).toEqual(false);
+    const after = cluster.control(primary).statistics().connections;
+    expect(after).toEqual(before - 1);
+    view.touch();
+    cluster.settle(() => view.members().every(({reachable}) => reachable));
+  });
+
+  test('doubts its leadership at a higher term until a round ends that', () => {
+    const {cluster} = startWriting();
+    const {view} = cluster.proxy(1);
+    const leadership = view.leadership();
+    view.observeTerm(cluster.termOf(1) + 1);
+    expect(view.leadership()).toEqual(undefined);
+    cluster.timer.advance(50);
+    expect(view.leadership()).toEqual(leadership);
+  });
+
+  test('moves the leadership by order to the member that is named', () => {
+    const {cluster, others} = startWriting();
+    const {view} = cluster.proxy(2);
+    const change = valueOf(cluster, view.orderSwitchOver(others[1]));
+    expect(change.ok && change.val.primary).toEqual(others[1]);
+    expect(view.leadership()?.primary).toEqual(others[1]);
+    cluster.timer.advance(500);
+    cluster.checkRecords(others[1]);
+  });
+});
+
+describe('a member out of step', () => {
+  test('that alone was fenced higher is brought back by a new term', () => {
+    const {cluster, others} = startWriting();
+    const term = cluster.termOf(1) + 70_000;
+    const timer = cluster.network.timerFor(proxyHost(9));
+    cluster.network
+      .transportFor(proxyHost(9))
+      .dial(`${MEMBER_HOSTS[others[0]]}:7000`, 1000)
+      .onSettled(dialled =>
+        createRpcPeer({connection: dialled.unwrap(), timer}).request(
+          targetFence,
+          {term},
+          1000,
+        ),
+      );
+    cluster.timer.advance(3000);
+    expect(cluster.termOf(1) > term).toEqual(true);
+    cluster.checkRecords(others[0]);
+  });
+
+  test('that forgot a fence is not taken in by the primary it fenced', () => {
+    for (const seed of [1, 2, 3]) {
+      const {cluster, primary, others} = startWriting({seed});
+      const [left, right] = others;
+      const oldSide = [MEMBER_HOSTS[primary], proxyHost(1)];
+      const newSide = [MEMBER_HOSTS[right], proxyHost(0), proxyHost(2)];
+      const term = cluster.termOf(1);
+      cluster.network.cutGroups(oldSide, [...newSide, MEMBER_HOSTS[left]]);
+      cluster.awaitPrimary(2, term);
+      cluster.startWriter(2);
+      cluster.timer.advance(1000);
+
+      // It helped to confirm records of the new term; now it starts empty,
+      // on the other side of the cut.
+      cluster.network.killHost(MEMBER_HOSTS[left]);
+      cluster.network.cutGroups([MEMBER_HOSTS[left]], newSide);
+      oldSide.forEach(host => cluster.network.heal(host, MEMBER_HOSTS[left]));
+      cluster.startMember(left);
+      const before = cluster.confirmed.length;
+      cluster.timer.advance(4000);
+      expect(cluster.confirmed.length).toEqual(before);
+      expect(cluster.control(left).status().end.position).toEqual(0);
+
+      cluster.network.healAll();
+      cluster.timer.advance(4000);
+      MEMBERS.forEach(cluster.checkRecords);
+    }
+  });
+});
--- /dev/null
+++ b/packages/failover/__tests__/promoters.spec.ts
@@ -0,0 +1,129 @@
+import {targetFence, targetPromote} from '@kelpstep/protocol';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {MEMBERS, MEMBER_HOSTS, createCluster, proxyHost} from './cluster';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+/** Milliseconds by which a frozen promoter's requests are late. */
+const LATE = 2500;
+
+type Cluster = ReturnType<typeof createCluster>;
+
+function startWriting(seed: number, timings = {}) {
+  const cluster = createCluster({seed, timings});
+  const primary = cluster.awaitPrimary();
+  cluster.startWriter(1);
+  cluster.startWriter(2);
+  cluster.timer.advance(500);
+  return {cluster, primary};
+}
+
+/** Members that were primary in a term, by term. */
+function watchPrimaries(cluster: Cluster): Map<number, Set<string>> {
+  const seen = new Map<number, Set<string>>();
+  cluster.timer.every(0.25, () => {
+    for (const id of MEMBERS) {
+      const {role, term} = cluster.control(id).status();
+      if (role === 'primary') {
+        seen.set(term, (seen.get(term) ?? new Set()).add(id));
+      }
+    }
+  });
+  return seen;
+}
+
+function expectOnePrimaryPerTerm(seen: Map<number, Set<string>>): void {
+  const sizes = [...seen.values()].map(ids => ids.size);
+  expect(sizes.every(size => size === 1)).toEqual(true);
+}
+
+describe('promoters', () => {
+  test('that act at the same time do no harm and end with one primary', () => {
+    for (const seed of SEEDS) {
+      const {cluster, primary} = startWriting(seed, {rankDelay: 0});
+      const seen = watchPrimaries(cluster);
+      cluster.network.killHost(MEMBER_HOSTS[primary]);
+      cluster.timer.advance(4000);
+      expectOnePrimaryPerTerm(seen);
+      const last = cluster.awaitPrimary();
+      expect(cluster.proxy(1).view.leadership()?.primary).toEqual(last);
+      cluster.checkRecords(last);
+      const lastWrite = cluster.confirmed.at(-1)?.time ?? 0;
+      expect(cluster.timer.now() - lastWrite < 100).toEqual(true);
+    }
+  });
+
+  for (const [step, method, count] of [
+    // The killed primary gets no request, as it has no connection any more.
+    ['while fencing', targetFence, 2],
+    ['between fence and promotion', targetPromote, 1],
+  ] as const) {
+    test(`frozen ${step} and thawed late do no harm`, () => {
+      for (const seed of SEEDS) {
+        const {cluster, primary} = startWriting(seed);
+        const seen = watchPrimaries(cluster);
+        // The first watcher stops just when it has sent the step's requests,
+        // which arrive when its successor is done.
+        let isFrozen = false;
+        cluster.network.delayMessages(
+          message => {
+            const matches =
+              message.from === proxyHost(0) &&
+              message.method === method.name &&
+              !message.isAnswer;
+            if (matches && !isFrozen) {
+              isFrozen = true;
+              cluster.network.freezeHost(proxyHost(0));
+            }
+            return matches;
+          },
+          LATE,
+          count,
+        );
+        cluster.network.killHost(MEMBER_HOSTS[primary]);
+        cluster.timer.advance(2400);
+        expect(isFrozen).toEqual(true);
+        expect(cluster.proxy(1).changes.length).toEqual(1);
+        cluster.network.thawHost(proxyHost(0));
+        cluster.timer.advance(3000);
+        expectOnePrimaryPerTerm(seen);
+        const last = cluster.awaitPrimary(1);
+        cluster.checkRecords(last);
+        const lastWrite = cluster.confirmed.at(-1)?.time ?? 0;
+        expect(cluster.timer.now() - lastWrite < 100).toEqual(true);
+      }
+    });
+  }
+
+  test('killed between promotion and the orders to follow are replaced', () => {
+    for (const seed of SEEDS) {
+      const {cluster, primary} = startWriting(seed);
+      const term = cluster.termOf(1);
+      let isKilled = false;
+      cluster.network.loseAnswers(message => {
+        const matches = message.method === targetPromote.name && !isKilled;
+        isKilled ||= matches;
+        return matches;
+      });
+      cluster.network.killHost(MEMBER_HOSTS[primary]);
+      cluster.settle(() => isKilled);
+      cluster.network.killHost(proxyHost(0));
+      const next = cluster.awaitPrimary(1, term);
+      cluster.timer.advance(2000);
+      cluster.checkRecords(next);
+      expect(cluster.gapSince(500) < 3000).toEqual(true);
+    }
+  });
+
+  test('whose answers to a promotion are lost find that it succeeded', () => {
+    const {cluster, primary} = startWriting(1);
+    cluster.network.loseAnswers(
+      message => message.method === targetPromote.name,
+    );
+    cluster.network.killHost(MEMBER_HOSTS[primary]);
+    cluster.awaitPrimary(0, cluster.termOf());
+    cluster.timer.advance(1000);
+    expect(cluster.proxy(0).changes.length).toEqual(2);
+  });
+});
--- a/packages/failover/src/watcher.ts
+++ b/packages/failover/src/watcher.ts
@@ -71,6 +71,8 @@
   const wake = createMailbox<'shifted'>();
   const reconciler = createReconciler(context, options.majorityAskedAt);
   let suspicion: Suspicion | undefined;
+  /** Since when replicas have told that they hear a primary lost to us. */
+  let heardSince: Milliseconds | undefined;
   let notBefore: Milliseconds = 0;
   let leavingSince: Milliseconds | undefined;
   let switchOverAt: Milliseconds = 0;
@@ -113,6 +115,7 @@
   function* handle(problem: Problem, rank: number): Task<Milliseconds> {
     if (!isSameProblem(suspicion?.problem, problem)) {
       suspicion = {problem, since: timer.now()};
+      heardSince = undefined;
     }
     const since = suspicion?.since ?? timer.now();
     const patience =
@@ -121,11 +124,11 @@
     if (timer.now() < due) {
       return Math.min(due - timer.now(), timings.watchPeriod);
     }
-    yield* act(problem, since);
+    yield* act(problem);
     return Math.min(Math.max(notBefore - timer.now(), 0), timings.watchPeriod);
   }
 
-  function* act(problem: Problem, since: Milliseconds): Task<void> {
+  function* act(problem: Problem): Task<void> {
     const heardAt = lastHeardAt(problem.primary);
     const link = state.link(problem.primary ?? '');
     const answers = yield* survey(context);
@@ -137,8 +140,10 @@
       groupSize: state.groupSize(),
       heardWithin: timings.primaryHeardWithin,
     });
-    const patient = timer.now() - since < timings.pathCutLimit;
-    if (verdict === 'go' || (verdict === 'primary_heard' && !patient)) {
+    heardSince =
+      verdict === 'primary_heard' ? (heardSince ?? timer.now()) : undefined;
+    const waited = timer.now() - (heardSince ?? Infinity);
+    if (verdict === 'go' || waited >= timings.pathCutLimit) {
       const outcome = yield* promote(context, memberId =>
         isAvoided(problem, memberId),
       );
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -212,5 +212,7 @@
   z.strictObject({
     keep: z.number().int().nonnegative(),
     records: z.array(logRecordSchema),
+    /** Where the primary's log ended when it answered. */
+    primaryEnd: logPositionSchema.optional(),
   }),
 );
--- a/packages/stand-ins/__tests__/replication.spec.ts
+++ b/packages/stand-ins/__tests__/replication.spec.ts
@@ -38,11 +38,30 @@
       end: {term: 0, position: 0},
       history: [],
       primarySilence: expect.a(Number),
+      catchingUp: true,
       slots: 3,
       connectionLimit: 20,
     });
   });
 
+  test('is catching up until it holds what its primary had', () => {
+    const {promote, connect, write, call, control, settle, timer} = createGroup(
+      2,
+      {lag: 50},
+    );
+    promote(1, 5, [1]);
+    const peer = connect(1);
+    write(peer, 5, entry('a'));
+    write(peer, 5, entry('b'));
+    call(connect(2), targetFollow, {term: 5, primary: addressOfMember(1)});
+    timer.advance(20);
+    expect(control(2).status().catchingUp).toEqual(true);
+    settle(() => control(2).status().end.position === 3);
+    expect(control(2).status().catchingUp).toEqual(false);
+    write(peer, 5, entry('c'));
+    expect(control(2).status().catchingUp).toEqual(false);
+  });
+
   test('replicates records, keys and term history', () => {
     const {promote, connect, write, catchUp, control} = createGroup(3);
     promote(1, 5);
--- a/packages/stand-ins/src/database/database.ts
+++ b/packages/stand-ins/src/database/database.ts
@@ -35,6 +35,7 @@
 import {Ok, Result} from 'ts-results';
 
 import {createHostTimer} from '../network/host_timer';
+import {createCatchUp} from './catch_up';
 import {createConnections} from './connections';
 import {
   DEFAULT_DATABASE_SETTINGS,
@@ -123,6 +124,7 @@
   const faults = createFaults();
   const keys = createIdempotencyKeys(timer.wallClock, readSettings);
   const store = createStore({keys, onChange});
+  const catchUp = createCatchUp();
   const slots = createSlotPool(readSettings);
   const transactions = createTransactions(store, slots, incarnation);
   const client = createReplicationClient({
@@ -130,11 +132,13 @@
     transport,
     target,
     store,
+    catchUp,
     settings: readSettings,
   });
   const member = createMemberState({
     timer,
     store,
+    catchUp,
     onStepDown() {
       transactions.rollBackAll();
       client.stop();
@@ -174,7 +178,6 @@
 
   function status(): TargetStatus {
     const following = member.following();
-    const isPrimary = member.role() === 'primary';
     return {
       target,
       incarnation,
@@ -182,8 +185,11 @@
       term: member.term(),
       end: store.end(),
       history: store.history(),
+      catchingUp: catchUp.isCatchingUp(store.end().position),
       ...(following === undefined ? {} : {following}),
-      ...(isPrimary ? {} : {primarySilence: client.silence()}),
+      ...(member.role() === 'primary'
+        ? {}
+        : {primarySilence: client.silence()}),
       slots: settings.slots,
       connectionLimit: settings.connectionLimit,
     };
--- a/packages/stand-ins/src/database/member_state.ts
+++ b/packages/stand-ins/src/database/member_state.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import {Err, Ok, Result} from 'ts-results';
 
+import type {CatchUp} from './catch_up';
 import type {Store} from './store';
 
 /** What a member knows of its group. */
@@ -37,6 +38,7 @@
 export interface MemberStateOptions {
   readonly timer: TimerService;
   readonly store: Store;
+  readonly catchUp: CatchUp;
   /** Called before the member stops being primary or replica of a term. */
   readonly onStepDown: () => void;
   /** Called once the member follows a primary. */
@@ -106,6 +108,7 @@
     }
     fencedAt = undefined;
     role = 'primary';
+    options.catchUp.lead();
     return store
       .write({term, statements: [], answersRows: false})
       .map(written => {
--- a/packages/stand-ins/src/database/replication_client.ts
+++ b/packages/stand-ins/src/database/replication_client.ts
@@ -18,6 +18,7 @@
 } from '@kelpstep/rpc';
 import {Result} from 'ts-results';
 
+import type {CatchUp} from './catch_up';
 import type {DatabaseSettings} from './database_settings';
 import type {Store} from './store';
 
@@ -43,6 +44,7 @@
   readonly transport: Transport;
   readonly target: string;
   readonly store: Store;
+  readonly catchUp: CatchUp;
   readonly settings: () => DatabaseSettings;
 }
 
@@ -72,7 +74,7 @@
 export function createReplicationClient(
   options: ReplicationClientOptions,
 ): ReplicationClient {
-  const {runtime, transport, target, store, settings} = options;
+  const {runtime, transport, target, store, catchUp, settings} = options;
   const {timer, random} = runtime;
   let heardAt = timer.now();
   let task: TaskHandle<void> | undefined;
@@ -111,16 +113,16 @@
       const {end, history} = store.received();
       const timeout = MISSED_HEARTBEATS * settings().replicationHeartbeat;
       const reply = yield* waitFor(
-        peer.request(
-          targetReplicate,
-          {target, term, end, history},
-          DIAL_TIMEOUT + timeout,
-        ),
+        peer.request(targetReplicate, {target, term, end, history}, timeout),
       );
       if (reply.err) {
         return reply.val.failure;
       }
-      accept(reply.val.keep, reply.val.records);
+      const {keep, records, primaryEnd} = reply.val;
+      if (primaryEnd !== undefined) {
+        catchUp.observePrimaryEnd(primaryEnd.position);
+      }
+      accept(keep, records);
     }
   }
 
@@ -150,6 +152,7 @@
 
   function follow(term: number, primary: string): void {
     stop();
+    catchUp.join();
     heardAt = timer.now();
     task = runtime.spawn('replication', replicate(term, primary));
   }
--- a/packages/stand-ins/src/database/replication_source.ts
+++ b/packages/stand-ins/src/database/replication_source.ts
@@ -59,7 +59,7 @@
   const waiters = new Set<Waiter>();
 
   function batch(keep: number, records: LogRecord[]): Result<Batch, Failure> {
-    return Ok({keep, records});
+    return Ok({keep, records, primaryEnd: store.end()});
   }
 
   /** What can be answered now, if anything. */
