--- a/packages/protocol/src/caller_messages.ts
+++ b/packages/protocol/src/caller_messages.ts
@@ -17,7 +17,10 @@
   group: identifier,
   /** Request kind, as in the manifest: gives worth and default deadline. */
   kind: identifier.optional(),
-  /** Token of the last answer this session got. */
+  /**
+   * Token of the last answer this session got; the empty text for a new
+   * session. Without it the request sees all that was confirmed before.
+   */
   token: sessionTokenSchema.optional(),
   /** Wall clock in milliseconds since 1970 after which no answer is wanted. */
   deadline: z.number().int().positive().optional(),
@@ -36,8 +39,8 @@
     ...requestFields,
     statement: statementSchema,
     /**
-     * Oldest data that the caller accepts, in milliseconds. Without it the
-     * read sees every write confirmed before it was asked.
+     * Oldest data that the caller accepts when the answer leaves, in
+     * milliseconds; by default the group's `readStaleness`.
      */
     maximumAge: z.number().int().nonnegative().optional(),
     transaction: identifier.optional(),
--- /dev/null
+++ b/packages/routing/src/caller_methods.ts
@@ -0,0 +1,179 @@
+/** What callers' methods do, once a request passed the first checks. */
+import {
+  Failure,
+  IdempotencyKey,
+  ParametersOf,
+  ResultOf,
+  callerBegin,
+  callerOutcome,
+  callerRead,
+  callerWrite,
+} from '@kelpstep/protocol';
+import {
+  NONCE_DIGITS,
+  TransactionTable,
+  formatTransactionId,
+  runWrite,
+  settleKey,
+  settledAt,
+} from '@kelpstep/request-ledger';
+import type {Task} from '@kelpstep/runtime';
+import {Err, Ok, Result} from 'ts-results';
+
+import {ActiveRequest, seenBy, tokenAfter} from './active_request';
+import type {KeyCheck} from './key_check';
+import type {
+  TransactionParameters,
+  TransactionResult,
+} from './local_transactions';
+import {runRead} from './read';
+import type {ReadPolicy} from './read_policy';
+import type {RequestServiceOptions} from './service_types';
+import type {TransactionRequests} from './transaction_requests';
+
+/** Serves one request that passed the first checks. */
+export type Serve<P, R> = (
+  parameters: P,
+  request: ActiveRequest,
+) => Task<Result<R, Failure>>;
+
+/** Serves a method by its messages. */
+export type ServeMethod<M> = Serve<ParametersOf<M>, ResultOf<M>>;
+
+/** What callers' methods need. */
+export interface CallerMethodsOptions {
+  readonly service: RequestServiceOptions;
+  readonly readPolicy: ReadPolicy;
+  readonly transactions: TransactionTable;
+  readonly transactionRequests: TransactionRequests;
+  readonly checkKey: KeyCheck;
+  makeKey(): IdempotencyKey;
+}
+
+/** Callers' methods. */
+export interface CallerMethods {
+  readonly read: ServeMethod<typeof callerRead>;
+  readonly write: ServeMethod<typeof callerWrite>;
+  readonly begin: ServeMethod<typeof callerBegin>;
+  readonly commit: Serve<
+    TransactionParameters<'commit'>,
+    TransactionResult<'commit'>
+  >;
+  readonly rollback: Serve<
+    TransactionParameters<'rollback'>,
+    TransactionResult<'rollback'>
+  >;
+  readonly outcome: ServeMethod<typeof callerOutcome>;
+}
+
+/** Creates callers' methods. */
+export function createCallerMethods(
+  options: CallerMethodsOptions,
+): CallerMethods {
+  const {transactions, transactionRequests, checkKey, makeKey} = options;
+  const {self, runtime} = options.service;
+  const {timer, random} = runtime;
+
+  function* read(
+    parameters: ParametersOf<typeof callerRead>,
+    request: ActiveRequest,
+  ): Task<Result<ResultOf<typeof callerRead>, Failure>> {
+    if (parameters.transaction !== undefined) {
+      return yield* transactionRequests.serve('read', parameters, request);
+    }
+    const {context, record, checked} = request;
+    const readOptions = {
+      context,
+      record,
+      policy: options.readPolicy,
+      dataCentre: self.dataCentre,
+    };
+    const result = yield* runRead(readOptions, {
+      statement: parameters.statement,
+      seen: checked.seen,
+      maximumAge: parameters.maximumAge ?? checked.group.readStaleness,
+    });
+    if (result.err) {
+      return result;
+    }
+    const {execution, target, role, age} = result.val;
+    Object.assign(context.notes, {servedBy: target, role, age});
+    return Ok({
+      rows: execution.rows,
+      token: tokenAfter(request, execution.at),
+      servedBy: {target, role},
+      age,
+    });
+  }
+
+  function* write(
+    parameters: ParametersOf<typeof callerWrite>,
+    request: ActiveRequest,
+  ): Task<Result<ResultOf<typeof callerWrite>, Failure>> {
+    if (parameters.transaction !== undefined) {
+      return yield* transactionRequests.serve('write', parameters, request);
+    }
+    const {statement} = parameters;
+    const key = parameters.key ?? makeKey();
+    const fault = checkKey(key, request.checked.manifest);
+    if (fault !== undefined) {
+      return Err(fault);
+    }
+    const written = yield* runWrite(request.context, {statement, key});
+    return written.map(({rows, at, duplicate}) => ({
+      rows,
+      token: tokenAfter(request, at),
+      // A key made here was recorded by an attempt of this very request.
+      duplicate: duplicate && parameters.key !== undefined,
+    }));
+  }
+
+  function* begin(
+    parameters: ParametersOf<typeof callerBegin>,
+    request: ActiveRequest,
+  ): Task<Result<ResultOf<typeof callerBegin>, Failure>> {
+    const transaction = formatTransactionId({
+      proxy: self.proxy,
+      incarnation: self.incarnation,
+      group: parameters.group,
+      begunAt: timer.wallClock(),
+      nonce: random.hexadecimal(NONCE_DIGITS),
+    });
+    const begun = yield* transactions.begin(
+      request.context,
+      transaction,
+      seenBy(request),
+    );
+    return begun.map(floor => ({
+      transaction,
+      token: tokenAfter(request, floor),
+    }));
+  }
+
+  function* outcome(
+    {key}: ParametersOf<typeof callerOutcome>,
+    request: ActiveRequest,
+  ): Task<Result<ResultOf<typeof callerOutcome>, Failure>> {
+    const fault = checkKey(key, request.checked.manifest);
+    if (fault !== undefined) {
+      return Err(fault);
+    }
+    const settled = yield* settleKey(request.context, key);
+    return settled.map(state => ({
+      outcome: state.state === 'recorded' ? 'confirmed' : 'not_run',
+      rows: state.state === 'recorded' ? state.execution.rows : [],
+      token: tokenAfter(request, settledAt(state)),
+    }));
+  }
+
+  return {
+    read,
+    write,
+    begin,
+    commit: (parameters, request) =>
+      transactionRequests.serve('commit', parameters, request),
+    rollback: (parameters, request) =>
+      transactionRequests.serve('rollback', parameters, request),
+    outcome,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/local_transactions.ts
@@ -0,0 +1,214 @@
+/** Requests of transactions that are here, or that nobody holds any more. */
+import {
+  Failure,
+  IdempotencyKey,
+  LogPosition,
+  ParametersOf,
+  ResultOf,
+  callerCommit,
+  callerRead,
+  callerRollback,
+  callerWrite,
+  createFailure,
+} from '@kelpstep/protocol';
+import {
+  TransactionAnswer,
+  TransactionName,
+  TransactionTable,
+  commitKeyOf,
+  resolveCommit,
+} from '@kelpstep/request-ledger';
+import type {Task, TimerService} from '@kelpstep/runtime';
+import {Err, Ok, Result} from 'ts-results';
+
+import {ActiveRequest, seenBy, tokenAfter} from './active_request';
+import type {KeyCheck} from './key_check';
+import type {ForwardedMethod} from './service_types';
+
+/** Parameters and results of the methods that transactions use. */
+interface TransactionMethods {
+  read: typeof callerRead;
+  write: typeof callerWrite;
+  commit: typeof callerCommit;
+  rollback: typeof callerRollback;
+}
+
+/** Parameters of a method of transactions. */
+export type TransactionParameters<M extends ForwardedMethod> = ParametersOf<
+  TransactionMethods[M]
+>;
+
+/** Result of a method of transactions. */
+export type TransactionResult<M extends ForwardedMethod> = ResultOf<
+  TransactionMethods[M]
+>;
+
+/** A transaction's id and its parts. */
+export interface NamedTransaction {
+  readonly id: string;
+  readonly name: TransactionName;
+}
+
+/** The answer to any of the methods. */
+export type TransactionReply = Task<Result<unknown, Failure>>;
+
+/** Serves requests of transactions without asking another proxy. */
+export interface LocalTransactions {
+  serve(
+    method: ForwardedMethod,
+    parameters: unknown,
+    transaction: NamedTransaction,
+    request: ActiveRequest,
+  ): TransactionReply;
+  /** Settles a commit whose transaction nobody holds any more. */
+  resolve(
+    key: IdempotencyKey | undefined,
+    transaction: NamedTransaction,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'commit'>, Failure>>;
+}
+
+/** What local transactions need. */
+export interface LocalTransactionsOptions {
+  readonly timer: TimerService;
+  readonly transactions: TransactionTable;
+  readonly checkKey: KeyCheck;
+}
+
+/** Creates the service of local transactions. */
+export function createLocalTransactions(
+  options: LocalTransactionsOptions,
+): LocalTransactions {
+  const {timer, transactions, checkKey} = options;
+
+  function* read(
+    parameters: TransactionParameters<'read'>,
+    id: string,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'read'>, Failure>> {
+    const {context, record} = request;
+    const {statement, maximumAge} = parameters;
+    const answer = yield* transactions.run(context, id, {
+      statement,
+      mode: 'read',
+      seen: seenBy(request),
+    });
+    if (answer.err) {
+      return answer;
+    }
+    const {execution, target} = answer.val;
+    const age = ageOf(answer.val, record);
+    context.notes.age = age;
+    if (maximumAge !== undefined && age > maximumAge) {
+      return Err(createFailure('NO_FRESH_TARGET'));
+    }
+    return Ok({
+      rows: execution.rows,
+      token: tokenAfter(request, execution.at),
+      servedBy: {target, role: 'primary'},
+      age,
+    });
+  }
+
+  function ageOf(
+    {target, freshAt}: TransactionAnswer,
+    record: ActiveRequest['record'],
+  ): number {
+    const member = record.members().find(view => view.member.id === target);
+    const known = member?.freshAt ?? -Infinity;
+    return Math.max(0, timer.now() - Math.max(known, freshAt));
+  }
+
+  function* write(
+    {statement, key}: TransactionParameters<'write'>,
+    id: string,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'write'>, Failure>> {
+    if (key !== undefined) {
+      const message = 'In a transaction the key goes with the commit.';
+      return Err(createFailure('INVALID_PARAMETERS', {message}));
+    }
+    const answer = yield* transactions.run(request.context, id, {
+      statement,
+      mode: 'write',
+      seen: seenBy(request),
+    });
+    return answer.map(({execution}) => ({
+      rows: execution.rows,
+      token: tokenAfter(request, execution.at),
+      duplicate: false,
+    }));
+  }
+
+  function* commit(
+    {key}: TransactionParameters<'commit'>,
+    transaction: NamedTransaction,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'commit'>, Failure>> {
+    const {id, name} = transaction;
+    const effectiveKey = key ?? commitKeyOf(id, name);
+    const fault = checkKey(effectiveKey, request.checked.manifest);
+    if (fault !== undefined) {
+      return Err(fault);
+    }
+    if (!transactions.has(id)) {
+      return yield* resolve(key, transaction, request);
+    }
+    const {context} = request;
+    const committed = yield* transactions.commit(context, id, effectiveKey);
+    return committed.map(({at, duplicate}) => ({
+      token: tokenAfter(request, at),
+      duplicate,
+    }));
+  }
+
+  function* resolve(
+    key: IdempotencyKey | undefined,
+    {id, name}: NamedTransaction,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'commit'>, Failure>> {
+    const derived = commitKeyOf(id, name);
+    // An earlier commit may have come without the key that this one has.
+    const keys = key === undefined ? [derived] : [key, derived];
+    const resolved = yield* resolveCommit(request.context, keys);
+    return resolved.map(({at}) => ({
+      token: tokenAfter(request, at),
+      duplicate: true,
+    }));
+  }
+
+  function* rollback(
+    id: string,
+    request: ActiveRequest,
+  ): Task<Result<TransactionResult<'rollback'>, Failure>> {
+    const rolledBack = yield* transactions.rollBack(request.context, id);
+    return rolledBack.map((floor: LogPosition) => ({
+      token: tokenAfter(request, floor),
+    }));
+  }
+
+  function serve(
+    method: ForwardedMethod,
+    parameters: unknown,
+    transaction: NamedTransaction,
+    request: ActiveRequest,
+  ): TransactionReply {
+    const {id} = transaction;
+    switch (method) {
+      case 'read':
+        return read(parameters as TransactionParameters<'read'>, id, request);
+      case 'write':
+        return write(parameters as TransactionParameters<'write'>, id, request);
+      case 'commit':
+        return commit(
+          parameters as TransactionParameters<'commit'>,
+          transaction,
+          request,
+        );
+      case 'rollback':
+        return rollback(id, request);
+    }
+  }
+
+  return {serve, resolve};
+}
--- a/packages/routing/src/request_service.ts
+++ b/packages/routing/src/request_service.ts
@@ -1,11 +1,9 @@
-/** Serves callers' requests: the wiring of reads, writes and transactions. */
+/** Serves callers' requests: wires the methods, counts, drains. */
 import {createRetryBudget} from '@kelpstep/pool';
 import {
   CALLER_METHODS,
   Failure,
   Method,
-  ParametersOf,
-  ResultOf,
   callerBegin,
   callerCommit,
   callerOutcome,
@@ -16,16 +14,10 @@
   peerForward,
 } from '@kelpstep/protocol';
 import {
-  NONCE_DIGITS,
   RequestNotes,
-  checkKeyAge,
   createKeyMaker,
   createRequestNotes,
   createTransactionTable,
-  formatTransactionId,
-  runWrite,
-  settleKey,
-  settledAt,
 } from '@kelpstep/request-ledger';
 import {HandlerTable, Reply, createHandlerTable} from '@kelpstep/rpc';
 import {
@@ -38,45 +30,51 @@
 } from '@kelpstep/runtime';
 import {Err, Ok, Result} from 'ts-results';
 
-import {ActiveRequest, seenBy, tokenAfter} from './active_request';
+import type {ActiveRequest} from './active_request';
+import {Serve, createCallerMethods} from './caller_methods';
 import {createGroupTable} from './group_table';
+import {createKeyCheck} from './key_check';
 import {DEFAULT_REQUEST_LIMITS} from './limits';
+import {createLocalTransactions} from './local_transactions';
 import {DEFAULT_REQUEST_POLICIES} from './policies';
-import {runRead} from './read';
 import {RequestFields, createRequestIntake} from './request_intake';
 import type {
   ForwardedMethod,
   RequestService,
   RequestServiceOptions,
 } from './service_types';
-import {createTransactionRequests} from './transaction_requests';
-
-/** Serves one request that passed the first checks. */
-type Serve<P, R> = (
-  parameters: P,
-  request: ActiveRequest,
-) => Task<Result<R, Failure>>;
+import {
+  TransactionFields,
+  createTransactionRequests,
+} from './transaction_requests';
 
 /** Creates the request service of a proxy. */
 export function createRequestService(
   options: RequestServiceOptions,
 ): RequestService {
   const {runtime, self} = options;
-  const {timer, random} = runtime;
+  const {timer} = runtime;
   const limits = {...DEFAULT_REQUEST_LIMITS, ...options.limits};
   const policies = {...DEFAULT_REQUEST_POLICIES, ...options.policies};
   const groups = createGroupTable(options, policies, limits);
   const retryBudget = createRetryBudget(timer, policies.retryBudget);
-  const makeKey = createKeyMaker(runtime, self.incarnation);
+  const checkKey = createKeyCheck(timer, limits);
   const transactions = createTransactionTable({
     runtime,
     idleTime: limits.transactionIdleTime,
     totalTime: limits.transactionTotalTime,
   });
-  const transactionRequests = createTransactionRequests({
+  const transactionRequests = createTransactionRequests(
+    options,
+    createLocalTransactions({timer, transactions, checkKey}),
+  );
+  const methods = createCallerMethods({
     service: options,
-    limits,
+    readPolicy: policies.read,
     transactions,
+    transactionRequests,
+    checkKey,
+    makeKey: createKeyMaker(runtime, self.incarnation),
   });
   const checkFields = createRequestIntake({
     timer,
@@ -192,131 +190,16 @@
     });
   }
 
-  function* read(
-    parameters: ParametersOf<typeof callerRead>,
-    request: ActiveRequest,
-  ): Task<Result<ResultOf<typeof callerRead>, Failure>> {
-    if (parameters.transaction !== undefined) {
-      return yield* transactionRequests.serve('read', parameters, request);
-    }
-    const {context, record, checked} = request;
-    const readOptions = {
-      context,
-      record,
-      policy: policies.read,
-      dataCentre: self.dataCentre,
-    };
-    const result = yield* runRead(readOptions, {
-      statement: parameters.statement,
-      seen: checked.seen,
-      maximumAge: parameters.maximumAge ?? checked.group.readStaleness,
-    });
-    if (result.err) {
-      return result;
-    }
-    const {execution, target, role, age} = result.val;
-    Object.assign(context.notes, {servedBy: target, role, age});
-    return Ok({
-      rows: execution.rows,
-      token: tokenAfter(request, execution.at),
-      servedBy: {target, role},
-      age,
-    });
-  }
-
-  function checkKey(
-    key: {readonly id: string; readonly issuedAt: number},
-    {checked}: ActiveRequest,
-  ): Failure | undefined {
-    return checkKeyAge(key, timer.wallClock(), {
-      retention: checked.manifest.keyRetention,
-      expiryMargin: limits.keyExpiryMargin,
-      clockTolerance: limits.clockTolerance,
-    });
-  }
-
-  function* write(
-    parameters: ParametersOf<typeof callerWrite>,
-    request: ActiveRequest,
-  ): Task<Result<ResultOf<typeof callerWrite>, Failure>> {
-    if (parameters.transaction !== undefined) {
-      return yield* transactionRequests.serve('write', parameters, request);
-    }
-    const {statement} = parameters;
-    const key = parameters.key ?? makeKey();
-    const fault = checkKey(key, request);
-    if (fault !== undefined) {
-      return Err(fault);
-    }
-    const written = yield* runWrite(request.context, {statement, key});
-    return written.map(({rows, at, duplicate}) => ({
-      rows,
-      token: tokenAfter(request, at),
-      // A key made here was recorded by an attempt of this very request.
-      duplicate: duplicate && parameters.key !== undefined,
-    }));
-  }
-
-  function* begin(
-    parameters: ParametersOf<typeof callerBegin>,
-    request: ActiveRequest,
-  ): Task<Result<ResultOf<typeof callerBegin>, Failure>> {
-    const transaction = formatTransactionId({
-      proxy: self.proxy,
-      incarnation: self.incarnation,
-      group: parameters.group,
-      begunAt: timer.wallClock(),
-      nonce: random.hexadecimal(NONCE_DIGITS),
-    });
-    const begun = yield* transactions.begin(
-      request.context,
-      transaction,
-      seenBy(request),
-    );
-    return begun.map(floor => ({
-      transaction,
-      token: tokenAfter(request, floor),
-    }));
-  }
-
-  function* outcome(
-    {key}: ParametersOf<typeof callerOutcome>,
-    request: ActiveRequest,
-  ): Task<Result<ResultOf<typeof callerOutcome>, Failure>> {
-    const fault = checkKey(key, request);
-    if (fault !== undefined) {
-      return Err(fault);
-    }
-    const settled = yield* settleKey(request.context, key);
-    return settled.map(state => ({
-      outcome: state.state === 'recorded' ? 'confirmed' : 'not_run',
-      rows: state.state === 'recorded' ? state.execution.rows : [],
-      token: tokenAfter(request, settledAt(state)),
-    }));
-  }
-
   function createCallerHandlers(): HandlerTable {
     const table = createHandlerTable();
     const isAlone = ({transaction}: {transaction?: string | undefined}) =>
       transaction === undefined;
-    addCallerMethod(table, callerRead, isAlone, read);
-    addCallerMethod(table, callerWrite, isAlone, write);
-    addCallerMethod(table, callerBegin, () => true, begin);
-    addCallerMethod(
-      table,
-      callerCommit,
-      () => false,
-      (parameters, request) =>
-        transactionRequests.serve('commit', parameters, request),
-    );
-    addCallerMethod(
-      table,
-      callerRollback,
-      () => false,
-      (parameters, request) =>
-        transactionRequests.serve('rollback', parameters, request),
-    );
-    addCallerMethod(table, callerOutcome, () => true, outcome);
+    addCallerMethod(table, callerRead, isAlone, methods.read);
+    addCallerMethod(table, callerWrite, isAlone, methods.write);
+    addCallerMethod(table, callerBegin, () => true, methods.begin);
+    addCallerMethod(table, callerCommit, () => false, methods.commit);
+    addCallerMethod(table, callerRollback, () => false, methods.rollback);
+    addCallerMethod(table, callerOutcome, () => true, methods.outcome);
     return table;
   }
 
@@ -330,13 +213,9 @@
     }
     return start(
       method,
-      parsed.data as RequestFields,
-      (parameters, request) =>
-        transactionRequests.serveForwarded(
-          method,
-          parameters as never,
-          request,
-        ) as Task<Result<unknown, Failure>>,
+      parsed.data as TransactionFields,
+      (parameters: TransactionFields, request) =>
+        transactionRequests.serveForwarded(method, parameters, request),
       () => {},
     );
   }
