--- a/packages/request-ledger/src/group_access.ts
+++ b/packages/request-ledger/src/group_access.ts
@@ -12,6 +12,10 @@
   takesWrites(memberId: string): boolean;
   /** When requests began to find no primary; undefined while they find one. */
   troubleSince(): Milliseconds | undefined;
+  /** Since when too few members are reachable for a majority. */
+  majorityLostSince(): Milliseconds | undefined;
+  /** True while the view of a group that was idle is still being opened. */
+  isCold(): boolean;
   /** A request found no primary that serves it. */
   noteTrouble(): void;
   /** A primary served a request. */
--- a/packages/request-ledger/src/ledger_policies.ts
+++ b/packages/request-ledger/src/ledger_policies.ts
@@ -8,7 +8,10 @@
   /** When requests of the group began to find none. */
   readonly troubleSince: Milliseconds;
   readonly deadline: Milliseconds;
-  readonly reachesMajority: boolean;
+  /** Since when no majority is reachable; undefined while one is. */
+  readonly majorityLostSince: Milliseconds | undefined;
+  /** True while the view of a group that was idle is still being opened. */
+  readonly isCold: boolean;
 }
 
 /** What is known when an attempt starts. */
@@ -35,8 +38,6 @@
 export const TYPICAL_FAILOVER: Milliseconds = 1_000;
 /** A failover that takes longer is not waited for. */
 export const LONGEST_FAILOVER: Milliseconds = 5_000;
-/** A proxy that begins to use a group knows its primary after this. */
-export const COLD_START: Milliseconds = 200;
 /** Without a majority for this long there won't be a failover soon. */
 export const MAJORITY_LOSS_PATIENCE: Milliseconds = 500;
 
@@ -44,13 +45,16 @@
 const SHORTEST_ATTEMPT: Milliseconds = 300;
 
 function awaitsFailover(outlook: FailoverOutlook): boolean {
-  const {now, troubleSince, deadline, reachesMajority} = outlook;
-  const elapsed = now - troubleSince;
-  if (!reachesMajority && elapsed > MAJORITY_LOSS_PATIENCE) {
+  const {now, troubleSince, deadline, majorityLostSince, isCold} = outlook;
+  if (isCold) {
+    return true;
+  }
+  const lostSince = majorityLostSince ?? now;
+  if (now - lostSince > MAJORITY_LOSS_PATIENCE) {
     return false;
   }
   const isInTime = deadline > troubleSince + TYPICAL_FAILOVER;
-  return elapsed < COLD_START || (isInTime && elapsed < LONGEST_FAILOVER);
+  return isInTime && now - troubleSince < LONGEST_FAILOVER;
 }
 
 function failoverRetryAfter(
--- a/packages/request-ledger/src/primary_calls.ts
+++ b/packages/request-ledger/src/primary_calls.ts
@@ -83,7 +83,8 @@
       now: timer.now(),
       troubleSince: group.troubleSince() ?? timer.now(),
       deadline: context.deadline,
-      reachesMajority: reachesMajority(view),
+      majorityLostSince: group.majorityLostSince(),
+      isCold: group.isCold(),
     };
   }
 
--- a/packages/request-ledger/src/transaction_table.ts
+++ b/packages/request-ledger/src/transaction_table.ts
@@ -8,13 +8,7 @@
   targetBegin,
   targetRollback,
 } from '@kelpstep/protocol';
-import {
-  Future,
-  Task,
-  createDeferred,
-  settledFuture,
-  waitFor,
-} from '@kelpstep/runtime';
+import {Task, createDeferred, settledFuture, waitFor} from '@kelpstep/runtime';
 import {Err, Ok, Result} from 'ts-results';
 
 import {CommitEnd, runCommit} from './commit';
--- a/packages/routing/__tests__/deployment.ts
+++ b/packages/routing/__tests__/deployment.ts
@@ -21,7 +21,6 @@
   Future,
   Task,
   VIRTUAL_EPOCH,
-  createDeferred,
   createRandom,
   createRuntime,
   createVirtualTimer,
@@ -104,6 +103,7 @@
     keyRetention: 86_400_000,
   };
   let inForce = manifest;
+  let isWatched = true;
 
   const databases = DATA_CENTRES.map((unusedName, index) => {
     const host = databaseHost(index);
@@ -142,7 +142,7 @@
       transport,
       promoterNumber: promoterNumberOf(self),
       dataCentre: self.dataCentre,
-      watchRank: () => index,
+      watchRank: () => (isWatched ? index : undefined),
       isLeaving: () => false,
     });
     views.updateManifest(manifest.groups);
@@ -303,6 +303,11 @@
         service.reconfigure();
       });
     },
+    /** Without watchers a group that loses its primary stays without. */
+    setWatched(watched: boolean) {
+      isWatched = watched;
+      proxies.forEach(({views}) => views.reviewWatching());
+    },
     proxy,
     control,
     settle,
@@ -314,6 +319,5 @@
     start,
     entries,
     killProxy,
-    deferred: createDeferred,
   };
 }
--- a/packages/routing/src/group_record.ts
+++ b/packages/routing/src/group_record.ts
@@ -8,7 +8,7 @@
   createTargetPool,
 } from '@kelpstep/pool';
 import {compareLogPositions} from '@kelpstep/protocol';
-import type {GroupAccess} from '@kelpstep/request-ledger';
+import {GroupAccess, reachesMajority} from '@kelpstep/request-ledger';
 import type {Transport} from '@kelpstep/rpc';
 import type {Milliseconds, Runtime, Unsubscribe} from '@kelpstep/runtime';
 
@@ -43,6 +43,10 @@
 
 /** Trouble that no request met for this long is over. */
 const TROUBLE_MEMORY: Milliseconds = 2_000;
+/** The view of a group that was idle is open after this. */
+const COLD_START: Milliseconds = 200;
+/** A view closes its streams when its group is idle for this long. */
+const VIEW_IDLE: Milliseconds = 5_000;
 /** A group not used for this long keeps no connections warm. */
 const IDLE_GROUP: Milliseconds = 60_000;
 const MEMBERS_VALIDITY: Milliseconds = 1;
@@ -65,6 +69,8 @@
   let members: readonly MemberView[] = [];
   let membersAt = -Infinity;
   let trouble: {since: Milliseconds; notedAt: Milliseconds} | undefined;
+  let majorityLostSince: Milliseconds | undefined;
+  let coldUntil = -Infinity;
   let confirmationTime = 0;
   let peakAtPrimary = 1;
   let lastTerm = view.leadership()?.term ?? 0;
@@ -118,6 +124,9 @@
   function noteChange(): void {
     membersAt = -Infinity;
     const now = timer.now();
+    majorityLostSince = reachesMajority(view)
+      ? undefined
+      : (majorityLostSince ?? now);
     for (const {member, leaving} of view.members()) {
       if (!leaving) {
         leavingSince.delete(member.id);
@@ -194,10 +203,14 @@
   }
 
   function touch(): void {
-    const wasIdle = timer.now() - usedAt > IDLE_GROUP;
-    usedAt = timer.now();
+    const now = timer.now();
+    const idleTime = now - usedAt;
+    usedAt = now;
     view.touch();
-    if (wasIdle) {
+    if (idleTime > VIEW_IDLE) {
+      coldUntil = now + COLD_START;
+    }
+    if (idleTime > IDLE_GROUP) {
       warm();
     }
   }
@@ -220,6 +233,8 @@
       return since === undefined || timer.now() - since < options.leavingGrace;
     },
     troubleSince: () => trouble?.since,
+    majorityLostSince: () => majorityLostSince,
+    isCold: () => timer.now() < coldUntil,
     noteTrouble,
     noteService() {
       trouble = undefined;
