--- /dev/null
+++ b/packages/routing/src/request_service.ts
@@ -0,0 +1,265 @@
+/** Serves callers' requests: wires the methods, counts, drains. */
+import {createRetryBudget} from '@kelpstep/pool';
+import {
+  CALLER_METHODS,
+  Failure,
+  Method,
+  callerBegin,
+  callerCommit,
+  callerOutcome,
+  callerRead,
+  callerRollback,
+  callerWrite,
+  createFailure,
+  peerForward,
+} from '@kelpstep/protocol';
+import {
+  RequestNotes,
+  createKeyMaker,
+  createRequestNotes,
+  createTransactionTable,
+} from '@kelpstep/request-ledger';
+import {HandlerTable, Reply, createHandlerTable} from '@kelpstep/rpc';
+import {
+  Deferred,
+  Future,
+  Milliseconds,
+  Task,
+  createDeferred,
+  settledFuture,
+} from '@kelpstep/runtime';
+import {Err, Ok, Result} from 'ts-results';
+
+import type {ActiveRequest} from './active_request';
+import {Serve, createCallerMethods} from './caller_methods';
+import {createGroupTable} from './group_table';
+import {createKeyCheck} from './key_check';
+import {DEFAULT_REQUEST_LIMITS} from './limits';
+import {createLocalTransactions} from './local_transactions';
+import {DEFAULT_REQUEST_POLICIES} from './policies';
+import {RequestFields, createRequestIntake} from './request_intake';
+import type {
+  ForwardedMethod,
+  RequestService,
+  RequestServiceOptions,
+} from './service_types';
+import {
+  TransactionFields,
+  createTransactionRequests,
+} from './transaction_requests';
+
+/** Creates the request service of a proxy. */
+export function createRequestService(
+  options: RequestServiceOptions,
+): RequestService {
+  const {runtime, self} = options;
+  const {timer} = runtime;
+  const limits = {...DEFAULT_REQUEST_LIMITS, ...options.limits};
+  const policies = {...DEFAULT_REQUEST_POLICIES, ...options.policies};
+  const groups = createGroupTable(options, policies, limits);
+  const retryBudget = createRetryBudget(timer, policies.retryBudget);
+  const checkKey = createKeyCheck(timer, limits);
+  const transactions = createTransactionTable({
+    runtime,
+    idleTime: limits.transactionIdleTime,
+    totalTime: limits.transactionTotalTime,
+  });
+  const transactionRequests = createTransactionRequests(
+    options,
+    createLocalTransactions({timer, transactions, checkKey}),
+  );
+  const methods = createCallerMethods({
+    service: options,
+    readPolicy: policies.read,
+    transactions,
+    transactionRequests,
+    checkKey,
+    makeKey: createKeyMaker(runtime, self.incarnation),
+  });
+  const checkFields = createRequestIntake({
+    timer,
+    limits,
+    manifest: options.manifest,
+  });
+  let inFlight = 0;
+  let isStopping = false;
+  let drained: Deferred<undefined> | undefined;
+
+  function activate(
+    fields: RequestFields,
+    method: string,
+    notes: RequestNotes,
+  ): Result<ActiveRequest, Failure> {
+    const checked = checkFields(fields);
+    if (checked.err) {
+      return checked;
+    }
+    const {group, worth, deadline} = checked.val;
+    const record = groups.get(group);
+    if (record === undefined) {
+      return Err(createFailure('NOT_READY'));
+    }
+    record.touch();
+    retryBudget.deposit();
+    const context = {
+      runtime,
+      group: record,
+      kind: fields.kind ?? method,
+      worth,
+      deadline,
+      policies,
+      retryBudget,
+      notes,
+    };
+    return Ok({checked: checked.val, context, record});
+  }
+
+  function* serveOne<P extends RequestFields, R>(
+    method: string,
+    parameters: P,
+    notes: RequestNotes,
+    serve: Serve<P, R>,
+  ): Task<Result<R, Failure>> {
+    const request = activate(parameters, method, notes);
+    return request.ok ? yield* serve(parameters, request.val) : request;
+  }
+
+  /** Runs a request as a task of its own and counts it until its end. */
+  function start<P extends RequestFields, R>(
+    method: string,
+    parameters: P,
+    serve: Serve<P, R>,
+    onEnd: (result: Result<R, Failure>, notes: RequestNotes) => void,
+  ): Future<Reply<R>> {
+    const notes = createRequestNotes();
+    inFlight += 1;
+
+    function* task(): Task<Result<R, Failure>> {
+      try {
+        const result = yield* serveOne(method, parameters, notes, serve);
+        onEnd(result, notes);
+        return result;
+      } finally {
+        inFlight -= 1;
+        checkDrained();
+      }
+    }
+
+    return runtime.spawn(method, task()).result;
+  }
+
+  function reportEnd(
+    method: string,
+    {group, kind}: RequestFields,
+    startedAt: Milliseconds,
+    result: Result<unknown, Failure>,
+    notes: RequestNotes,
+  ): void {
+    options.onRequestEnd?.({
+      method,
+      group,
+      kind,
+      outcome: result.ok ? 'ok' : result.val.name,
+      duration: timer.now() - startedAt,
+      queueTime: notes.queueTime,
+      servedBy: notes.servedBy,
+      role: notes.role,
+      age: notes.age,
+      retries: notes.retries,
+    });
+  }
+
+  /** Adds a caller's method; `isNew` tells work that a stop refuses. */
+  function addCallerMethod<P extends RequestFields, R>(
+    table: HandlerTable,
+    method: Method<P, R>,
+    isNew: (parameters: P) => boolean,
+    serve: Serve<P, R>,
+  ): void {
+    table.handle(method, parameters => {
+      const startedAt = timer.now();
+      const {name} = method;
+      if (isStopping && isNew(parameters)) {
+        const refusal = Err(createFailure('STOPPING'));
+        reportEnd(name, parameters, startedAt, refusal, createRequestNotes());
+        return settledFuture(refusal);
+      }
+      return start(name, parameters, serve, (result, notes) =>
+        reportEnd(name, parameters, startedAt, result, notes),
+      );
+    });
+  }
+
+  function createCallerHandlers(): HandlerTable {
+    const table = createHandlerTable();
+    const isAlone = ({transaction}: {transaction?: string | undefined}) =>
+      transaction === undefined;
+    addCallerMethod(table, callerRead, isAlone, methods.read);
+    addCallerMethod(table, callerWrite, isAlone, methods.write);
+    addCallerMethod(table, callerBegin, () => true, methods.begin);
+    addCallerMethod(table, callerCommit, () => false, methods.commit);
+    addCallerMethod(table, callerRollback, () => false, methods.rollback);
+    addCallerMethod(table, callerOutcome, () => true, methods.outcome);
+    return table;
+  }
+
+  function serveForwarded(
+    method: ForwardedMethod,
+    body: unknown,
+  ): Future<Reply<unknown>> {
+    const parsed = CALLER_METHODS[method].parameters.safeParse(body);
+    if (!parsed.success) {
+      return settledFuture(Err(createFailure('INVALID_PARAMETERS')));
+    }
+    return start(
+      method,
+      parsed.data as TransactionFields,
+      (parameters: TransactionFields, request) =>
+        transactionRequests.serveForwarded(method, parameters, request),
+      () => {},
+    );
+  }
+
+  function checkDrained(): void {
+    if (drained === undefined || inFlight > 0) {
+      return;
+    }
+    if (transactions.size() === 0) {
+      drained.settle(undefined);
+    } else {
+      transactions.whenEmpty().onSettled(checkDrained);
+    }
+  }
+
+  function drain(transactionTime: Milliseconds): Future<undefined> {
+    isStopping = true;
+    if (drained === undefined) {
+      drained = createDeferred<undefined>();
+      const cancel = timer.after(transactionTime, () => {
+        transactions.endAll();
+        checkDrained();
+      });
+      drained.future.onSettled(cancel);
+      checkDrained();
+    }
+    return drained.future;
+  }
+
+  return {
+    callerHandlers: createCallerHandlers(),
+    addPeerHandlers(table) {
+      table.handle(peerForward, ({method, request}) =>
+        serveForwarded(method, request),
+      );
+    },
+    reconfigure: groups.reconfigure,
+    stopAccepting() {
+      isStopping = true;
+    },
+    drain,
+    inFlight: () => inFlight,
+    openTransactions: transactions.size,
+    targetLoads: groups.loads,
+    close: groups.close,
+  };
+}
