fix(stand-ins): wrap the platform's lists as its client expects them

The README asked for bare arrays of rows and instances, the HTTP client was written for {rows} and {instances}; an object can grow, so the stand-in follows. A test now runs the client against the server.

--- a/packages/stand-ins/__tests__/platform.spec.ts
+++ b/packages/stand-ins/__tests__/platform.spec.ts
@@ -1,5 +1,12 @@
+import {createHttpPlatformClient} from '@kelpstep/platform';
 import type {ListedInstance} from '@kelpstep/protocol';
-import {Future, createVirtualTimer} from '@kelpstep/runtime';
+import {
+  Future,
+  createRandom,
+  createRealTimer,
+  createVirtualTimer,
+  promiseFromFuture,
+} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
@@ -180,16 +187,50 @@
       });
       expect(await request('GET', '/tables/t/rows?after=a&limit=5')).toEqual({
         status: 200,
-        text: '[{"key":"a/b","version":1,"value":[1]}]',
+        text: '{"rows":[{"key":"a/b","version":1,"value":[1]}]}',
       });
       const object = `/objects/${digestOfObject('täxt')}`;
       expect((await request('GET', object)).status).toEqual(404);
       expect((await request('PUT', object, 'text')).status).toEqual(400);
       expect((await request('PUT', object, 'täxt')).status).toEqual(204);
       expect((await request('GET', object)).text).toEqual('täxt');
-      await request('POST', '/instances', [INSTANCE]);
+      await request('POST', '/instances', {instances: [INSTANCE]});
       const listed = await request('GET', '/instances');
-      expect(JSON.parse(listed.text)).toEqual([INSTANCE]);
+      expect(JSON.parse(listed.text)).toEqual({instances: [INSTANCE]});
+    }));
+
+  test('agrees with the HTTP client of the platform', () =>
+    withServer(async (unusedRequest, {address, platform}) => {
+      platform.setInstances([INSTANCE]);
+      const client = createHttpPlatformClient({
+        addresses: [address],
+        timer: createRealTimer(),
+        random: createRandom(1),
+      });
+      const digest = digestOfObject('text');
+      const replies = [
+        await promiseFromFuture(client.writeRow('t', 'a/b', 0, 'x')),
+        await promiseFromFuture(client.writeRow('t', 'a/b', 0, 'x')),
+        await promiseFromFuture(client.readRow('t', 'a/b')),
+        await promiseFromFuture(client.listRows('t', '', 5)),
+        await promiseFromFuture(client.getObject(digest)),
+        await promiseFromFuture(client.putObject(digest, 'text')),
+        await promiseFromFuture(client.getObject(digest)),
+        await promiseFromFuture(client.listInstances()),
+      ];
+      client.close();
+      expect<unknown[]>(
+        replies.map(reply => (reply.ok ? reply.val : reply.val.name)),
+      ).toEqual([
+        1,
+        'VERSION_CONFLICT',
+        {version: 1, value: 'x'},
+        [{key: 'a/b', version: 1, value: 'x'}],
+        'OBJECT_MISSING',
+        undefined,
+        'text',
+        [INSTANCE],
+      ]);
     }));
 
   test('refuses what is malformed', () =>
--- a/packages/stand-ins/__tests__/processes.spec.ts
+++ b/packages/stand-ins/__tests__/processes.spec.ts
@@ -70,7 +70,7 @@
     expect(status.target).toEqual('fukuoka-1');
     expect(status.slots).toEqual(5);
     const response = await fetch(`http://${platform.address}/instances`);
-    expect(await response.json()).toEqual([]);
+    expect(await response.json()).toEqual({instances: []});
     expect(await database.stop()).toEqual(0);
     expect(await platform.stop()).toEqual(0);
   });
--- a/packages/stand-ins/src/platform/platform_routes.ts
+++ b/packages/stand-ins/src/platform/platform_routes.ts
@@ -36,6 +36,10 @@
   value: z.unknown(),
 });
 
+const instanceListSchema = z.strictObject({
+  instances: z.array(listedInstanceSchema),
+});
+
 /** An error answer. */
 export function errorAnswer(status: number, error: string): PlatformAnswer {
   return {status, json: {error}};
@@ -99,7 +103,7 @@
     operation: 'listRows',
     run: () =>
       Number.isInteger(limit) && limit > 0
-        ? {status: 200, json: platform.listRows(table, after, limit)}
+        ? {status: 200, json: {rows: platform.listRows(table, after, limit)}}
         : errorAnswer(400, 'The limit is not a positive whole number.'),
   };
 }
@@ -139,7 +143,7 @@
   if (request.method === 'GET') {
     return {
       operation: 'listInstances',
-      run: () => ({status: 200, json: platform.listInstances()}),
+      run: () => ({status: 200, json: {instances: platform.listInstances()}}),
     };
   }
   if (request.method !== 'POST') {
@@ -148,7 +152,7 @@
   return {
     operation: undefined,
     run: () =>
-      withBody(request.body, z.array(listedInstanceSchema), instances => {
+      withBody(request.body, instanceListSchema, ({instances}) => {
         platform.setInstances(instances);
         return NO_CONTENT;
       }),
