--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -3,6 +3,7 @@
 export * from './src/network/host_timer';
 export type * from './src/network/message_rules';
 export * from './src/database/database';
+export type * from './src/database/database_control';
 export * from './src/database/database_settings';
 export * from './src/embedded';
 export * from './src/platform/in_process_client';
--- a/packages/stand-ins/src/database/database.ts
+++ b/packages/stand-ins/src/database/database.ts
@@ -1,6 +1,5 @@
 /** Wires the parts of a database stand-in. */
 import {
-  LogRecord,
   Rows,
   Statement,
   TargetStatus,
@@ -37,6 +36,7 @@
 import {createHostTimer} from '../network/host_timer';
 import {createCatchUp} from './catch_up';
 import {createConnections} from './connections';
+import type {DatabaseControl} from './database_control';
 import {
   DEFAULT_DATABASE_SETTINGS,
   DatabaseConfiguration,
@@ -73,31 +73,6 @@
   readonly defer?: Defer;
 }
 
-/** Counts of what a database does now. */
-export interface DatabaseStatistics {
-  readonly connections: number;
-  readonly busySlots: number;
-  readonly waiting: number;
-  readonly transactions: number;
-  /** Answers to `target.execute` so far, good or bad. */
-  readonly executions: number;
-}
-
-/** Faults and inspection, in process. */
-export interface DatabaseControl {
-  /** Changes settings and faults; what is absent stays. */
-  configure(change: DatabaseConfiguration): void;
-  /** Pauses it, as if the process were stopped. */
-  freeze(): void;
-  thaw(): void;
-  status(): TargetStatus;
-  /** The records of its log. */
-  records(): LogRecord[];
-  /** Reads its data past all slots and faults; no rows if it can't. */
-  inspect(statement: Statement): Rows;
-  statistics(): DatabaseStatistics;
-}
-
 /** A database that runs. */
 export interface Database {
   /** Settles once it listens. */
