--- a/packages/membership/src/instance_watch.ts
+++ b/packages/membership/src/instance_watch.ts
@@ -6,7 +6,7 @@
 /** What a watch is made of. */
 export interface InstanceWatchOptions {
   readonly runtime: Runtime;
-  readonly platform: PlatformClient;
+  readonly platform: Pick<PlatformClient, 'listInstances'>;
   /** True if this proxy is one of those that read the list. */
   readonly polls: () => boolean;
   readonly onList: (instances: readonly ListedInstance[]) => void;
