--- /dev/null
+++ b/packages/routing/__tests__/reads.spec.ts
@@ -0,0 +1,261 @@
+import {
+  ResultOf,
+  callerRead,
+  callerWrite,
+  targetExecute,
+} from '@kelpstep/protocol';
+import {VIRTUAL_EPOCH} from '@kelpstep/runtime';
+import {EMPTY_SESSION, encodeToken, withPosition} from '@kelpstep/session';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {readFromPrimary} from '..';
+import {
+  DeploymentOptions,
+  GROUP,
+  createDeployment,
+  databaseHost,
+  proxyHost,
+  statement,
+} from './deployment';
+
+const append = statement('append ? ?', 'log', 'entry');
+const count = statement('count ?', 'log');
+
+type Written = ResultOf<typeof callerWrite>;
+type Read = ResultOf<typeof callerRead>;
+
+/** A deployment whose group has a primary, and streams that run. */
+function startDeployment(options: DeploymentOptions = {}) {
+  const deployment = createDeployment(options);
+  const primary = deployment.start();
+  deployment.timer.advance(500);
+  const replicas = [0, 1, 2].filter(index => index !== primary);
+  return {...deployment, primary, replicas};
+}
+
+describe('a read', () => {
+  test('of a session sees its own writes, wherever it roams', () => {
+    const {ask} = startDeployment({proxies: 3, settings: {lag: 5}});
+    let token = '';
+    for (let round = 1; round <= 20; round++) {
+      const request = {statement: append, token};
+      const written: Written = ask(round % 3, callerWrite, request);
+      const reader = (round + 1) % 3;
+      const read: Read = ask(reader, callerRead, {
+        statement: count,
+        token: written.token,
+      });
+      expect(read.rows).toEqual([[round]]);
+      token = read.token;
+    }
+  });
+
+  test('without a token sees all that was confirmed before', () => {
+    const {ask} = startDeployment({settings: {lag: 30}});
+    for (let round = 1; round <= 5; round++) {
+      ask(0, callerWrite, {statement: append});
+      expect(ask(1, callerRead, {statement: count}).rows).toEqual([[round]]);
+    }
+  });
+
+  test('of a new session takes what replicas have, within its age', () => {
+    const {ask, timer} = startDeployment({settings: {lag: 30}});
+    for (let round = 0; round < 50; round++) {
+      ask(0, callerWrite, {statement: append});
+      const read = ask(1, callerRead, {
+        statement: count,
+        token: '',
+        maximumAge: 500,
+      });
+      expect(read.servedBy.role).toEqual('replica');
+      expect(read.age <= 500).toEqual(true);
+      timer.advance(7);
+    }
+  });
+
+  test('asks the primary if its age is below the lag', () => {
+    const {ask} = startDeployment({settings: {lag: 300}});
+    for (let round = 1; round <= 5; round++) {
+      ask(0, callerWrite, {statement: append});
+      const read = ask(1, callerRead, {
+        statement: count,
+        token: '',
+        maximumAge: 50,
+      });
+      expect(read.age <= 50).toEqual(true);
+    }
+  });
+
+  test('is refused if no answer can be as fresh as asked', () => {
+    const {refuse} = startDeployment();
+    expect(
+      refuse(0, callerRead, {statement: count, token: '', maximumAge: 0}),
+    ).toEqual('NO_FRESH_TARGET not_run');
+  });
+
+  test('does not go back in time over a failover', () => {
+    const {ask, network, primary} = startDeployment({settings: {lag: 20}});
+    const {token} = ask(0, callerWrite, {statement: append});
+    network.killHost(databaseHost(primary));
+    const read = ask(1, callerRead, {statement: count, token});
+    expect(read.rows).toEqual([[1]]);
+  });
+
+  test('with a position that nobody has waits no longer than it may', () => {
+    const {call, timer} = startDeployment();
+    const forged = withPosition(EMPTY_SESSION, GROUP, {
+      term: 999_999_999,
+      position: 999_999_999,
+    });
+    const startedAt = timer.now();
+    const deadline = Math.floor(VIRTUAL_EPOCH + startedAt + 300);
+    const outcome = call(0, callerRead, {
+      statement: count,
+      token: encodeToken(forged),
+      deadline,
+    });
+    expect('failure' in outcome && outcome.failure.name).toEqual(
+      'NO_FRESH_TARGET',
+    );
+    expect(Math.abs(outcome.at - startedAt - 300) < 25).toEqual(true);
+  });
+
+  test('is tried elsewhere if its target dies or its connection is silent', () => {
+    for (const harm of ['silence', 'kill'] as const) {
+      const {ask, network, replicas, ends} = startDeployment();
+      ask(0, callerRead, {statement: count, token: ''});
+      for (const index of replicas) {
+        if (harm === 'silence') {
+          network.silence(proxyHost(0), databaseHost(index));
+        } else {
+          network.killHost(databaseHost(index));
+        }
+      }
+      const read = ask(0, callerRead, {statement: count, token: ''});
+      expect(read.rows).toEqual([[0]]);
+      expect((ends.at(-1)?.duration ?? Infinity) < 700).toEqual(true);
+    }
+  });
+
+  test('gets its own answer only, when answers come late', () => {
+    const {send, network, timer} = startDeployment();
+    network.delayMessages(
+      ({method, isAnswer}) => method === targetExecute.name && isAnswer,
+      400,
+      2,
+    );
+    const values = [1, 2, 3, 4, 5, 6];
+    const outcomes = values.map(value =>
+      send(0, callerWrite, {
+        statement: statement('set ? ?', `k${value}`, value),
+      }),
+    );
+    timer.advance(3000);
+    expect(outcomes.every(list => 'result' in (list[0] ?? {}))).toEqual(true);
+    const reads = values.map(value =>
+      send(1, callerRead, {statement: statement('get ?', `k${value}`)}),
+    );
+    timer.advance(3000);
+    const rows = reads.map(list => {
+      const outcome = list[0];
+      return outcome && 'result' in outcome
+        ? outcome.result.rows[0]?.[0]
+        : null;
+    });
+    expect(rows).toEqual(values);
+  });
+
+  test('goes to no leaving target, and writes only until the grace ends', () => {
+    const {ask, refuse, control, timer, setWatched, ...rest} =
+      startDeployment();
+    const {manifest, primary, setManifest} = rest;
+    ask(0, callerWrite, {statement: append});
+    setWatched(false);
+    const [group] = manifest.groups;
+    const members = (group?.members ?? []).map((member, index) => ({
+      ...member,
+      state: index === primary ? ('leaving' as const) : member.state,
+    }));
+    setManifest({
+      ...manifest,
+      groups: [{...manifest.groups[0], members}],
+    } as typeof manifest);
+    ask(0, callerWrite, {statement: append});
+    timer.advance(2000);
+    const executions = control(primary).statistics().executions;
+    expect(refuse(0, callerWrite, {statement: append})).toEqual(
+      'NO_PRIMARY not_run',
+    );
+    for (let round = 0; round < 10; round++) {
+      ask(0, callerRead, {statement: count});
+    }
+    expect(control(primary).statistics().executions).toEqual(executions);
+  });
+
+  test('can be sent by another policy', () => {
+    const {ask} = startDeployment({
+      service: {policies: {read: readFromPrimary}},
+    });
+    const read = ask(0, callerRead, {statement: count, token: ''});
+    expect(read.servedBy.role).toEqual('primary');
+  });
+});
+
+describe('the first checks of a request', () => {
+  test('refuse what makes no sense, not run', () => {
+    const {refuse} = startDeployment();
+    const read = {statement: count};
+    expect([
+      refuse(0, callerRead, {...read, kind: 'unheard-of'}),
+      refuse(0, callerRead, {...read, token: 'nonsense'}),
+      refuse(0, callerRead, {...read, deadline: VIRTUAL_EPOCH}),
+      refuse(0, callerRead, {...read, transaction: 'tx1:a:b'}),
+      refuse(0, callerRead, {...read, group: 'other'} as typeof read),
+    ]).toEqual([
+      'UNKNOWN_KIND not_run',
+      'BAD_TOKEN not_run',
+      'DEADLINE_PASSED not_run',
+      'TRANSACTION_UNKNOWN not_run',
+      'UNKNOWN_GROUP not_run',
+    ]);
+  });
+
+  test('refuse all before there is a manifest', () => {
+    const {refuse} = startDeployment({service: {manifest: () => undefined}});
+    expect(refuse(0, callerRead, {statement: count})).toEqual(
+      'NOT_READY not_run',
+    );
+  });
+});
+
+describe('under overload', () => {
+  test('requests get an answer in time or a refusal at once, not run', () => {
+    const {send, timer, primary, entries} = startDeployment({
+      settings: {serviceTime: 10, slots: 1},
+    });
+    const startedAt = timer.now();
+    const deadline = Math.floor(VIRTUAL_EPOCH + startedAt + 600);
+    const sent = Array.from({length: 400}, (unusedItem, index) => {
+      timer.advance(1);
+      return send(0, callerWrite, {
+        statement: append,
+        deadline: deadline + index,
+      });
+    });
+    timer.advance(2000);
+    const outcomes = sent.map(list => list[0]);
+    const served = outcomes.filter(outcome => outcome && 'result' in outcome);
+    const failures = outcomes.flatMap(outcome =>
+      outcome && 'failure' in outcome ? [outcome.failure] : [],
+    );
+    const names = new Set(failures.map(({name}) => name));
+    expect(served.length + failures.length).toEqual(400);
+    expect([...names]).toEqual(['OVERLOADED']);
+    expect(failures.every(({retryAfter}) => (retryAfter ?? 0) > 0)).toEqual(
+      true,
+    );
+    expect(entries(primary, 'log').length).toEqual(served.length);
+    expect(served.length >= 70).toEqual(true);
+  });
+});
