feat(cli): operators' commands

manifest check reports every finding with its place and needs no proxy; commit carries an id, so that repeating one whose answer was lost is harmless.

--- /dev/null
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -0,0 +1,102 @@
+import {createTcpTransport} from '@kelpstep/rpc';
+import {promiseFromFuture} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {EXIT_CODES, runCommandLine} from '..';
+
+const MANIFEST = 'examples/office/manifest.yaml';
+
+async function run(...parameters: string[]) {
+  const results: string[] = [];
+  const errors: string[] = [];
+  const code = await runCommandLine(parameters, {
+    output: {
+      result: value => results.push(JSON.stringify(value)),
+      line: text => results.push(text),
+      error: text => errors.push(text),
+    },
+    environment: {},
+  });
+  return {code, results, errors};
+}
+
+/** An address where nobody listens any more. */
+async function unusedAddress(): Promise<string> {
+  const listening = await promiseFromFuture(
+    createTcpTransport().listen('127.0.0.1:0', () => {}),
+  );
+  const {address, close} = listening.unwrap();
+  close();
+  return address;
+}
+
+describe('the command line', () => {
+  test('has help and a version at every command', async () => {
+    const paths = [
+      [],
+      ['call'],
+      ['call', 'read'],
+      ['call', 'transaction'],
+      ['manifest'],
+      ['manifest', 'watch'],
+      ['status'],
+      ['audit'],
+    ];
+    for (const path of paths) {
+      const help = await run(...path, '--help');
+      const version = await run(...path, '--version');
+      expect(help.code).toEqual(EXIT_CODES.ok);
+      expect(help.results.join()).toMatchRegex(/--help/);
+      expect(version.results).toEqual(['0.1.0']);
+    }
+  });
+
+  test('answers wrong usage with 2, on the error stream', async () => {
+    const wrong = [
+      [],
+      ['nonsense'],
+      ['call', 'nonsense'],
+      ['call', 'read', 'get ?'],
+      ['call', 'read', 'get ?', '--group', 'a', '--nonsense'],
+      ['audit', '--since', 'yesterday'],
+      ['call', 'transaction', 'nonsense', '--group', 'a', '--key', 'k'],
+    ];
+    for (const parameters of wrong) {
+      const {code, results, errors} = await run(...parameters);
+      expect([parameters, code]).toEqual([parameters, EXIT_CODES.usage]);
+      expect(results).toEqual([]);
+      expect(errors.length > 0).toEqual(true);
+    }
+  });
+
+  test('checks a manifest by itself and as a successor', async () => {
+    const sound = await run('manifest', 'check', MANIFEST);
+    const successor = await run(
+      ...['manifest', 'check', MANIFEST],
+      ...['--previous', 'examples/utility/manifest.yaml'],
+    );
+    expect(sound.code).toEqual(EXIT_CODES.ok);
+    expect(JSON.parse(sound.results[0] ?? '')).toEqual({
+      service: 'handbook',
+      groups: 3,
+    });
+    expect(successor.code).toEqual(EXIT_CODES.findings);
+    expect(successor.errors.join()).toMatchRegex(/service: expected/);
+  });
+
+  test('reports findings of a file with their place', async () => {
+    const {code, errors} = await run('manifest', 'check', 'package.json');
+    expect(code).toEqual(EXIT_CODES.findings);
+    expect(errors[0] ?? '').toMatchRegex(/^package\.json:\d+:\d+: /);
+  });
+
+  test('tells a file that is not there and a proxy that is not', async () => {
+    const file = await run('manifest', 'check', 'nothing.yaml');
+    const read = ['call', 'read', 'get ?', '-p', 'a', '--group', 'g'];
+    const proxy = await run(...read, '--proxy', await unusedAddress());
+    expect(file.code).toEqual(EXIT_CODES.failure);
+    expect(proxy.code).toEqual(EXIT_CODES.failure);
+    expect(proxy.errors[0] ?? '').toMatchRegex(/not_run/);
+  });
+});
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -3,11 +3,19 @@
 
 import cliPackage from '../package.json';
 import type {CommandBuilder, CommandContext} from './command';
+import {addAuditCommand} from './commands/audit';
 import {addCallCommands} from './commands/call';
+import {addManifestCommands} from './commands/manifest';
+import {addStatusCommand} from './commands/status';
 import {ConsoleOutput} from './console_output';
 import {EXIT_CODES, ExitCode} from './exit_code';
 
-const COMMANDS: readonly CommandBuilder[] = [addCallCommands];
+const COMMANDS: readonly CommandBuilder[] = [
+  addManifestCommands,
+  addStatusCommand,
+  addAuditCommand,
+  addCallCommands,
+];
 
 const EXIT_CODE_HELP =
   'Exit codes: 0 done, 1 failed and not run, 2 wrong usage, 3 findings in a ' +
--- /dev/null
+++ b/packages/cli/src/commands/audit.ts
@@ -0,0 +1,62 @@
+/** `kelpstep audit`: the trail of changes. */
+import {AuditPage, auditKeyAt} from '@kelpstep/observability';
+import {LARGEST_AUDIT_PAGE, auditList} from '@kelpstep/proxy';
+import type {Failure} from '@kelpstep/protocol';
+import type {Result} from 'ts-results';
+import type {Argv} from 'yargs';
+
+import {CommandContext, reportFailure} from '../command';
+import type {HttpClient} from '../http_client';
+import {operatorClientOf, withOperatorOptions} from '../operator_client';
+
+/** Writes a line of JSON an entry, oldest first. */
+async function printEntries(
+  context: CommandContext,
+  client: HttpClient,
+  start: string,
+): Promise<void> {
+  let after: string | undefined = start;
+  let dropped = 0;
+  while (after !== undefined) {
+    const page: Result<AuditPage, Failure> = await client.request(auditList, {
+      after,
+      limit: LARGEST_AUDIT_PAGE,
+    });
+    if (page.err) {
+      reportFailure(context, page.val);
+      return;
+    }
+    for (const entry of page.val.entries) {
+      const when = new Date(entry.when).toISOString();
+      context.output.line(JSON.stringify({...entry, when}));
+    }
+    dropped += page.val.dropped;
+    after = page.val.next;
+  }
+  if (dropped > 0) {
+    context.output.error(`${dropped} entries were lost in outages.`);
+  }
+}
+
+/** Adds the command. */
+export function addAuditCommand(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'audit',
+    'Show the trail of changes, oldest first',
+    builder =>
+      withOperatorOptions(builder).option('since', {
+        type: 'string',
+        describe: 'Entries stored at or after this time, ISO 8601',
+      }),
+    async options => {
+      const since = options.since === undefined ? 0 : Date.parse(options.since);
+      if (Number.isNaN(since)) {
+        throw new Error('--since has to be a time like 2026-01-31T12:00:00Z.');
+      }
+      const client = operatorClientOf(context, options);
+      if (client !== undefined) {
+        await printEntries(context, client, auditKeyAt(since));
+      }
+    },
+  );
+}
--- a/packages/cli/src/commands/call_transaction.ts
+++ b/packages/cli/src/commands/call_transaction.ts
@@ -1,5 +1,10 @@
 /** `kelpstep call transaction`: runs several statements as one transaction. */
-import {CALLER_METHODS, Failure, Statement} from '@kelpstep/protocol';
+import {
+  CALLER_METHODS,
+  Failure,
+  Statement,
+  statementSchema,
+} from '@kelpstep/protocol';
 import {Err, Ok, Result} from 'ts-results';
 import type {Argv} from 'yargs';
 
@@ -19,17 +24,21 @@
 
 type RequestFields = ReturnType<typeof requestFieldsOf>;
 
-const STEP_PATTERN = /^(read|write):\s*(.+)$/s;
+/** `read: TEXT`, then perhaps the parameters as a JSON list. */
+const STEP_PATTERN = /^(read|write):\s*(.*?)\s*(\[.*\])?$/s;
+const STEP_FORM = 'A statement has to look like: write: TEXT ["PARAMETER", 1]';
 
 function parseStep(text: string): Step {
   const match = STEP_PATTERN.exec(text);
-  if (match === null || match[2] === undefined) {
-    throw new Error(
-      'A statement has to look like "read: ..." or "write: ...".',
-    );
+  const statement = statementSchema.safeParse({
+    text: match?.[2],
+    parameters: JSON.parse(match?.[3] ?? '[]'),
+  });
+  if (match === null || !statement.success) {
+    throw new Error(STEP_FORM);
   }
   const mode = match[1] === 'read' ? 'read' : 'write';
-  return {mode, statement: {text: match[2], parameters: []}};
+  return {mode, statement: statement.data};
 }
 
 /** Runs the steps; the first failure ends them. */
--- /dev/null
+++ b/packages/cli/src/commands/manifest.ts
@@ -0,0 +1,192 @@
+/** `kelpstep manifest`: checks, commits, shows and watches manifests. */
+import {
+  DataIssue,
+  Finding,
+  Manifest,
+  checkSuccession,
+  formatFinding,
+  hasErrors,
+  inspectManifest,
+} from '@kelpstep/manifest';
+import {manifestCommit, manifestShow} from '@kelpstep/proxy';
+import {randomUUID} from 'node:crypto';
+import {userInfo} from 'node:os';
+import {basename} from 'node:path';
+import type {Argv} from 'yargs';
+
+import {CommandContext, report, reportFailure} from '../command';
+import {EXIT_CODES} from '../exit_code';
+import type {HttpClient} from '../http_client';
+import {
+  operatorClientOf,
+  readFileOrReport,
+  withOperatorOptions,
+} from '../operator_client';
+import {addWatchCommand} from './manifest_watch';
+
+function reportFindings(
+  context: CommandContext,
+  findings: readonly Finding[],
+): void {
+  findings.forEach(finding => context.output.error(formatFinding(finding)));
+  if (hasErrors(findings)) {
+    context.exit(EXIT_CODES.findings);
+  }
+}
+
+/** Findings of a manifest as the successor of another one. */
+function successionFindings(
+  context: CommandContext,
+  previousFile: string,
+  next: Manifest,
+  locate: (issue: DataIssue) => Finding,
+): readonly Finding[] {
+  const text = readFileOrReport(context, previousFile);
+  if (text === undefined) {
+    return [];
+  }
+  const {manifest, findings} = inspectManifest(text, previousFile);
+  return manifest === undefined
+    ? findings
+    : checkSuccession(manifest, next).map(locate);
+}
+
+function addCheck(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'check <file>',
+    'Report all findings of a manifest; needs no proxy',
+    builder =>
+      builder
+        .positional('file', {type: 'string', demandOption: true})
+        .option('previous', {
+          type: 'string',
+          describe: 'Manifest that it has to be able to follow',
+        }),
+    ({file, previous}) => {
+      const text = readFileOrReport(context, file);
+      if (text === undefined) {
+        return;
+      }
+      const {manifest, findings, locate} = inspectManifest(text, file);
+      const followed =
+        manifest === undefined || previous === undefined
+          ? []
+          : successionFindings(context, previous, manifest, locate);
+      reportFindings(context, [...findings, ...followed]);
+      if (manifest !== undefined && followed.length === 0) {
+        context.output.result({
+          service: manifest.service,
+          groups: manifest.groups.length,
+        });
+      }
+    },
+  );
+}
+
+/** The version that a commit replaces: as given, or the one in force. */
+async function versionToReplace(
+  context: CommandContext,
+  client: HttpClient,
+  given: number | undefined,
+): Promise<number | undefined> {
+  if (given !== undefined) {
+    return given;
+  }
+  const shown = await client.request(manifestShow, {});
+  if (shown.err) {
+    reportFailure(context, shown.val);
+    return undefined;
+  }
+  return shown.val.version;
+}
+
+function addCommit(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'commit <file>',
+    'Commit a manifest',
+    builder =>
+      withOperatorOptions(builder)
+        .positional('file', {type: 'string', demandOption: true})
+        .option('expected-version', {
+          type: 'number',
+          describe: 'Version that it replaces [default: the one in force]',
+        })
+        .option('commit-id', {
+          type: 'string',
+          describe: 'Repeat a commit of unknown outcome with its id',
+        })
+        .option('by', {
+          type: 'string',
+          describe: 'Who commits, for the audit trail [default: the user]',
+        }),
+    async options => {
+      const body = readFileOrReport(context, options.file);
+      const client = operatorClientOf(context, options);
+      if (body === undefined || client === undefined) {
+        return;
+      }
+      const expectedVersion = await versionToReplace(
+        context,
+        client,
+        options.expectedVersion,
+      );
+      if (expectedVersion === undefined) {
+        return;
+      }
+      const commitId = options.commitId ?? randomUUID();
+      const reply = await client.request(manifestCommit, {
+        body,
+        fileName: basename(options.file),
+        expectedVersion,
+        commitId,
+        committedBy: options.by ?? userInfo().username,
+      });
+      report(context, reply);
+      if (reply.err && reply.val.outcome === 'unknown') {
+        context.output.error(
+          `Repeat with --commit-id ${commitId} ` +
+            `--expected-version ${expectedVersion}.`,
+        );
+      }
+    },
+  );
+}
+
+function addShow(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'show',
+    'Show the manifest in force on a proxy',
+    builder =>
+      withOperatorOptions(builder).option('body', {
+        type: 'boolean',
+        default: false,
+        describe: 'Write the YAML text alone',
+      }),
+    async options => {
+      const client = operatorClientOf(context, options);
+      if (client === undefined) {
+        return;
+      }
+      const reply = await client.request(manifestShow, {});
+      if (reply.ok && options.body) {
+        context.output.line(reply.val.body ?? '');
+      } else {
+        report(context, reply);
+      }
+    },
+  );
+}
+
+/** Adds the commands. */
+export function addManifestCommands(
+  yargs: Argv,
+  context: CommandContext,
+): Argv {
+  return yargs.command('manifest', 'Check, commit, show and watch', builder => {
+    addCheck(builder, context);
+    addCommit(builder, context);
+    addShow(builder, context);
+    addWatchCommand(builder, context);
+    return builder.demandCommand(1, 'Name a command; --help lists them.');
+  });
+}
