--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -35,6 +35,8 @@
   info(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
+  /** True if lines of the lowest level are written; to save making them. */
+  isDebugEnabled(): boolean;
   /** A logger for another part. */
   forPart(part: string): Logger;
 }
@@ -88,8 +90,12 @@
   const {part, proxy, timer} = options;
   const writeLine = options.writeLine ?? writeToStandardError;
 
+  function namespaceOf(level: LogLevel): string {
+    return `${ROOT_NAMESPACE}:${part}:${level}`;
+  }
+
   function createWriter(level: LogLevel) {
-    const log = createDebug(`${ROOT_NAMESPACE}:${part}:${level}`);
+    const log = createDebug(namespaceOf(level));
     log.log = (line: string) => writeLine(line);
     return (event: string, fields?: LogFields) => {
       if (log.enabled) {
@@ -108,6 +114,7 @@
     info: createWriter('info'),
     warn: createWriter('warn'),
     error: createWriter('error'),
+    isDebugEnabled: () => createDebug.enabled(namespaceOf('debug')),
     forPart: other => createLogger({...options, part: other}),
   };
 }
--- a/packages/observability/src/proxy_metrics.ts
+++ b/packages/observability/src/proxy_metrics.ts
@@ -17,10 +17,12 @@
   ): void;
   /** A read was served by a target of this role. */
   readServed(role: 'primary' | 'replica'): void;
-  /** A request was refused for want of room. */
+  /** A request was refused before it reached a method, or for its form. */
+  requestRejected(error: string): void;
+  /** Requests were refused for want of room or time. */
   requestShed(): void;
-  /** A statement was sent again. */
-  requestRetried(): void;
+  /** Statements were sent again. */
+  requestRetried(times: number): void;
   /** Writes of a group were impossible for this long. */
   failoverEnded(group: string, gap: Milliseconds): void;
 }
@@ -63,6 +65,14 @@
     );
   }
 
+  function rejectedCounter(error: string): Counter {
+    return registry.counter(
+      'kelpstep_requests_rejected_total',
+      'Requests refused for their form, by error.',
+      {error},
+    );
+  }
+
   const readsServed = {
     primary: readCounter('primary'),
     replica: readCounter('replica'),
@@ -80,8 +90,9 @@
     requestEnded: (kind, method, outcome, duration) =>
       requestSummary(kind, method, outcome).record(duration),
     readServed: role => readsServed[role].add(),
+    requestRejected: error => rejectedCounter(error).add(),
     requestShed: () => shed.add(),
-    requestRetried: () => retries.add(),
+    requestRetried: times => retries.add(times),
     failoverEnded(group, gap) {
       registry
         .counter('kelpstep_failovers_total', 'Changes of primary seen.', {
--- a/packages/proxy/src/json_rpc_dispatcher.ts
+++ b/packages/proxy/src/json_rpc_dispatcher.ts
@@ -7,6 +7,9 @@
 import {HandlerTable, Reply, RpcPeer, encodeFailure} from '@kelpstep/rpc';
 import {Err} from 'ts-results';
 
+/** What a caller names its request by. */
+export type RequestId = string | number;
+
 /** An answer as an edge sends it. */
 export interface EncodedAnswer {
   readonly body: string;
@@ -20,6 +23,17 @@
 /** Answers the body of a request. */
 export type JsonRpcDispatcher = (body: string, respond: Respond) => void;
 
+/** An answer, for logs and metrics. */
+export interface AnswerEvent {
+  readonly id: RequestId | null;
+  readonly method: string | undefined;
+  /** Undefined if the request succeeded. */
+  readonly failure: Failure | undefined;
+}
+
+/** Gets answers as they leave. */
+export type AnswerListener = (event: AnswerEvent) => void;
+
 /** What a dispatcher is made of. */
 export interface JsonRpcDispatcherOptions {
   readonly handlers: HandlerTable;
@@ -27,10 +41,10 @@
   readonly maximumBatch: number;
   /** Told when a handler throws. */
   readonly onHandlerFault?: (error: unknown, method: string) => void;
+  /** Told of each answer: id and method as sent, if they could be read. */
+  readonly onAnswer?: AnswerListener;
 }
 
-type RequestId = string | number;
-
 interface ValidRequest {
   readonly id: RequestId;
   readonly method: string;
@@ -125,7 +139,17 @@
 export function createJsonRpcDispatcher(
   options: JsonRpcDispatcherOptions,
 ): JsonRpcDispatcher {
-  const {handlers, maximumBatch, onHandlerFault = () => {}} = options;
+  const {handlers, maximumBatch, onAnswer} = options;
+  const onHandlerFault = options.onHandlerFault ?? (() => {});
+
+  function refuse(
+    failure: Failure,
+    respond: Respond,
+    id: RequestId | null = null,
+  ): void {
+    onAnswer?.({id, method: undefined, failure});
+    respond(encodeFailureAnswer(failure, id));
+  }
 
   /** A fault in a handler costs its request, not the process. */
   function dispatchSafely(method: string, parameters: unknown) {
@@ -142,12 +166,13 @@
   function answerOne(message: unknown, respond: Respond): void {
     const request = readRequest(message);
     if (request === undefined) {
-      const failure = createFailure('INVALID_REQUEST');
-      respond(encodeFailureAnswer(failure, readId(message)));
+      refuse(createFailure('INVALID_REQUEST'), respond, readId(message));
       return;
     }
     const {id, method, params} = request;
     dispatchSafely(method, params).onSettled(reply => {
+      const failure = reply.ok ? undefined : reply.val;
+      onAnswer?.({id, method, failure});
       respond(
         reply.ok
           ? encodeResultAnswer(id, reply.val)
@@ -179,7 +204,7 @@
   return (body, respond) => {
     const parsed = parse(body);
     if (parsed === undefined) {
-      respond(encodeFailureAnswer(createFailure('PARSE_ERROR')));
+      refuse(createFailure('PARSE_ERROR'), respond);
     } else if (Array.isArray(parsed.value)) {
       answerBatch(parsed.value, respond);
     } else {
--- /dev/null
+++ b/packages/proxy/src/operator_handlers.ts
@@ -0,0 +1,135 @@
+/** Serves the operators' methods. */
+import type {GroupDirectory, GroupView} from '@kelpstep/failover';
+import {
+  AcceptedManifest,
+  ManifestKeeper,
+  commitManifest,
+} from '@kelpstep/manifest';
+import type {AuditTrail} from '@kelpstep/observability';
+import type {PlatformClient} from '@kelpstep/platform';
+import {Failure, ParametersOf, ProxyIdentity} from '@kelpstep/protocol';
+import {HandlerTable, Reply, createHandlerTable} from '@kelpstep/rpc';
+import {
+  Future,
+  Runtime,
+  Task,
+  TimerService,
+  settledFuture,
+} from '@kelpstep/runtime';
+import type {RequestService} from '@kelpstep/routing';
+import {Ok} from 'ts-results';
+
+import {
+  ProxyStatus,
+  auditList,
+  manifestCommit,
+  manifestShow,
+  proxyStatus,
+} from './operator_methods';
+
+/** What operators' methods work on. */
+export interface OperatorHandlersOptions {
+  readonly runtime: Runtime;
+  readonly platform: PlatformClient;
+  readonly self: ProxyIdentity;
+  readonly manifests: ManifestKeeper;
+  readonly groups: GroupDirectory;
+  readonly requests: RequestService;
+  readonly audit: AuditTrail;
+  readonly unreadyReason: () => string | undefined;
+  readonly liveProxies: () => readonly ProxyIdentity[];
+}
+
+type CommitParameters = ParametersOf<typeof manifestCommit>;
+
+function nameOf(accepted: AcceptedManifest | undefined) {
+  if (accepted === undefined) {
+    return {version: 0};
+  }
+  const {version, commitId, digest} = accepted;
+  return {version, commitId, digest};
+}
+
+function describeGroup(view: GroupView, timer: TimerService) {
+  const leadership = view.leadership();
+  return {
+    group: view.group,
+    ...(leadership === undefined ? {} : {leadership}),
+    confirmed: view.confirmed(),
+    members: view.members().map(each => ({
+      id: each.member.id,
+      ...(each.role === undefined ? {} : {role: each.role}),
+      reachable: each.reachable,
+      leaving: each.leaving,
+      end: each.end,
+      ...(each.freshAt === undefined
+        ? {}
+        : {age: Math.max(0, timer.now() - each.freshAt)}),
+    })),
+  };
+}
+
+/** Creates the operators' methods. */
+export function createOperatorHandlers(
+  options: OperatorHandlersOptions,
+): HandlerTable {
+  const {runtime, manifests, audit} = options;
+
+  function recordCommit(parameters: CommitParameters, outcome: string): void {
+    const {committedBy, expectedVersion, commitId} = parameters;
+    audit.record({
+      who: committedBy,
+      what: 'manifest',
+      from: `version ${expectedVersion}`,
+      to: `version ${expectedVersion + 1}, commit ${commitId}`,
+      outcome,
+    });
+  }
+
+  function* commit(
+    parameters: CommitParameters,
+  ): Task<Reply<ReturnType<typeof nameOf>>> {
+    const {platform} = options;
+    const result = yield* commitManifest({runtime, platform, ...parameters});
+    if (result.err) {
+      const {failure} = result.val;
+      const {name, outcome} = failure;
+      recordCommit(parameters, `${name}, ${outcome}`);
+      return result.mapErr((): Failure => failure);
+    }
+    manifests.offer(result.val);
+    recordCommit(parameters, 'accepted');
+    return Ok(nameOf(result.val));
+  }
+
+  function status(): ProxyStatus {
+    const unready = options.unreadyReason();
+    return {
+      proxy: options.self,
+      ...(unready === undefined ? {} : {unready}),
+      manifest: nameOf(manifests.current()),
+      proxies: [...options.liveProxies()],
+      groups: options.groups
+        .views()
+        .map(view => describeGroup(view, runtime.timer)),
+      requestsInFlight: options.requests.inFlight(),
+      openTransactions: options.requests.openTransactions(),
+      audit: {pending: audit.pending(), dropped: audit.dropped()},
+    };
+  }
+
+  function show(): Future<Reply<{version: number; body?: string}>> {
+    const accepted = manifests.current();
+    const body = accepted === undefined ? {} : {body: accepted.body};
+    return settledFuture(Ok({...nameOf(accepted), ...body}));
+  }
+
+  return createHandlerTable()
+    .handle(
+      manifestCommit,
+      parameters => runtime.spawn('commit manifest', commit(parameters)).result,
+    )
+    .handle(manifestShow, show)
+    .handle(proxyStatus, () => settledFuture(Ok(status())))
+    .handle(auditList, ({after, limit}) => audit.list(after, limit));
+}
