--- /dev/null
+++ b/packages/routing/src/group_table.ts
@@ -0,0 +1,92 @@
+/** The groups that this proxy uses. */
+import type {Group} from '@kelpstep/manifest';
+import {DEFAULT_CONNECTION_TIMES} from '@kelpstep/pool';
+
+import {GroupRecord, createGroupRecord} from './group_record';
+import type {RequestLimits} from './limits';
+import type {RequestPolicies} from './policies';
+import type {RequestServiceOptions, TargetLoad} from './service_types';
+
+/** The groups that this proxy uses. */
+export interface GroupTable {
+  /** The record of a group of the manifest; made at its first use. */
+  get(group: Group): GroupRecord | undefined;
+  /** Follows the manifest in force and the number of live proxies. */
+  reconfigure(): void;
+  loads(): TargetLoad[];
+  close(): void;
+}
+
+/** How often connections are warmed, trimmed and probed. */
+const TICK_PERIOD = 250;
+
+/** Creates a table without records. */
+export function createGroupTable(
+  options: RequestServiceOptions,
+  policies: RequestPolicies,
+  limits: RequestLimits,
+): GroupTable {
+  const {runtime, transport} = options;
+  const records = new Map<string, GroupRecord>();
+
+  function get(group: Group): GroupRecord | undefined {
+    const view = options.groupView(group.name);
+    const known = records.get(group.name);
+    if (known !== undefined && known.view === view) {
+      return known;
+    }
+    known?.close();
+    records.delete(group.name);
+    if (view === undefined) {
+      return undefined;
+    }
+    const record = createGroupRecord({
+      runtime,
+      transport,
+      view,
+      group,
+      liveProxies: options.liveProxyCount(),
+      policies,
+      connectionTimes: DEFAULT_CONNECTION_TIMES,
+      queueCapacity: limits.queueCapacity,
+      leavingGrace: limits.leavingGrace,
+    });
+    records.set(group.name, record);
+    return record;
+  }
+
+  function reconfigure(): void {
+    const groups = options.manifest()?.groups ?? [];
+    const byName = new Map(groups.map(group => [group.name, group]));
+    for (const [name, record] of records) {
+      const group = byName.get(name);
+      if (group === undefined) {
+        record.close();
+        records.delete(name);
+      } else {
+        record.update(group, options.liveProxyCount());
+      }
+    }
+  }
+
+  function loads(): TargetLoad[] {
+    return [...records.values()].flatMap(record =>
+      [...record.pools()].map(([target, pool]) => ({target, ...pool.load()})),
+    );
+  }
+
+  const stopTicking = runtime.timer.every(TICK_PERIOD, () =>
+    records.forEach(record => record.tick()),
+  );
+
+  return {
+    get,
+    reconfigure,
+    loads,
+    close() {
+      stopTicking();
+      records.forEach(record => record.close());
+      records.clear();
+    },
+  };
+}
--- a/packages/routing/src/limits.ts
+++ b/packages/routing/src/limits.ts
@@ -19,6 +19,8 @@
   readonly transactionTotalTime: Milliseconds;
   /** Writes still go to a leaving primary for this long. */
   readonly leavingGrace: Milliseconds;
+  /** Requests that wait for one target at most. */
+  readonly queueCapacity: number;
 }
 
 /** Limits that hold unless settings say otherwise. */
@@ -31,4 +33,5 @@
   transactionIdleTime: 10_000,
   transactionTotalTime: 60_000,
   leavingGrace: 1_500,
+  queueCapacity: 1_000,
 };
--- a/packages/routing/src/policies.ts
+++ b/packages/routing/src/policies.ts
@@ -1,4 +1,33 @@
 /** Policies of the request path, each a function passed in. */
+import {
+  PoolPolicies,
+  RetryBudgetSettings,
+  DEFAULT_RETRY_BUDGET,
+  WORTH_PER_SLOT_TIME,
+  borrowingShare,
+  createAdaptiveLimit,
+  spreadRetryAfter,
+} from '@kelpstep/pool';
+import {
+  DEFAULT_LEDGER_POLICIES,
+  LedgerPolicies,
+} from '@kelpstep/request-ledger';
+
+import {ReadPolicy, createReplicaPreference} from './read_policy';
 
 /** Policies of the request service. */
-export type RequestPolicies = Record<string, never>;
+export interface RequestPolicies extends PoolPolicies, LedgerPolicies {
+  readonly read: ReadPolicy;
+  readonly retryBudget: RetryBudgetSettings;
+}
+
+/** Policies unless others are passed. */
+export const DEFAULT_REQUEST_POLICIES: RequestPolicies = {
+  ...DEFAULT_LEDGER_POLICIES,
+  queue: WORTH_PER_SLOT_TIME,
+  createConcurrencyLimit: createAdaptiveLimit,
+  retryAfter: spreadRetryAfter,
+  connectionShare: borrowingShare,
+  read: createReplicaPreference(),
+  retryBudget: DEFAULT_RETRY_BUDGET,
+};
