--- a/packages/cli/index.ts
+++ b/packages/cli/index.ts
@@ -1,3 +1,4 @@
 /** The `kelpstep` command line. */
 export * from './src/command_line';
 export * from './src/exit_code';
+export * from './src/http_client';
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -5,16 +5,20 @@
 import type {CommandBuilder, CommandContext} from './command';
 import {addAuditCommand} from './commands/audit';
 import {addCallCommands} from './commands/call';
+import {addDemoCommand} from './commands/demo';
 import {addManifestCommands} from './commands/manifest';
+import {addProxyCommand} from './commands/proxy';
 import {addStatusCommand} from './commands/status';
 import {ConsoleOutput} from './console_output';
 import {EXIT_CODES, ExitCode} from './exit_code';
 
 const COMMANDS: readonly CommandBuilder[] = [
+  addProxyCommand,
   addManifestCommands,
   addStatusCommand,
   addAuditCommand,
   addCallCommands,
+  addDemoCommand,
 ];
 
 const EXIT_CODE_HELP =
--- /dev/null
+++ b/packages/cli/src/commands/demo.ts
@@ -0,0 +1,39 @@
+/** `kelpstep demo`: all in one process, on loopback. */
+import {enableLogs} from '@kelpstep/observability';
+import type {Argv} from 'yargs';
+
+import type {CommandContext} from '../command';
+import {DEMO_GROUP, startDemoCluster} from '../demo/demo_cluster';
+import {tellStory} from '../demo/demo_story';
+import {stopSignal} from '../stop_signal';
+
+/** Adds the command. */
+export function addDemoCommand(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'demo',
+    'Run two proxies with stand-ins of databases and platform, and a story',
+    builder =>
+      builder.option('once', {
+        type: 'boolean',
+        default: false,
+        describe: 'End after the story',
+      }),
+    async ({once}) => {
+      const {output} = context;
+      enableLogs('warn', context.environment['DEBUG']);
+      const signalled = stopSignal();
+      const cluster = await startDemoCluster();
+      const token = await tellStory(cluster, output);
+      if (!once) {
+        const {address} = cluster.proxies[1];
+        output.line('The proxies go on serving; try, then end with Ctrl-C:');
+        output.line(
+          `  kelpstep call read "list ?" -p acknowledged --proxy ${address} ` +
+            `--group ${DEMO_GROUP} --token "${token}"`,
+        );
+        await signalled;
+      }
+      await cluster.stop();
+    },
+  );
+}
--- /dev/null
+++ b/packages/cli/src/demo/free_ports.ts
@@ -0,0 +1,17 @@
+/** Finds ports that are free on loopback. */
+import {createTcpTransport} from '@kelpstep/rpc';
+import {promiseFromFuture} from '@kelpstep/runtime';
+
+const ANY_PORT = '127.0.0.1:0';
+
+/** Gives addresses that nobody listens on, all different. */
+export async function freeAddresses(count: number): Promise<string[]> {
+  const transport = createTcpTransport();
+  const listeners = [];
+  for (let index = 0; index < count; index++) {
+    const listening = transport.listen(ANY_PORT, () => {});
+    listeners.push((await promiseFromFuture(listening)).unwrap());
+  }
+  listeners.forEach(listener => listener.close());
+  return listeners.map(listener => listener.address);
+}
--- a/packages/manifest/src/settings_schema.ts
+++ b/packages/manifest/src/settings_schema.ts
@@ -87,6 +87,13 @@
   auditFlush: milliseconds(50, MINUTE).default(SECOND),
 });
 
+const LOG_LEVEL_TEXT = 'debug, info, warn or error';
+
+/** Levels of log lines, the least important first. */
+export const logLevelSchema = z.enum(['debug', 'info', 'warn', 'error'], {
+  error: LOG_LEVEL_TEXT,
+});
+
 /** Settings of one proxy. */
 export const settingsSchema = z.strictObject({
   /** Format of the settings. */
@@ -103,6 +110,8 @@
     .string({error: OPERATOR_TOKEN_TEXT})
     .min(SHORTEST_OPERATOR_TOKEN, {error: OPERATOR_TOKEN_TEXT})
     .max(LONGEST_OPERATOR_TOKEN, {error: OPERATOR_TOKEN_TEXT}),
+  /** The least important log lines that are written. */
+  logLevel: logLevelSchema.default('info'),
   limits: limitsSchema.prefault({}),
   intervals: intervalsSchema.prefault({}),
 });
--- a/packages/membership/src/create_membership.ts
+++ b/packages/membership/src/create_membership.ts
@@ -60,6 +60,11 @@
   noteInstances(instances: readonly ListedInstance[]): void;
   /** True if the platform's list calls a target leaving, as heard lately. */
   isTargetLeaving(target: LeavingTarget): boolean;
+  /**
+   * A proxy that is not known to be dead, also while it stops; undefined for
+   * others.
+   */
+  find(proxy: string, incarnation: string): ProxyIdentity | undefined;
   /** Serves `peer.exchange`. */
   serve(handlers: HandlerTable): void;
 }
@@ -249,6 +254,13 @@
         .map(({address}) => address);
       knowledge.noteInstances(instances);
     },
+    find: (proxy, incarnation) =>
+      table
+        .present()
+        .map(({update}) => update.proxy)
+        .find(
+          known => known.proxy === proxy && known.incarnation === incarnation,
+        ),
     isTargetLeaving: target => knowledge.leavingTargets.includes(target),
     serve(handlers) {
       handlers.handle(peerExchange, state => {
--- /dev/null
+++ b/packages/proxy/src/create_proxy.ts
@@ -0,0 +1,312 @@
+/** The one module that wires the parts of a proxy. Opens no socket itself. */
+import {
+  FailoverTimings,
+  createGroupDirectory,
+  promoterNumberOf,
+} from '@kelpstep/failover';
+import {
+  AcceptedManifest,
+  Settings,
+  createManifestKeeper,
+  stopPolicySchema,
+} from '@kelpstep/manifest';
+import {
+  createMembership,
+  createPeerConnections,
+  startInstanceWatch,
+} from '@kelpstep/membership';
+import {
+  createAuditTrail,
+  createMetricsRegistry,
+  createProxyMetrics,
+} from '@kelpstep/observability';
+import {createResilientPlatformClient} from '@kelpstep/platform';
+import {
+  GroupLeadership,
+  ProxyIdentity,
+  peerExchange,
+  peerForward,
+  peerManifest,
+} from '@kelpstep/protocol';
+import {createHandlerTable} from '@kelpstep/rpc';
+import {createRequestService} from '@kelpstep/routing';
+import {
+  Future,
+  Milliseconds,
+  Runtime,
+  Task,
+  mapFuture,
+  sleep,
+  waitAtMost,
+  waitFor,
+} from '@kelpstep/runtime';
+
+import {createAnswerObserver} from './answer_observer';
+import {createChangeRecorder} from './change_recorder';
+import {createOperatorHandlers} from './operator_handlers';
+import {createPeerLinks} from './peer_links';
+import {createPeerPort} from './peer_port';
+import type {Proxy, ProxyContext} from './proxy_context';
+import {createRequestRecorder, registerLoadGauges} from './request_metrics';
+import {createResponsibilities} from './responsibilities';
+
+const INCARNATION_DIGITS = 16;
+const MANIFEST_FETCH_TIMEOUT: Milliseconds = 1000;
+/** New work is refused at least so long before ports close. */
+const REFUSAL_TIME: Milliseconds = 500;
+/** How long a stopping proxy waits for the platform to take its trail. */
+const AUDIT_FLUSH_LIMIT: Milliseconds = 2000;
+
+function identityOf(settings: Settings, runtime: Runtime): ProxyIdentity {
+  return {
+    proxy: settings.proxy,
+    incarnation: runtime.random.hexadecimal(INCARNATION_DIGITS),
+    dataCentre: settings.dataCentre,
+    address: settings.addresses.peers,
+  };
+}
+
+/** Creates a proxy; it does nothing until it is started. */
+export function createProxy(settings: Settings, context: ProxyContext): Proxy {
+  const {runtime, transport, logger} = context;
+  const {timer} = runtime;
+  const {limits, intervals} = settings;
+  const self = identityOf(settings, runtime);
+  const platform = createResilientPlatformClient({
+    inner: context.platform,
+    runtime,
+  });
+  let listening = false;
+  let stopping = false;
+
+  const registry = createMetricsRegistry();
+  const metrics = createProxyMetrics(registry);
+  const audit = createAuditTrail({
+    platform,
+    runtime,
+    proxy: self.proxy,
+    incarnation: self.incarnation,
+  });
+
+  const peerHandlers = createHandlerTable();
+  const peers = createPeerConnections({
+    runtime,
+    transport,
+    handlers: peerHandlers,
+  });
+  const forwardLinks = createPeerLinks({transport, timer});
+  const peerPort = createPeerPort({
+    transport,
+    timer,
+    address: self.address,
+    handlers: peerHandlers,
+  });
+
+  const membership = createMembership({
+    runtime,
+    self,
+    seeds: settings.seeds,
+    exchange: (address, state) =>
+      peers.request(
+        address,
+        peerExchange,
+        state,
+        intervals.peerExchangeTimeout,
+      ),
+    hooks: {
+      ready: () => unreadyReason() === undefined,
+      manifestVersion: () => manifests.version(),
+      heardManifest: (version, from) => manifests.heard(version, from.address),
+      heardLeadership,
+    },
+    paceBase: {
+      interval: intervals.peerExchange,
+      exchangeTimeout: intervals.peerExchangeTimeout,
+      suspicionTime: intervals.peerSuspicion,
+    },
+  });
+  const responsibilities = createResponsibilities(membership);
+
+  const manifests = createManifestKeeper({
+    runtime,
+    platform,
+    polls: () => responsibilities.polls('manifest'),
+    peers: peerAddresses,
+    fetchManifest: (address, above) =>
+      peers.request(address, peerManifest, {above}, MANIFEST_FETCH_TIMEOUT),
+    pollInterval: intervals.manifestPoll,
+    onRejected: (version, message) =>
+      logger.error('manifest_rejected', {version, message}),
+  });
+
+  const timings: Partial<FailoverTimings> = {
+    heartbeat: intervals.targetHeartbeat,
+    ...context.timings,
+  };
+  const groups = createGroupDirectory({
+    runtime,
+    transport,
+    timings,
+    promoterNumber: promoterNumberOf(self),
+    dataCentre: self.dataCentre,
+    watchRank: responsibilities.watchRank,
+    isLeaving: ({id, address}) => membership.isTargetLeaving({id, address}),
+    onLeadershipChange: createChangeRecorder({
+      proxy: self.proxy,
+      logger: logger.forPart('failover'),
+      metrics,
+      audit,
+    }),
+    onLeadershipLearned: (group, leadership) =>
+      membership.announceLeadership({group, ...leadership}),
+  });
+
+  const requests = createRequestService({
+    runtime,
+    self,
+    transport,
+    manifest: () => manifests.current()?.manifest,
+    groupView: group => groups.find(group),
+    liveProxyCount: () => membership.liveProxies().length,
+    findProxy: membership.find,
+    forward: (owner, method, request, timeout) =>
+      forwardLinks.request(
+        owner.address,
+        peerForward,
+        {method, request},
+        timeout,
+      ),
+    ...(context.policies === undefined ? {} : {policies: context.policies}),
+    limits: {
+      maximumDeadline: limits.longestDeadline,
+      transactionIdleTime: limits.transactionIdleTimeout,
+    },
+    onRequestEnd: createRequestRecorder(metrics, isKind),
+  });
+
+  membership.serve(peerHandlers);
+  manifests.serve(peerHandlers);
+  requests.addPeerHandlers(peerHandlers);
+  registerLoadGauges(registry, requests);
+  registry.gauge('kelpstep_manifest_version', 'Version in force.', () => [
+    {labels: {}, value: manifests.version()},
+  ]);
+  registry.gauge('kelpstep_audit_pending', 'Entries not yet stored.', () => [
+    {labels: {}, value: audit.pending()},
+  ]);
+  manifests.onChange(takeManifest);
+  membership.onChange(() => {
+    groups.reviewWatching();
+    requests.reconfigure();
+  });
+
+  function isKind(name: string): boolean {
+    const kinds = manifests.current()?.manifest.kinds ?? [];
+    return kinds.some(kind => kind.name === name);
+  }
+
+  function peerAddresses(): string[] {
+    const live = membership
+      .liveProxies()
+      .map(({address}) => address)
+      .filter(address => address !== self.address);
+    return [...new Set([...live, ...settings.seeds])];
+  }
+
+  function takeManifest({version, manifest}: AcceptedManifest): void {
+    logger.info('manifest_in_force', {version});
+    groups.updateManifest(manifest.groups);
+    requests.reconfigure();
+    membership.spread();
+  }
+
+  /** True if the leadership is news, which is then passed on. */
+  function heardLeadership(leadership: GroupLeadership): boolean {
+    const view = groups.find(leadership.group);
+    const known = view?.lastLeadership()?.term ?? -1;
+    if (view === undefined || leadership.term <= known) {
+      return false;
+    }
+    groups.learnLeadership(leadership);
+    return true;
+  }
+
+  function unreadyReason(): string | undefined {
+    if (stopping) {
+      return 'stopping';
+    }
+    if (!listening) {
+      return 'starting';
+    }
+    return manifests.version() === 0 ? 'no manifest' : undefined;
+  }
+
+  function start() {
+    return mapFuture(peerPort.listen(), result => {
+      if (result.ok) {
+        listening = true;
+        membership.start();
+        manifests.start();
+        startInstanceWatch({
+          runtime,
+          platform,
+          polls: () => responsibilities.polls('instances'),
+          onList: membership.noteInstances,
+          interval: intervals.instancesPoll,
+        });
+        logger.info('started', {address: self.address});
+      }
+      return result;
+    });
+  }
+
+  function* runStop(): Task<undefined> {
+    stopping = true;
+    membership.leave();
+    const policy =
+      manifests.current()?.manifest.stop ?? stopPolicySchema.parse({});
+    logger.info('stopping', {milliseconds: policy.acceptTime});
+    yield* sleep(policy.acceptTime);
+    requests.stopAccepting();
+    const refusing = runtime.spawn('refuse', sleep(REFUSAL_TIME));
+    yield* waitFor(requests.drain(policy.drainTime));
+    yield* waitFor(refusing.result);
+    yield* waitAtMost(audit.flushed(), AUDIT_FLUSH_LIMIT);
+    logger.info('stopped', {count: audit.pending()});
+    return undefined;
+  }
+
+  let stopped: Future<undefined> | undefined;
+  return {
+    settings,
+    identity: self,
+    callerHandlers: requests.callerHandlers,
+    operatorHandlers: createOperatorHandlers({
+      runtime,
+      platform,
+      self,
+      manifests,
+      groups,
+      requests,
+      audit,
+      unreadyReason,
+      liveProxies: membership.liveProxies,
+    }),
+    onCallerAnswer: createAnswerObserver(logger.forPart('callers'), metrics),
+    start,
+    unreadyReason,
+    manifestVersion: manifests.version,
+    renderMetrics: registry.render,
+    stop() {
+      stopped ??= runtime.spawn('stop', runStop()).result;
+      return stopped;
+    },
+    close() {
+      requests.close();
+      groups.close();
+      forwardLinks.close();
+      peers.close('proxy stops');
+      peerPort.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/daemon.ts
@@ -0,0 +1,141 @@
+/** A proxy as a process runs it: real time, sockets and HTTP edges. */
+import type {Settings} from '@kelpstep/manifest';
+import {Logger, createLogger} from '@kelpstep/observability';
+import {createHttpPlatformClient} from '@kelpstep/platform';
+import {createTcpTransport} from '@kelpstep/rpc';
+import {
+  createRandom,
+  createRealTimer,
+  createRuntime,
+  promiseFromFuture,
+} from '@kelpstep/runtime';
+import {randomInt} from 'node:crypto';
+import {Err, Ok, Result} from 'ts-results';
+
+import {startCallerEdge} from './caller_edge';
+import {createProxy} from './create_proxy';
+import type {HttpLimits, HttpServer} from './http_server';
+import {startOperatorEdge} from './operator_edge';
+import type {Proxy} from './proxy_context';
+
+/** A proxy that runs. */
+export interface Daemon {
+  readonly proxy: Proxy;
+  readonly logger: Logger;
+  /** Graceful stop; resolves once all is answered and closed. */
+  stop(): Promise<void>;
+}
+
+const HIGHEST_SEED = 0x7fffffff;
+const MAXIMUM_BATCH = 50;
+const OPERATOR_CONNECTIONS = 100;
+/** Bodies on the operators' port hold manifests. */
+const OPERATOR_BODY_BYTES = 4 * 1024 * 1024;
+
+function callerLimits({limits}: Settings): HttpLimits {
+  return {
+    maximumBodyBytes: limits.maximumBodyBytes,
+    maximumConnections: limits.maximumCallerConnections,
+    keepAliveTimeout: limits.callerIdleTimeout,
+    requestTimeout: limits.requestReadTimeout,
+  };
+}
+
+function operatorLimits(settings: Settings): HttpLimits {
+  return {
+    ...callerLimits(settings),
+    maximumBodyBytes: OPERATOR_BODY_BYTES,
+    maximumConnections: OPERATOR_CONNECTIONS,
+  };
+}
+
+function createDaemonParts(settings: Settings) {
+  const timer = createRealTimer();
+  const logger = createLogger({part: 'proxy', proxy: settings.proxy, timer});
+  const random = createRandom(randomInt(HIGHEST_SEED));
+  const runtime = createRuntime({
+    timer,
+    random,
+    // One faulty task must not take all callers down with it.
+    onTaskFailure: (error, name) =>
+      logger.error('task_failed', {
+        message: `${name}: ${error instanceof Error ? error.stack : error}`,
+      }),
+  });
+  const platform = createHttpPlatformClient({
+    ...settings.platform,
+    timer,
+    random: random.split(),
+  });
+  const transport = createTcpTransport({
+    maximumFrameBytes: settings.limits.maximumFrameBytes,
+  });
+  return {timer, logger, runtime, platform, transport};
+}
+
+/** Starts a daemon; fails if one of its ports can't be had. */
+export async function startDaemon(
+  settings: Settings,
+): Promise<Result<Daemon, string>> {
+  const {timer, logger, runtime, platform, transport} =
+    createDaemonParts(settings);
+  const proxy = createProxy(settings, {runtime, transport, platform, logger});
+  const servers: HttpServer[] = [];
+
+  async function close(): Promise<void> {
+    await Promise.all(servers.map(({close}) => promiseFromFuture(close())));
+    proxy.close();
+    platform.close();
+    runtime.shutdown();
+  }
+
+  async function fail(message: string): Promise<Result<Daemon, string>> {
+    await close();
+    return Err(message);
+  }
+
+  const listening = await promiseFromFuture(proxy.start());
+  if (listening.err) {
+    return await fail(`${settings.addresses.peers}: ${listening.val.message}`);
+  }
+  const operators = await promiseFromFuture(
+    startOperatorEdge({
+      address: settings.addresses.operators,
+      limits: operatorLimits(settings),
+      timer,
+      handlers: proxy.operatorHandlers,
+      token: settings.operatorToken,
+      unreadyReason: proxy.unreadyReason,
+      renderMetrics: proxy.renderMetrics,
+    }),
+  );
+  if (operators.err) {
+    return await fail(operators.val);
+  }
+  servers.push(operators.val);
+  const callers = await promiseFromFuture(
+    startCallerEdge({
+      address: settings.addresses.callers,
+      limits: callerLimits(settings),
+      timer,
+      handlers: proxy.callerHandlers,
+      maximumBatch: MAXIMUM_BATCH,
+      onAnswer: proxy.onCallerAnswer,
+      onHandlerFault: (error, method) =>
+        logger.error('handler_failed', {method, message: String(error)}),
+    }),
+  );
+  if (callers.err) {
+    return await fail(callers.val);
+  }
+  servers.push(callers.val);
+  logger.info('serving', {address: callers.val.address});
+
+  async function stop(): Promise<void> {
+    callers.map(server => server.announceClose());
+    await promiseFromFuture(proxy.stop());
+    await close();
+  }
+
+  return Ok({proxy, logger, stop});
+}
--- a/packages/proxy/src/http_connections.ts
+++ b/packages/proxy/src/http_connections.ts
@@ -36,11 +36,8 @@
       change(socket, 1);
       response.once('close', () => change(socket, -1));
     },
-    /** Ends connections without a request, apart from half a one. */
-    closeIdle(): void {
-      server.closeIdleConnections();
-      destroyWhere(socket => socket.bytesRead === 0);
-    },
+    /** Ends connections by which no request ever came. */
+    closeUnused: () => destroyWhere(socket => socket.bytesRead === 0),
     /** Ends all connections on which no answer is due. */
     closeUnanswered: () => destroyWhere(() => true),
   };
--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -76,6 +76,9 @@
 /** How often Node.js looks for requests that take too long to arrive. */
 const TIMEOUT_CHECK_SHARE = 4;
 
+/** Time for the first request on a connection once the server closes. */
+const UNUSED_CONNECTION_GRACE: Milliseconds = 500;
+
 const STATUS = {
   ok: 200,
   unauthorized: 401,
@@ -93,10 +96,10 @@
 
 function createFinish(isClosing: () => boolean): Finish {
   return (response, status, contentType, answer) => {
-    const body = Buffer.from(answer.body);
+    const {body} = answer;
     const headers: Record<string, string | number> = {
       'content-type': contentType,
-      'content-length': body.length,
+      'content-length': Buffer.byteLength(body),
     };
     if (answer.retryAfter !== undefined) {
       headers['retry-after'] = Math.ceil(
@@ -107,6 +110,7 @@
       headers['connection'] = 'close';
     }
     response.writeHead(status, headers);
+    // Node.js sends a text in one write with its head, a buffer apart.
     response.end(body);
   };
 }
@@ -202,18 +206,20 @@
     answer(request, response);
   });
 
-  /** Node.js stops its own time-outs here, so that half requests need ours. */
+  /**
+   * Node.js ends idle connections here, but no new or half-used ones: their
+   * requests may be on the way, so they get a while.
+   */
   function close(): Future<undefined> {
     closing = true;
-    const cancel = timer.after(
-      limits.requestTimeout,
-      connections.closeUnanswered,
-    );
+    const cancels = [
+      timer.after(UNUSED_CONNECTION_GRACE, connections.closeUnused),
+      timer.after(limits.requestTimeout, connections.closeUnanswered),
+    ];
     server.close(() => {
-      cancel();
+      cancels.forEach(cancel => cancel());
       closed.settle(undefined);
     });
-    connections.closeIdle();
     return closed.future;
   }
 
--- /dev/null
+++ b/packages/proxy/src/responsibilities.ts
@@ -0,0 +1,39 @@
+/** Which of the work that few proxies do for all falls to this one. */
+import type {Membership} from '@kelpstep/membership';
+
+/** Proxies that watch a group. */
+const WATCHERS = 3;
+/** Proxies of each data centre that read the platform for the others. */
+const POLLERS = 2;
+
+/** What this proxy does for others. */
+export interface Responsibilities {
+  /** Rank as watcher of a group, 0 first; undefined if it is none. */
+  watchRank(group: string): number | undefined;
+  /** True if it reads something of the platform for its data centre. */
+  polls(what: 'manifest' | 'instances'): boolean;
+}
+
+/** Reads responsibilities off the membership, as it is at each call. */
+export function createResponsibilities(
+  membership: Membership,
+): Responsibilities {
+  const {proxy, incarnation, dataCentre} = membership.self;
+
+  function rankAmong(
+    proxies: readonly {proxy: string; incarnation: string}[],
+  ): number {
+    return proxies.findIndex(
+      other => other.proxy === proxy && other.incarnation === incarnation,
+    );
+  }
+
+  return {
+    watchRank(group) {
+      const rank = rankAmong(membership.responsibleFor(group, WATCHERS));
+      return rank < 0 ? undefined : rank;
+    },
+    polls: what =>
+      rankAmong(membership.responsibleFor(what, POLLERS, dataCentre)) >= 0,
+  };
+}
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -83,6 +83,7 @@
   makeBlob();
   await injectBlob();
   check('--version');
+  check('demo', '--once');
 }
 
 run().catch((error: unknown) => {
