--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -90,13 +90,13 @@
   const {part, proxy, timer} = options;
   const writeLine = options.writeLine ?? writeToStandardError;
 
-  function namespaceOf(level: LogLevel): string {
-    return `${ROOT_NAMESPACE}:${part}:${level}`;
+  function createLevel(level: LogLevel): createDebug.Debugger {
+    const log = createDebug(`${ROOT_NAMESPACE}:${part}:${level}`);
+    log.log = (line: string) => writeLine(line);
+    return log;
   }
 
-  function createWriter(level: LogLevel) {
-    const log = createDebug(namespaceOf(level));
-    log.log = (line: string) => writeLine(line);
+  function createWriter(level: LogLevel, log = createLevel(level)) {
     return (event: string, fields?: LogFields) => {
       if (log.enabled) {
         const time = new Date(timer.wallClock()).toISOString();
@@ -109,12 +109,13 @@
     };
   }
 
+  const debug = createLevel('debug');
   return {
-    debug: createWriter('debug'),
+    debug: createWriter('debug', debug),
     info: createWriter('info'),
     warn: createWriter('warn'),
     error: createWriter('error'),
-    isDebugEnabled: () => createDebug.enabled(namespaceOf('debug')),
+    isDebugEnabled: () => debug.enabled,
     forPart: other => createLogger({...options, part: other}),
   };
 }
