--- a/packages/observability/src/metrics_registry.ts
+++ b/packages/observability/src/metrics_registry.ts
@@ -48,7 +48,12 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const LONGEST_DURATION_MICROSECONDS = 120_000_000;
 const SIGNIFICANT_DIGITS = 2;
-const PERCENTILES = [50, 90, 99, 99.9];
+const PERCENTILES = [
+  {percentage: 50, quantile: '0.5'},
+  {percentage: 90, quantile: '0.9'},
+  {percentage: 99, quantile: '0.99'},
+  {percentage: 99.9, quantile: '0.999'},
+];
 
 function escapeLabel(value: string): string {
   return value
@@ -104,8 +109,7 @@
   labels: Labels,
   summary: ReturnType<typeof createSummary>,
 ): string[] {
-  const quantiles = PERCENTILES.map(percentage => {
-    const quantile = String(percentage / 100);
+  const quantiles = PERCENTILES.map(({percentage, quantile}) => {
     const seconds = summary.percentile(percentage) / MILLISECONDS_PER_SECOND;
     return `${name}${renderLabels({...labels, quantile})} ${seconds}`;
   });
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -11,8 +11,8 @@
   stopPolicySchema,
 } from '@kelpstep/manifest';
 import {
+  createIdempotentRequest,
   createMembership,
-  createPeerConnections,
   startInstanceWatch,
 } from '@kelpstep/membership';
 import {
@@ -89,12 +89,8 @@
   });
 
   const peerHandlers = createHandlerTable();
-  const peers = createPeerConnections({
-    runtime,
-    transport,
-    handlers: peerHandlers,
-  });
-  const forwardLinks = createPeerLinks({transport, timer});
+  const links = createPeerLinks({transport, timer});
+  const askPeer = createIdempotentRequest(runtime, links.request);
   const peerPort = createPeerPort({
     transport,
     timer,
@@ -107,12 +103,7 @@
     self,
     seeds: settings.seeds,
     exchange: (address, state) =>
-      peers.request(
-        address,
-        peerExchange,
-        state,
-        intervals.peerExchangeTimeout,
-      ),
+      askPeer(address, peerExchange, state, intervals.peerExchangeTimeout),
     hooks: {
       ready: () => unreadyReason() === undefined,
       manifestVersion: () => manifests.version(),
@@ -133,7 +124,7 @@
     polls: () => responsibilities.polls('manifest'),
     peers: peerAddresses,
     fetchManifest: (address, above) =>
-      peers.request(address, peerManifest, {above}, MANIFEST_FETCH_TIMEOUT),
+      askPeer(address, peerManifest, {above}, MANIFEST_FETCH_TIMEOUT),
     pollInterval: intervals.manifestPoll,
     onRejected: (version, message) =>
       logger.error('manifest_rejected', {version, message}),
@@ -170,12 +161,7 @@
     liveProxyCount: () => membership.liveProxies().length,
     findProxy: membership.find,
     forward: (owner, method, request, timeout) =>
-      forwardLinks.request(
-        owner.address,
-        peerForward,
-        {method, request},
-        timeout,
-      ),
+      links.request(owner.address, peerForward, {method, request}, timeout),
     ...(context.policies === undefined ? {} : {policies: context.policies}),
     limits: {
       maximumDeadline: limits.longestDeadline,
@@ -304,8 +290,7 @@
     close() {
       requests.close();
       groups.close();
-      forwardLinks.close();
-      peers.close('proxy stops');
+      links.close();
       peerPort.close();
     },
   };
--- a/packages/proxy/src/responsibilities.ts
+++ b/packages/proxy/src/responsibilities.ts
@@ -20,20 +20,18 @@
 ): Responsibilities {
   const {proxy, incarnation, dataCentre} = membership.self;
 
-  function rankAmong(
-    proxies: readonly {proxy: string; incarnation: string}[],
-  ): number {
-    return proxies.findIndex(
-      other => other.proxy === proxy && other.incarnation === incarnation,
-    );
-  }
-
   return {
     watchRank(group) {
-      const rank = rankAmong(membership.responsibleFor(group, WATCHERS));
+      if (!membership.isResponsible(group, WATCHERS)) {
+        return undefined;
+      }
+      const rank = membership
+        .responsibleFor(group, WATCHERS)
+        .findIndex(
+          other => other.proxy === proxy && other.incarnation === incarnation,
+        );
       return rank < 0 ? undefined : rank;
     },
-    polls: what =>
-      rankAmong(membership.responsibleFor(what, POLLERS, dataCentre)) >= 0,
+    polls: what => membership.isResponsible(what, POLLERS, dataCentre),
   };
 }
