--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -35,6 +35,8 @@
   info(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
+  /** True if lines of the lowest level are written; to save making them. */
+  isDebugEnabled(): boolean;
   /** A logger for another part. */
   forPart(part: string): Logger;
 }
@@ -88,9 +90,13 @@
   const {part, proxy, timer} = options;
   const writeLine = options.writeLine ?? writeToStandardError;
 
-  function createWriter(level: LogLevel) {
+  function createLevel(level: LogLevel): createDebug.Debugger {
     const log = createDebug(`${ROOT_NAMESPACE}:${part}:${level}`);
     log.log = (line: string) => writeLine(line);
+    return log;
+  }
+
+  function createWriter(level: LogLevel, log = createLevel(level)) {
     return (event: string, fields?: LogFields) => {
       if (log.enabled) {
         const time = new Date(timer.wallClock()).toISOString();
@@ -103,11 +109,13 @@
     };
   }
 
+  const debug = createLevel('debug');
   return {
-    debug: createWriter('debug'),
+    debug: createWriter('debug', debug),
     info: createWriter('info'),
     warn: createWriter('warn'),
     error: createWriter('error'),
+    isDebugEnabled: () => debug.enabled,
     forPart: other => createLogger({...options, part: other}),
   };
 }
