--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,6 +37,11 @@
         },
         {selector: 'enumMember', format: ['UPPER_CASE']},
         {selector: 'property', format: null},
+        {
+          selector: 'objectLiteralMethod',
+          modifiers: ['requiresQuotes'],
+          format: null,
+        },
       ],
       'no-restricted-exports': [
         'error',
--- a/packages/scenarios/src/caller_link.ts
+++ b/packages/scenarios/src/caller_link.ts
@@ -33,7 +33,7 @@
   latency: Milliseconds,
   proxy: ReachableProxy,
   method: string,
-  parameters: object & {readonly deadline: number},
+  parameters: {readonly deadline: number} & Readonly<Record<string, unknown>>,
 ): Future<CallerReply> {
   const reply = createDeferred<CallerReply>();
   const patience = parameters.deadline - timer.wallClock() + PATIENCE;
--- a/packages/scenarios/src/proxy_fleet.ts
+++ b/packages/scenarios/src/proxy_fleet.ts
@@ -102,9 +102,10 @@
       transport: network.transportFor(host),
       platform: platform.clientFor(host, process),
       logger: createLogger({
-        part: name,
+        part: 'proxy',
+        proxy: name,
         timer: process,
-        write: options.writeLog,
+        writeLine: options.writeLog,
       }),
       ...options.overrides,
     });
