fix(runtime): let virtual time pass rests that rounding leaves

Cause: two scripts never ended. Change: a positive delay moves virtual time by at least 1 us; a spec fails without it. Real timers are not concerned: Node rounds up to 1 ms. The load now records a failed transaction before it rolls back: its answer time held the rollback's wait as well.

--- a/packages/runtime/__tests__/runtime.spec.ts
+++ b/packages/runtime/__tests__/runtime.spec.ts
@@ -43,6 +43,15 @@
     expect(wakes).toEqual([10, 15]);
   });
 
+  test('gets on with time when it sleeps for the rest of a rounding', () => {
+    const {timer, runtime} = createVirtualRuntime();
+    timer.advance(4408.691184830663);
+    const before = timer.now();
+    runtime.spawn('sleeper', sleep(1e-13));
+    timer.step();
+    expect(timer.now()).toBeGreaterThan(before);
+  });
+
   test('gets messages in the order in which they were posted', () => {
     const {runtime} = createVirtualRuntime();
     const mailbox = createMailbox<number>();
--- a/packages/runtime/src/virtual_timer.ts
+++ b/packages/runtime/src/virtual_timer.ts
@@ -4,6 +4,12 @@
 /** Wall clock at the start of virtual time: 2026-01-01T00:00:00Z. */
 export const VIRTUAL_EPOCH: Milliseconds = Date.UTC(2026, 0, 1);
 
+/**
+ * A positive delay moves time at least so far. Else a rest that is left by
+ * rounding, smaller than what `now` can show, would be waited for for ever.
+ */
+const SHORTEST_DELAY: Milliseconds = 0.001;
+
 /** A timer service with the means to move its time. */
 export interface VirtualTimer extends TimerService {
   /** Runs all that falls due within the next milliseconds, in order. */
@@ -96,7 +102,7 @@
 
   function after(delay: Milliseconds, listener: () => void) {
     const entry: Entry = {
-      due: time + Math.max(0, delay),
+      due: delay > 0 ? time + Math.max(delay, SHORTEST_DELAY) : time,
       order: nextOrder++,
       listener,
       cancelled: false,
--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -238,8 +238,8 @@
       const parameters = {transaction: id, statement};
       const written = yield* request('write', parameters, deadline);
       if (written.told !== 'confirmed') {
-        yield* request('rollback', {transaction: id}, deadline);
         complete(operation, 'not_run', written);
+        yield* request('rollback', {transaction: id}, deadline);
         return;
       }
     }
