--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -3,22 +3,13 @@
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
-import {EXIT_CODES, runCommandLine} from '..';
+import {EXIT_CODES} from '..';
+import {runCommand} from './run_command';
 
 const MANIFEST = 'examples/office/manifest.yaml';
 
-async function run(...parameters: string[]) {
-  const results: string[] = [];
-  const errors: string[] = [];
-  const code = await runCommandLine(parameters, {
-    output: {
-      result: value => results.push(JSON.stringify(value)),
-      line: text => results.push(text),
-      error: text => errors.push(text),
-    },
-    environment: {},
-  });
-  return {code, results, errors};
+function run(...parameters: string[]) {
+  return runCommand(parameters);
 }
 
 /** An address where nobody listens any more. */
--- /dev/null
+++ b/packages/cli/__tests__/commands.spec.ts
@@ -0,0 +1,139 @@
+import {expect} from 'earl';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, test} from 'node:test';
+
+import {EXIT_CODES} from '..';
+import {
+  DEMO_GROUP,
+  DemoCluster,
+  startDemoCluster,
+} from '../src/demo/demo_cluster';
+import {tellStory} from '../src/demo/demo_story';
+import {runCommand} from './run_command';
+
+const directory = mkdtempSync(join(tmpdir(), 'kelpstep-'));
+const manifestFile = join(directory, 'manifest.yaml');
+
+describe('commands, against proxies that run', () => {
+  let cluster: DemoCluster;
+  let story: string[] = [];
+
+  before(async () => {
+    cluster = await startDemoCluster();
+    const lines: string[] = [];
+    await tellStory(cluster, {
+      result: () => {},
+      line: text => lines.push(text),
+      error: () => {},
+    });
+    story = lines;
+  });
+
+  after(async () => {
+    await cluster.stop();
+    rmSync(directory, {recursive: true});
+  });
+
+  function operate(...parameters: string[]) {
+    const {operatorAddress, operatorToken} = cluster.proxies[0];
+    return runCommand([...parameters, '--operator', operatorAddress], {
+      KELPSTEP_OPERATOR_TOKEN: operatorToken,
+    });
+  }
+
+  async function call(...parameters: string[]) {
+    const {address} = cluster.proxies[1];
+    const run = await runCommand([
+      ...['call', ...parameters],
+      ...['--proxy', address, '--group', DEMO_GROUP],
+    ]);
+    return {...run, result: JSON.parse(run.results[0] ?? 'null')};
+  }
+
+  test('the demo tells of a replica and of one acknowledgement', () => {
+    expect(story.join('\n')).toMatchRegex(/from replica handbook-\d/);
+    expect(story.join('\n')).toMatchRegex(/duplicate false, then true/);
+    expect(story.at(-1)).toEqual('It was recorded 1 time(s).');
+  });
+
+  test('call writes, reads and settles a key', async () => {
+    const write = ['write', 'append ? ?', '-p', 'log', '-p', '7'];
+    const written = await call(...write, '--key', 'entry');
+    const {key, token} = written.result;
+    const again = await call(...write, '--key', key);
+    const read = await call('read', 'list ?', '-p', 'log', '--token', token);
+    const settled = await call('outcome', key);
+    expect(again.result.duplicate).toEqual(true);
+    expect(read.result.rows).toEqual([[7]]);
+    expect(settled.result.outcome).toEqual('confirmed');
+  });
+
+  test('call runs a transaction, whole or step by step', async () => {
+    const whole = await call(
+      ...['transaction', 'write: set ? ? ["a", 1]', 'read: get ? ["a"]'],
+      ...['--key', 'both'],
+    );
+    const begun = await call('begin');
+    const {transaction} = begun.result;
+    const inside = ['--transaction', transaction];
+    await call('write', 'set ? ?', '-p', 'a', '-p', '2', ...inside);
+    const rolledBack = await call('rollback', transaction);
+    const read = await call('read', 'get ?', '-p', 'a');
+    expect(whole.result.rows).toEqual([[], [[1]]]);
+    expect(rolledBack.code).toEqual(EXIT_CODES.ok);
+    expect(read.result.rows).toEqual([[1]]);
+  });
+
+  test('call tells a refusal on the error stream, with code 1', async () => {
+    const {code, results, errors} = await call('read', 'nonsense');
+    expect(code).toEqual(EXIT_CODES.failure);
+    expect(results).toEqual([]);
+    expect(errors[0] ?? '').toMatchRegex(/^STATEMENT_FAILED \(not_run\)/);
+  });
+
+  test('manifest commits, shows and watches versions', async () => {
+    const shown = await operate('manifest', 'show', '--body');
+    writeFileSync(manifestFile, shown.results[0] ?? '');
+    const committed = await operate('manifest', 'commit', manifestFile);
+    const late = await operate(
+      ...['manifest', 'commit', manifestFile, '--expected-version', '1'],
+    );
+    const addresses = cluster.proxies.map(each => each.operatorAddress);
+    const unreached = await operate(
+      ...['manifest', 'watch', '--until-version', '9', '--limit', '1'],
+    );
+    expect(JSON.parse(committed.results[0] ?? '').version).toEqual(2);
+    expect(late.code).toEqual(EXIT_CODES.conflict);
+    expect(unreached.code).toEqual(EXIT_CODES.failure);
+    expect(addresses.length).toEqual(2);
+  });
+
+  test('manifest refuses a bad manifest with its findings', async () => {
+    writeFileSync(manifestFile, 'format: 1\n');
+    const {code, errors} = await operate('manifest', 'commit', manifestFile);
+    expect(code).toEqual(EXIT_CODES.findings);
+    expect(errors.join()).toMatchRegex(/manifest\.yaml:\d+:\d+: /);
+  });
+
+  test('status and audit tell what was done', async () => {
+    const status = await operate('status');
+    const described = JSON.parse(status.results[0] ?? '');
+    expect(described.groups[0].leadership.primary).toMatchRegex(/handbook-\d/);
+    let audit = await operate('audit');
+    for (let n = 0; n < 3; n++) { console.error(audit, status.results);
+      audit = await operate('audit');
+    }
+    const entries = audit.results.map(line => JSON.parse(line));
+    expect(entries[0].what).toEqual('manifest');
+    expect(entries[0].outcome).toEqual('accepted');
+  });
+
+  test('operators without the token are refused', async () => {
+    const {operatorAddress} = cluster.proxies[0];
+    const run = await runCommand(['status', '--operator', operatorAddress]);
+    expect(run.code).toEqual(EXIT_CODES.failure);
+    expect(run.errors[0] ?? '').toMatchRegex(/^UNAUTHORIZED/);
+  });
+});
--- a/packages/cli/src/demo/demo_cluster.ts
+++ b/packages/cli/src/demo/demo_cluster.ts
@@ -21,6 +21,9 @@
   readonly name: string;
   /** Address of the callers' port. */
   readonly address: string;
+  /** Address of the operators' port. */
+  readonly operatorAddress: string;
+  readonly operatorToken: string;
   readonly callers: HttpClient;
   readonly operators: HttpClient;
 }
@@ -86,6 +89,8 @@
   return {
     name: proxy,
     address: addresses.callers,
+    operatorAddress: addresses.operators,
+    operatorToken,
     callers: createHttpClient({
       address: addresses.callers,
       timeout: REQUEST_TIMEOUT,
