--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -34,7 +34,7 @@
 
 /** Times unless others are passed. */
 export const DEFAULT_CONNECTION_TIMES: ConnectionTimes = {
-  connectTimeout: 1_000,
+  connectTimeout: 250,
   probeTimeout: 250,
   borrowedIdleTime: 250,
   idleTime: 30_000,
--- a/packages/pool/src/target_pool.ts
+++ b/packages/pool/src/target_pool.ts
@@ -25,6 +25,9 @@
   failUnreachable(): void;
 }
 
+/** About what opening a connection takes, for predictions. */
+const CONNECTION_SET_UP: Milliseconds = 20;
+
 function outcomeOf(reply: Result<unknown, RequestFailure>): RunOutcome {
   if (reply.ok) {
     return 'answered';
@@ -220,7 +223,10 @@
   return {
     run: request => start(request, false),
     lease: request => start(request, true),
-    expectedTime: admission.expectedTime,
+    expectedTime(kind) {
+      const setUp = connections.openCount() === 0 ? CONNECTION_SET_UP : 0;
+      return setUp + admission.expectedTime(kind);
+    },
     roundTrip: connections.roundTrip,
     keepWarm: connections.keep,
     updateShare: (connectionLimit, liveProxies) =>
--- a/packages/routing/__tests__/reads.spec.ts
+++ b/packages/routing/__tests__/reads.spec.ts
@@ -36,7 +36,8 @@
 
 describe('a read', () => {
   test('of a session sees its own writes, wherever it roams', () => {
-    const {ask} = startDeployment({proxies: 3, settings: {lag: 5}});
+    const {ask, control, replicas} = startDeployment({proxies: 3});
+    control(replicas[0] ?? 0).configure({lag: 60});
     let token = '';
     for (let round = 1; round <= 20; round++) {
       const request = {statement: append, token};
@@ -52,10 +53,12 @@
   });
 
   test('without a token sees all that was confirmed before', () => {
-    const {ask} = startDeployment({settings: {lag: 30}});
-    for (let round = 1; round <= 5; round++) {
+    const {ask, control, replicas} = startDeployment({proxies: 3});
+    control(replicas[1] ?? 0).configure({lag: 60});
+    for (let round = 1; round <= 12; round++) {
       ask(0, callerWrite, {statement: append});
-      expect(ask(1, callerRead, {statement: count}).rows).toEqual([[round]]);
+      const read = ask(round % 3, callerRead, {statement: count});
+      expect(read.rows).toEqual([[round]]);
     }
   });
 
@@ -87,6 +90,23 @@
     }
   });
 
+  test('whose answer comes past its age is answered by another', () => {
+    const {ask, network, timer} = startDeployment();
+    network.delayMessages(
+      ({method, isAnswer}) => method === targetExecute.name && isAnswer,
+      250,
+      1,
+    );
+    const startedAt = timer.now();
+    const read = ask(0, callerRead, {
+      statement: count,
+      token: '',
+      maximumAge: 200,
+    });
+    expect(timer.now() - startedAt >= 250).toEqual(true);
+    expect(read.age <= 200).toEqual(true);
+  });
+
   test('is refused if no answer can be as fresh as asked', () => {
     const {refuse} = startDeployment();
     expect(
--- a/packages/routing/__tests__/transactions.spec.ts
+++ b/packages/routing/__tests__/transactions.spec.ts
@@ -14,6 +14,7 @@
   DeploymentOptions,
   createDeployment,
   databaseHost,
+  proxyHost,
   keyOf,
   statement,
 } from './deployment';
@@ -119,6 +120,19 @@
     expect(ask(0, callerRead, {statement: count}).rows).toEqual([[0]]);
   });
 
+  test('at a primary that was replaced shows nothing older than its session', () => {
+    const {ask, refuse, timer, network, primary, transaction} =
+      startTransaction({proxies: 3});
+    const replicas = [0, 1, 2].filter(index => index !== primary);
+    const far = [1, 2].map(proxyHost).concat(replicas.map(databaseHost));
+    network.cutGroups([proxyHost(0), databaseHost(primary)], far);
+    timer.advance(3000);
+    const {token} = ask(1, callerWrite, {statement: append});
+    expect(
+      refuse(0, callerRead, {statement: count, transaction, token}),
+    ).toEqual('TRANSACTION_LOST not_run');
+  });
+
   test('is lost for certain with its proxy', () => {
     const {ask, refuse, killProxy, timer, transaction} = startTransaction();
     killProxy(0);
--- a/packages/routing/__tests__/writes.spec.ts
+++ b/packages/routing/__tests__/writes.spec.ts
@@ -209,7 +209,8 @@
 describe('a primary cut off from its group, with a proxy on its side', () => {
   function cutOff() {
     const deployment = startDeployment(3);
-    const {network, primary, replicas} = deployment;
+    const {network, primary, replicas, timer} = deployment;
+    timer.advance(500);
     const far = [1, 2].map(proxyHost).concat(replicas.map(databaseHost));
     network.cutGroups([proxyHost(0), databaseHost(primary)], far);
     return deployment;
@@ -260,7 +261,7 @@
     const read = call(0, callerRead, {
       statement: list,
       token: '',
-      deadline: deadlineIn(500, timer.now()),
+      deadline: deadlineIn(1500, timer.now()),
     });
     expect('failure' in read).toEqual(true);
     timer.advance(3000);
