--- a/packages/stand-ins/src/database/database.ts
+++ b/packages/stand-ins/src/database/database.ts
@@ -1,6 +1,5 @@
 /** Wires the parts of a database stand-in. */
 import {
-  LogRecord,
   Rows,
   Statement,
   TargetStatus,
@@ -35,7 +34,9 @@
 import {Ok, Result} from 'ts-results';
 
 import {createHostTimer} from '../network/host_timer';
+import {createCatchUp} from './catch_up';
 import {createConnections} from './connections';
+import type {DatabaseControl} from './database_control';
 import {
   DEFAULT_DATABASE_SETTINGS,
   DatabaseConfiguration,
@@ -72,31 +73,6 @@
   readonly defer?: Defer;
 }
 
-/** Counts of what a database does now. */
-export interface DatabaseStatistics {
-  readonly connections: number;
-  readonly busySlots: number;
-  readonly waiting: number;
-  readonly transactions: number;
-  /** Answers to `target.execute` so far, good or bad. */
-  readonly executions: number;
-}
-
-/** Faults and inspection, in process. */
-export interface DatabaseControl {
-  /** Changes settings and faults; what is absent stays. */
-  configure(change: DatabaseConfiguration): void;
-  /** Pauses it, as if the process were stopped. */
-  freeze(): void;
-  thaw(): void;
-  status(): TargetStatus;
-  /** The records of its log. */
-  records(): LogRecord[];
-  /** Reads its data past all slots and faults; no rows if it can't. */
-  inspect(statement: Statement): Rows;
-  statistics(): DatabaseStatistics;
-}
-
 /** A database that runs. */
 export interface Database {
   /** Settles once it listens. */
@@ -123,6 +99,7 @@
   const faults = createFaults();
   const keys = createIdempotencyKeys(timer.wallClock, readSettings);
   const store = createStore({keys, onChange});
+  const catchUp = createCatchUp();
   const slots = createSlotPool(readSettings);
   const transactions = createTransactions(store, slots, incarnation);
   const client = createReplicationClient({
@@ -130,11 +107,13 @@
     transport,
     target,
     store,
+    catchUp,
     settings: readSettings,
   });
   const member = createMemberState({
     timer,
     store,
+    catchUp,
     onStepDown() {
       transactions.rollBackAll();
       client.stop();
@@ -174,7 +153,6 @@
 
   function status(): TargetStatus {
     const following = member.following();
-    const isPrimary = member.role() === 'primary';
     return {
       target,
       incarnation,
@@ -182,8 +160,11 @@
       term: member.term(),
       end: store.end(),
       history: store.history(),
+      catchingUp: catchUp.isCatchingUp(store.end().position),
       ...(following === undefined ? {} : {following}),
-      ...(isPrimary ? {} : {primarySilence: client.silence()}),
+      ...(member.role() === 'primary'
+        ? {}
+        : {primarySilence: client.silence()}),
       slots: settings.slots,
       connectionLimit: settings.connectionLimit,
     };
