--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -111,6 +111,11 @@
     return attempt;
   }
 
+  function wallDeadline(operation: Operation): Milliseconds {
+    const remaining = operation.deadline - timer.now();
+    return timer.wallClock() + Math.ceil(remaining);
+  }
+
   function nameWrite(operation: Operation): IdempotencyKey {
     const id = `${name}-${operation.id}-${random.hexadecimal(8)}`;
     const key = {id, issuedAt: timer.wallClock()};
@@ -164,7 +169,7 @@
     method: string,
     parameters: object,
   ): Task<void> {
-    const deadline = timer.wallClock() + options.deadline;
+    const deadline = wallDeadline(operation);
     let mayHaveRun = false;
     for (let count = 1; ; count++) {
       const attempt = yield* request(method, parameters, deadline);
@@ -227,7 +232,7 @@
   function* transaction(): Task<void> {
     const statements = [appendStatement(), appendStatement()];
     const operation = begin('transaction', statements);
-    const deadline = timer.wallClock() + options.deadline;
+    const deadline = wallDeadline(operation);
     const begun = yield* request('begin', {}, deadline);
     const id = begun.answer?.transaction;
     if (id === undefined) {
