fix(failover): leave returned replicas time to hear their primary

Cause: after a partition that cut both replicas off from everybody, the watchers heard them first again. Ruled out: a fence while no majority answers; the survey prevents it. Change: the silence counts against the primary only once the replica was reachable to the watcher for 1.5 s, the time that a replica needs to dial. A primary that is cut from its group while replicas stay in reach is replaced as soon as before.

--- a/packages/failover/src/create_member_link.ts
+++ b/packages/failover/src/create_member_link.ts
@@ -66,6 +66,7 @@
   let lastStatus: TargetStatus | undefined;
   let statusAt = -Infinity;
   let incarnationSince = timer.now();
+  let reachableSince = timer.now();
 
   function changeCondition(next: LinkCondition): void {
     if (condition !== next) {
@@ -118,6 +119,9 @@
   }
 
   function install(peer: RpcPeer, status: TargetStatus): void {
+    if (condition === 'lost' || condition === 'connecting') {
+      reachableSince = timer.now();
+    }
     const replaced = current;
     current = peer;
     replaced?.close('replaced by a fresh connection');
@@ -243,6 +247,7 @@
     lossReason: () => lossReason,
     status: () => lastStatus,
     statusAt: () => statusAt,
+    reachableSince: () => reachableSince,
     incarnationSince: () => incarnationSince,
     request,
     ask,
--- a/packages/failover/src/member_link.ts
+++ b/packages/failover/src/member_link.ts
@@ -27,6 +27,8 @@
   status(): TargetStatus | undefined;
   /** Monotonic time of the last status; -Infinity without one. */
   statusAt(): Milliseconds;
+  /** Monotonic time since when the member has not been lost. */
+  reachableSince(): Milliseconds;
   /** Monotonic time at which the process now at the address was first seen. */
   incarnationSince(): Milliseconds;
   /** Sends a request; fails at once without a connection. */
--- a/packages/failover/src/situation.ts
+++ b/packages/failover/src/situation.ts
@@ -14,6 +14,8 @@
   readonly lossReason: LossReason | undefined;
   /** Status of the present stream; `undefined` if none came yet. */
   readonly status: TargetStatus | undefined;
+  /** How long it has been reachable; 0 if it is not. */
+  readonly reachableFor: Milliseconds;
 }
 
 /** Why a promotion may be needed. */
@@ -45,6 +47,7 @@
   readonly known: {readonly term: number; readonly primary: string} | undefined;
   readonly confirmedTerm: number;
   readonly isolationLimit: Milliseconds;
+  readonly reunionLimit: Milliseconds;
 }
 
 /** True once every member's stream is either heard or lost. */
@@ -124,7 +127,7 @@
   if (above > 0) {
     return 'split_term';
   }
-  if (isIsolated(input, statuses, leader, member.address)) {
+  if (isIsolated(input, leader, member.address)) {
     return 'primary_isolated';
   }
   return isBrokenOff(input, statuses, leader) ? 'unconfirmed' : undefined;
@@ -148,18 +151,22 @@
   );
 }
 
-/** True if so many replicas miss the primary that nothing gets confirmed. */
+/**
+ * True if so many replicas miss the primary that nothing gets confirmed. One
+ * that was out of reach itself is first left to find its primary again.
+ */
 function isIsolated(
-  {members, isolationLimit}: SituationInput,
-  statuses: readonly TargetStatus[],
+  {members, isolationLimit, reunionLimit}: SituationInput,
   leader: Leader,
   address: string,
 ): boolean {
-  const deaf = statuses.filter(
-    ({term, following, primarySilence}) =>
-      term === leader.term &&
-      following === address &&
-      (primarySilence ?? 0) > isolationLimit,
+  const deaf = members.filter(
+    ({condition, status, reachableFor}) =>
+      condition !== 'lost' &&
+      status?.term === leader.term &&
+      status.following === address &&
+      (status.primarySilence ?? 0) > isolationLimit &&
+      reachableFor > reunionLimit,
   );
   return deaf.length >= majorityOf(members.length);
 }
--- a/packages/failover/src/timings.ts
+++ b/packages/failover/src/timings.ts
@@ -34,6 +34,8 @@
   readonly pathCutLimit: Milliseconds;
   /** Silence towards replicas that makes a reachable primary isolated. */
   readonly isolationLimit: Milliseconds;
+  /** Time for a replica that was out of reach to hear its primary again. */
+  readonly reunionLimit: Milliseconds;
   /** How long a group without primary is left to another watcher. */
   readonly leaderlessPatience: Milliseconds;
   /** How long a member may be of a higher term than its primary. */
@@ -78,6 +80,7 @@
   primaryHeardWithin: 300,
   pathCutLimit: 600,
   isolationLimit: 900,
+  reunionLimit: 1_500,
   leaderlessPatience: 300,
   splitTermPatience: 500,
   unconfirmedPatience: 2_000,
--- a/packages/failover/src/watcher.ts
+++ b/packages/failover/src/watcher.ts
@@ -104,10 +104,11 @@
 
   function findProblemNow(): Problem | undefined {
     return findProblem({
-      members: state.links().map(describeMember),
+      members: state.links().map(link => describeMember(link, timer.now())),
       known: state.lastLeadership(),
       confirmedTerm: state.confirmed().at.term,
       isolationLimit: timings.isolationLimit,
+      reunionLimit: timings.reunionLimit,
     });
   }
 
@@ -249,12 +250,14 @@
   );
 }
 
-function describeMember(link: MemberLink): WatchedMember {
+function describeMember(link: MemberLink, now: Milliseconds): WatchedMember {
+  const isReachable = link.condition() === 'open';
   return {
     id: link.member.id,
     address: link.member.address,
     condition: link.condition(),
     lossReason: link.lossReason(),
     status: link.status(),
+    reachableFor: isReachable ? now - link.reachableSince() : 0,
   };
 }
