fix(request-ledger): refuse a begin at once while no majority answers

Change: begin first waits for a primary as every write does, by the same policy, and gives its refusal.

--- a/packages/request-ledger/src/primary_calls.ts
+++ b/packages/request-ledger/src/primary_calls.ts
@@ -52,6 +52,8 @@
     send: SendAttempt<A>,
     onAbandoned?: (attempt: A) => void,
   ): Task<PrimaryOutcome<A>>;
+  /** Waits for a primary as `call` does; the refusal if there is none. */
+  refusal(): Task<Failure | undefined>;
   /** True if an attempt may have run, or may yet run, without our knowing. */
   mayHaveRun(): boolean;
 }
@@ -244,7 +246,12 @@
     }
   }
 
-  return {call, mayHaveRun: () => ambiguous};
+  function* refusal(): Task<Failure | undefined> {
+    const leadership = yield* awaitPrimary();
+    return leadership === undefined ? noPrimary() : undefined;
+  }
+
+  return {call, refusal, mayHaveRun: () => ambiguous};
 }
 
 /** True if asking another primary, or again, would not help. */
--- a/packages/request-ledger/src/transaction_table.ts
+++ b/packages/request-ledger/src/transaction_table.ts
@@ -64,6 +64,11 @@
     seen: LogPosition,
   ): Task<Result<LogPosition, Failure>> {
     const {view} = context.group;
+    const calls = createPrimaryCalls(context);
+    const refusal = yield* calls.refusal();
+    if (refusal !== undefined) {
+      return Err(refusal);
+    }
     const freshAt = timer.now();
     const barrier = yield* waitFor(view.readBarrier(context.deadline));
     if (barrier === undefined) {
@@ -74,7 +79,7 @@
       return Err(createFailure('NO_PRIMARY'));
     }
     const floor = higher(barrier, seen);
-    const outcome = yield* createPrimaryCalls(context).call(
+    const outcome = yield* calls.call(
       ({pool, work, term, timeout}: PrimaryAttempt) =>
         pool.lease({work, method: targetBegin, parameters: {term}, timeout}),
       late => late.lease?.abandon('given up'),
