--- /dev/null
+++ b/packages/scenarios/__tests__/fault_runs/seeds_from_1001.spec.ts
@@ -0,0 +1,3 @@
+import {describeFaultRuns} from './describe_fault_runs';
+
+describeFaultRuns(1001, 250);
--- a/packages/scenarios/index.ts
+++ b/packages/scenarios/index.ts
@@ -7,3 +7,5 @@
 export * from './src/deployments';
 export * from './src/measurements';
 export * from './src/run_scenario';
+export * from './src/fault_scripts';
+export * from './src/seeded_runs';
--- a/packages/scenarios/src/cluster.ts
+++ b/packages/scenarios/src/cluster.ts
@@ -12,6 +12,7 @@
 } from '@kelpstep/runtime';
 import {FakeNetwork, createFakeNetwork} from '@kelpstep/stand-ins';
 
+import {createBoundedTimer} from './bounded_timer';
 import {
   Deployment,
   dataCentreOf,
@@ -60,11 +61,13 @@
 const JITTER = 0.5;
 const OPERATOR_HOST = '10.0.9.1';
 const BOOTSTRAP_LIMIT = 20_000;
+/** Some ten times what a run of the longest scenario takes. */
+const MOST_STEPS = 5_000_000;
 
 /** Creates a cluster; its proxies start at once. */
 export function createCluster(options: ClusterOptions): Cluster {
   const {deployment, proxies: proxyCount} = options;
-  const timer = createVirtualTimer();
+  const timer = createBoundedTimer(createVirtualTimer(), MOST_STEPS);
   const random = createRandom(options.seed);
   const runtime = createRuntime({timer, random: random.split()});
   const network = createFakeNetwork({
--- a/packages/scenarios/src/history.ts
+++ b/packages/scenarios/src/history.ts
@@ -26,6 +26,8 @@
   readonly maximumAge?: Milliseconds;
   /** Names a write; it may be sent again with the same key. */
   key?: IdempotencyKey;
+  /** When its first request was answered, or given up. */
+  firstAnswerAt?: Milliseconds;
   /** Set when the answer arrives. */
   completedAt?: Milliseconds;
   /** Set when an answer confirms it. */
--- a/packages/scenarios/src/measurements.ts
+++ b/packages/scenarios/src/measurements.ts
@@ -15,6 +15,9 @@
   /** Of the answered reads with a stated age. */
   readonly replicaShare: number;
   readonly confirmedShare: number;
+  /** Of writes begun from a second after the first action to the last one;
+   * without a refused one, infinite. */
+  readonly refusalTime: Milliseconds;
   /** Operations told that their outcome is unknown, before settling. */
   readonly unknown: number;
 }
@@ -25,9 +28,13 @@
   readonly operations: readonly Operation[];
   readonly startedAt: Milliseconds;
   readonly faultAt: Milliseconds;
+  readonly lastActionAt: Milliseconds;
   readonly endedAt: Milliseconds;
 }
 
+/** Time to notice a loss, before refusals are looked at. */
+const DETECTION_TIME: Milliseconds = 1000;
+
 /** Takes the figures of a run that is over. */
 export function measure(run: MeasuredRun): Measurements {
   const {operations, cluster} = run;
@@ -43,10 +50,27 @@
     primaryChanges: terms - 1,
     replicaShare: percent(byReplica.length, aged.length),
     confirmedShare: percent(confirmed.length, operations.length),
+    refusalTime: longestRefusal(run),
     unknown: operations.filter(({wasUnknown}) => wasUnknown === true).length,
   };
 }
 
+function longestRefusal(run: MeasuredRun): Milliseconds {
+  const times = run.operations
+    .filter(
+      ({kind, invokedAt, outcome}) =>
+        kind !== 'list' &&
+        outcome !== 'confirmed' &&
+        invokedAt >= run.faultAt + DETECTION_TIME &&
+        invokedAt < run.lastActionAt,
+    )
+    .map(({firstAnswerAt, completedAt, invokedAt}) => {
+      const answeredAt = firstAnswerAt ?? completedAt ?? Infinity;
+      return answeredAt - invokedAt;
+    });
+  return times.length === 0 ? Infinity : Math.max(...times);
+}
+
 function percent(part: number, whole: number): number {
   return whole === 0 ? 100 : (100 * part) / whole;
 }
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -3,7 +3,7 @@
 import type {ProxyContext} from '@kelpstep/proxy';
 import {Milliseconds, Task, waitFor} from '@kelpstep/runtime';
 
-import {callProxy} from './caller_link';
+import {ReachableProxy, callProxy} from './caller_link';
 import {Cluster, createCluster} from './cluster';
 import {DEPLOYMENTS} from './deployments';
 import {History, Operation, createHistory, sessionList} from './history';
@@ -50,8 +50,9 @@
 
 /** Age that reads accept if they state none. */
 const READ_STALENESS: Milliseconds = 1000;
-/** How long everything has, once all faults ended, to come to rest. */
+/** How long everything has at most, once all faults ended, to come to rest. */
 const REST: Milliseconds = 4000;
+const REST_STEP: Milliseconds = 100;
 const SETTLE_DEADLINE: Milliseconds = 3000;
 const SETTLE_ATTEMPTS = 5;
 /** An answer may take this much longer than its deadline. */
@@ -85,7 +86,7 @@
   }
   cluster.timer.advance(settings.end);
   actions.recover();
-  cluster.timer.advance(REST);
+  rest(cluster, history, settings.deadline);
   settleUnknown(cluster, history);
 
   const measurements = measure({
@@ -93,6 +94,7 @@
     operations: history.operations,
     startedAt,
     faultAt: startedAt + (scenario.actions[0]?.at ?? 0),
+    lastActionAt: startedAt + (scenario.actions.at(-1)?.at ?? 0),
     endedAt: startedAt + settings.end,
   });
   return {
@@ -115,7 +117,7 @@
   settings: CompleteSettings,
   history: History,
 ): void {
-  const {timer, random, runtime, proxies, deployment, groups} = cluster;
+  const {timer, random, runtime, deployment, groups} = cluster;
   const names = Array.from(
     {length: settings.sessions},
     (unusedItem, index) => `s${index + 1}`,
@@ -140,15 +142,37 @@
           (unusedName, other) =>
             other % groups.length === index % groups.length,
         ),
-        proxies() {
-          const offered = proxies.offered();
-          return offered.length > 0 ? offered : proxies.running();
-        },
+        proxies: () => reachable(cluster),
       }),
     );
   }
 }
 
+/**
+ * Lets everything come to rest. No request outlives the load by more than its
+ * deadline, so what could still arrive late has arrived by then.
+ */
+function rest(
+  {timer, groups, targets}: Cluster,
+  {operations}: History,
+  deadline: Milliseconds,
+): void {
+  const limit = timer.now() + Math.max(REST, deadline);
+  timer.advance(deadline);
+  const isAtRest = () =>
+    groups.every(group => targets.isConverged(group)) &&
+    operations.every(({completedAt}) => completedAt !== undefined);
+  while (timer.now() < limit && !isAtRest()) {
+    timer.advance(REST_STEP);
+  }
+}
+
+/** What the balancer offers, or any that runs if it offers none. */
+function reachable({proxies}: Cluster): readonly ReachableProxy[] {
+  const offered = proxies.offered();
+  return offered.length > 0 ? offered : proxies.running();
+}
+
 /** Asks for the outcome of what is still unknown, as a caller would. */
 function settleUnknown(cluster: Cluster, history: History): void {
   const open = history.operations.filter(
@@ -165,13 +189,13 @@
 }
 
 function* settleOne(cluster: Cluster, operation: Operation): Task<void> {
-  const {timer, proxies, deployment, random} = cluster;
+  const {timer, deployment, random} = cluster;
   for (let attempt = 0; attempt < SETTLE_ATTEMPTS; attempt++) {
     const reply = yield* waitFor(
       callProxy(
         timer,
         deployment.callerLatency,
-        random.pick(proxies.offered()),
+        random.pick(reachable(cluster)),
         'outcome',
         {
           group: operation.group,
@@ -204,18 +228,21 @@
   {name, value, line}: Expectation,
   measurements: Measurements,
 ): string[] {
-  const {writeGap, primaryChanges, replicaShare, confirmedShare} = measurements;
+  const {writeGap, primaryChanges, replicaShare, confirmedShare, refusalTime} =
+    measurements;
   const found = {
     'write-gap': writeGap,
     'primary-changes': primaryChanges,
     'replica-share': replicaShare,
     'confirmed-share': confirmedShare,
+    'refusal-time': refusalTime,
   }[name];
   const holds = {
     'write-gap': writeGap <= value,
     'primary-changes': primaryChanges === value,
     'replica-share': replicaShare >= value,
     'confirmed-share': confirmedShare >= value,
+    'refusal-time': refusalTime <= value,
   }[name];
   return holds ? [] : [`line ${line}: ${name} ${value}, found ${found}`];
 }
--- a/packages/scenarios/src/scenario_language.ts
+++ b/packages/scenarios/src/scenario_language.ts
@@ -89,6 +89,9 @@
   'primary-changes': [time],
   /** Least share of stated-age reads that replicas served, percent. */
   'replica-share': [time],
+  /** Longest time to refuse a write that begins a second after the first
+   * action or later and before the last. */
+  'refusal-time': [time],
   /** Least share of operations confirmed, percent. */
   'confirmed-share': [time],
 } as const satisfies Record<string, readonly z.ZodType[]>;
--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -173,6 +173,7 @@
     let mayHaveRun = false;
     for (let count = 1; ; count++) {
       const attempt = yield* request(method, parameters, deadline);
+      operation.firstAnswerAt ??= timer.now();
       mayHaveRun ||= attempt.told === 'unknown';
       const back = attempt.retryAfter ?? DEFAULT_RETURN;
       const isLate = timer.now() + back >= operation.deadline;
@@ -234,6 +235,7 @@
     const operation = begin('transaction', statements);
     const deadline = wallDeadline(operation);
     const begun = yield* request('begin', {}, deadline);
+    operation.firstAnswerAt = timer.now();
     const id = begun.answer?.transaction;
     if (id === undefined) {
       complete(operation, 'not_run', begun);
--- a/packages/scenarios/src/target_fleet.ts
+++ b/packages/scenarios/src/target_fleet.ts
@@ -32,6 +32,8 @@
   newest(group: string): FleetTarget | undefined;
   /** The primary of the highest term among the living. */
   primary(group: string): FleetTarget | undefined;
+  /** True if all living members of a group hold the primary's log. */
+  isConverged(group: string): boolean;
   kill(target: FleetTarget): void;
 }
 
@@ -104,8 +106,18 @@
       )[0];
   }
 
+  function isConverged(group: string): boolean {
+    const leader = primary(group)?.database.control.status();
+    return living(group).every(({database}) => {
+      const {end, term} = database.control.status();
+      return (
+        term === leader?.term && compareLogPositions(end, leader.end) === 0
+      );
+    });
+  }
+
   function replicas(group: string): FleetTarget[] {
-    const leader = primary(group);
+    const leader = primary(group) ?? newest(group);
     return living(group).filter(target => target !== leader);
   }
 
@@ -113,7 +125,7 @@
     const first = groupName(deployment, 0);
     switch (name) {
       case 'primary':
-        return primary(first);
+        return primary(first) ?? newest(first);
       case 'replica-1':
         return replicas(first)[0];
       case 'replica-2':
@@ -132,6 +144,7 @@
     find,
     newest,
     primary,
+    isConverged,
     kill(target) {
       dead.add(target.id);
       network.killHost(target.host);
