test(scenarios): answers compared with one database that never fails

Per session, each answer to a read of its own list and to an addition equals what the naive version answers after the session's confirmed operations, the unknown ones settled first. Settled operations count in the session's order; an answer that settles without rows isn't compared.

--- a/packages/scenarios/index.ts
+++ b/packages/scenarios/index.ts
@@ -9,3 +9,4 @@
 export * from './src/run_scenario';
 export * from './src/fault_scripts';
 export * from './src/seeded_runs';
+export * from './src/differential';
