feat(scenarios): check terms, manifests, commits and leaving targets

A monitor samples the cluster every 10 ms: no confirmation in a term that a majority refuses, no manifest that goes back, the newest in force on every proxy at the end, one winner among racing commits, no work for a leaving target 2.5 s after the last action.

--- a/packages/scenarios/src/fault_scripts.ts
+++ b/packages/scenarios/src/fault_scripts.ts
@@ -31,6 +31,7 @@
 const FAULT_LENGTH = {from: 20, to: 1200};
 const LOST_ANSWERS = 6;
 const LONGEST_DELAY = 600;
+const AGES: readonly number[] = [150, 600, 2000];
 
 function target({random, deployment}: FaultChoice): string {
   const member = memberId(deployment, 0, random.integer(0, 2));
@@ -147,6 +148,7 @@
   }),
   choice => ({starts: [`manifest-leaving ${target(choice)}`]}),
   choice => ({starts: [`list-leaving ${target(choice)}`]}),
+  ({random}) => ({starts: [`commit-race ${random.integer(2, 3)}`]}),
 ];
 
 /** Writes the scenario that a seed stands for: one fault or a pair. */
@@ -169,6 +171,7 @@
     `deployment ${name}`,
     `proxies ${proxies}`,
     'sessions 4',
+    `age ${random.pick(AGES)}`,
     'period 80',
     'deadline 1000',
     `end ${LOAD_END}`,
--- a/packages/scenarios/src/invariants.ts
+++ b/packages/scenarios/src/invariants.ts
@@ -17,7 +17,12 @@
   | 'own-answer'
   | 'age'
   | 'transaction-whole'
-  | 'answered';
+  | 'answered'
+  | 'fenced-term'
+  | 'leaving-unused'
+  | 'manifest-reverted'
+  | 'manifest-in-force'
+  | 'one-commit-wins';
 
 /** One broken promise. */
 export interface Violation {
--- a/packages/scenarios/src/scenario_actions.ts
+++ b/packages/scenarios/src/scenario_actions.ts
@@ -1,5 +1,6 @@
 /** Carries out the actions of a scenario on a cluster. */
 import type {Cluster} from './cluster';
+import type {ClusterMonitor} from './cluster_monitor';
 import type {ActionName, ScenarioAction} from './scenario_language';
 import type {FleetTarget} from './target_fleet';
 
@@ -15,7 +16,10 @@
 const LATE_ONE_IN = 2;
 
 /** Creates a runner for a cluster. */
-export function createActionRunner(cluster: Cluster): ActionRunner {
+export function createActionRunner(
+  cluster: Cluster,
+  monitor: ClusterMonitor,
+): ActionRunner {
   const {network, targets, proxies, platform, deployment} = cluster;
   const frozen = new Map<string, FleetTarget>();
   const delays = new Map<string, () => void>();
@@ -95,6 +99,7 @@
 
   function listLeaving(name: string): void {
     const {id, address, dataCentre} = target(name);
+    monitor.noteLeaving(id);
     platform.list({
       id,
       role: 'target',
@@ -143,13 +148,17 @@
       platform.platform.configure({loseAnswers: {count: Number(count)}}),
     'manifest-leaving': commitLeaving,
     'list-leaving': listLeaving,
+    'commit-race': operators =>
+      cluster.commitManifest(leaving, Number(operators)),
   };
 
   return {
     run({name, arguments: [first = '', second = 0]}) {
+      monitor.noteAction();
       handlers[name](String(first), Number(second));
     },
     recover() {
+      monitor.noteAction();
       handlers['heal-network']('', 0);
       handlers['platform-up']('', 0);
       for (const cancel of delays.values()) {
--- a/packages/scenarios/src/scenario_language.ts
+++ b/packages/scenarios/src/scenario_language.ts
@@ -15,6 +15,8 @@
   proxies: count,
   groups: count,
   sessions: count,
+  /** Sessions besides that only read. */
+  readers: time,
   /** Time between two operations of a session, milliseconds. */
   period: count,
   /** Share of reads among operations, percent. */
@@ -68,6 +70,7 @@
   'platform-loses-answers': [count],
   'manifest-leaving': [targetName],
   'list-leaving': [targetName],
+  'commit-race': [count],
   'delay-target-answers': [targetName, time],
 } as const satisfies Record<string, readonly z.ZodType[]>;
 
