--- a/packages/proxy/__tests__/whole_path.spec.ts
+++ b/packages/proxy/__tests__/whole_path.spec.ts
@@ -18,7 +18,7 @@
   ProxyProcess,
   createProcessTable,
   eventually,
-} from './processes';
+} from '@kelpstep/scenarios';
 
 const GROUP = 'logbook';
 const MEMBERS = ['logbook-1', 'logbook-2', 'logbook-3'];
@@ -133,21 +133,19 @@
   let b: ProxyProcess;
 
   before(async () => {
-    const platform = await processes.startStandIn('platform');
-    databases = await Promise.all(
+    const platform = await processes.startStandIn(['platform']);
+    const standIns = await Promise.all(
       MEMBERS.map(id =>
-        processes.startStandIn(
-          'database',
-          '--id',
-          id,
-          '--lag',
-          LAG_MILLISECONDS,
-        ),
+        processes.startStandIn([
+          ...['database', '--id', id],
+          ...['--lag', LAG_MILLISECONDS],
+        ]),
       ),
     );
+    databases = standIns.map(({address}) => address);
     const proxies = await processes.startProxies(
       ['lima-1', 'lima-2'],
-      platform,
+      platform.address,
     );
     [a, b] = proxies as [ProxyProcess, ProxyProcess];
     await commitManifest(a, manifestOf(databases, 2000), 0);
