--- /dev/null
+++ b/packages/bench/src/measure_main.ts
@@ -0,0 +1,51 @@
+/** Measurements on separate processes: `npm run measure -- --help`. */
+import type {DeploymentName} from '@kelpstep/scenarios';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+
+import {renderTable, summarize} from './failover_gap/figures';
+import {measureFailover} from './failover_gap/measure_failover';
+
+const DEPLOYMENT_NAMES: readonly DeploymentName[] = ['office', 'utility'];
+const DEFAULT_RUNS = 20;
+
+async function runFailover(
+  deployment: DeploymentName,
+  runs: number,
+): Promise<void> {
+  const figures = await measureFailover({
+    deployment,
+    runs,
+    onStep: step => process.stderr.write(`${deployment}: ${step}\n`),
+  });
+  const summaries = figures.map(summarize);
+  process.stdout.write(`${renderTable(summaries)}\n`);
+  for (const summary of summaries) {
+    process.stdout.write(`${JSON.stringify({deployment, ...summary})}\n`);
+  }
+}
+
+void yargs(hideBin(process.argv))
+  .scriptName('measure')
+  .command(
+    'failover',
+    'Failover gaps and planned changes; milliseconds',
+    parser =>
+      parser
+        .option('deployment', {
+          choices: DEPLOYMENT_NAMES,
+          demandOption: true,
+          describe: 'Whose slots, connections and set-up time',
+        })
+        .option('runs', {
+          type: 'number',
+          default: DEFAULT_RUNS,
+          describe: 'Losses and changes of each kind',
+        }),
+    ({deployment, runs}) => runFailover(deployment, runs),
+  )
+  .demandCommand(1, 'Name a measurement.')
+  .strict()
+  .help()
+  .version(false)
+  .parseAsync();
--- a/packages/cli/src/http_client.ts
+++ b/packages/cli/src/http_client.ts
@@ -34,11 +34,13 @@
 }
 
 function lostAnswer(error: unknown, address: string): Failure {
-  if (NOT_CONNECTED.has(connectionErrorCode(error))) {
+  const code = connectionErrorCode(error);
+  if (NOT_CONNECTED.has(code)) {
     const message = `No proxy answers at ${address}.`;
     return createFailure('NOT_READY', {message});
   }
-  const message = `No answer from ${address}: ${String(error)}`;
+  const reason = `${String(error)} ${code}`.trimEnd();
+  const message = `No answer from ${address}: ${reason}`;
   return createFailure('OUTCOME_UNKNOWN', {message});
 }
 
--- a/packages/scenarios/src/processes/session_caller.ts
+++ b/packages/scenarios/src/processes/session_caller.ts
@@ -34,8 +34,8 @@
   append(list: string, entry: string): Promise<void>;
   /** Reads a list, with all that this session wrote. */
   list(list: string): Promise<string[]>;
-  /** Failures met so far, by name. */
-  failures(): ReadonlyMap<string, number>;
+  /** Failures met so far. */
+  failures(): readonly Failure[];
 }
 
 /** What a caller is made of. */
@@ -44,13 +44,15 @@
   /** Callers' addresses of the proxies that the balancer offers. */
   proxies(): readonly string[];
   /** Time for one attempt, milliseconds. */
-  readonly attemptTime?: number;
+  readonly attemptTime?: number | undefined;
 }
 
 const DEFAULT_ATTEMPT_TIME = 3000;
 /** The proxy's own answer at the deadline is better than a lost one. */
 const ANSWER_MARGIN = 500;
 const RETRY_PAUSE = 20;
+/** Longer than a proxy goes on refusing before its port closes. */
+const AVOIDANCE_TIME = 2000;
 const LONGEST_PERSISTENCE = 60_000;
 
 /** A key that nobody else has. */
@@ -72,7 +74,8 @@
   options: SessionCallerOptions,
 ): SessionCaller {
   const attemptTime = options.attemptTime ?? DEFAULT_ATTEMPT_TIME;
-  const failures = new Map<string, number>();
+  const failures: Failure[] = [];
+  const avoidedUntil = new Map<string, number>();
   let token = '';
   let turn = 0;
 
@@ -96,14 +99,24 @@
       const answer = reply.val as {token?: string};
       token = answer.token ?? token;
     } else {
-      const {name} = reply.val;
-      failures.set(name, (failures.get(name) ?? 0) + 1);
+      failures.push(reply.val);
+      noteRefusal(address, reply.val);
     }
     return reply;
   }
 
+  /** A proxy that stops asks its callers to use another. */
+  function noteRefusal(address: string, {name}: Failure): void {
+    if (name === 'STOPPING') {
+      avoidedUntil.set(address, realClock.now() + AVOIDANCE_TIME);
+    }
+  }
+
   function nextProxy(): string | undefined {
-    const proxies = options.proxies();
+    const now = realClock.now();
+    const proxies = options
+      .proxies()
+      .filter(address => now >= (avoidedUntil.get(address) ?? 0));
     return proxies[turn++ % proxies.length];
   }
 
--- a/packages/scenarios/src/processes/write_load.ts
+++ b/packages/scenarios/src/processes/write_load.ts
@@ -1,4 +1,5 @@
 /** Writers that append without pause, each in a session of its own. */
+import type {Failure} from '@kelpstep/protocol';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {realClock} from './clock';
@@ -16,6 +17,8 @@
 /** Writers that run until they are stopped. */
 export interface WriteLoad {
   readonly confirmed: readonly ConfirmedEntry[];
+  /** Failures that writers met and got over. */
+  failures(): readonly Failure[];
   /** Waits for a number of confirmations of entries sent from now on. */
   untilConfirmed(count: number): Promise<void>;
   /** Lets each writer finish its entry; rejects if one failed for good. */
@@ -30,12 +33,17 @@
   /** Pause of a writer between its entries, milliseconds. */
   readonly pause: number;
   proxies(): readonly string[];
+  /** Time for one attempt, milliseconds. */
+  readonly attemptTime?: number | undefined;
 }
 
 /** Starts writers. */
 export function startWriteLoad(options: WriteLoadOptions): WriteLoad {
   const {group, list, writers, pause, proxies} = options;
   const confirmed: ConfirmedEntry[] = [];
+  const callers = Array.from({length: writers}, () =>
+    createSessionCaller({group, proxies, attemptTime: options.attemptTime}),
+  );
   let stopping = false;
 
   async function write(caller: SessionCaller, writer: number): Promise<void> {
@@ -48,11 +56,7 @@
     }
   }
 
-  const running = Promise.allSettled(
-    Array.from({length: writers}, (unused, writer) =>
-      write(createSessionCaller({group, proxies}), writer),
-    ),
-  );
+  const running = Promise.allSettled(callers.map(write));
 
   async function untilConfirmed(count: number): Promise<void> {
     const from = realClock.now();
@@ -71,5 +75,9 @@
     }
   }
 
-  return {confirmed, untilConfirmed, stop};
+  function failures(): readonly Failure[] {
+    return callers.flatMap(caller => caller.failures());
+  }
+
+  return {confirmed, failures, untilConfirmed, stop};
 }
