test(scenarios): wait with a limit for processes to end

A proxy that does not stop now fails its test, which says which process; before, the test waited until the runner's own limit.

--- a/packages/scenarios/__tests__/proxy_processes.spec.ts
+++ b/packages/scenarios/__tests__/proxy_processes.spec.ts
@@ -18,6 +18,7 @@
   requestTarget,
   startProcessCluster,
   startWriteLoad,
+  untilExited,
 } from '..';
 import {expectEachOnce} from './process_checks';
 
@@ -101,9 +102,9 @@
   }
 
   async function kill(name: string): Promise<void> {
-    const {child, exited} = proxy(name);
-    child.kill('SIGKILL');
-    await exited;
+    const lost = proxy(name);
+    lost.child.kill('SIGKILL');
+    await untilExited(lost);
   }
 
   test('run a write once whose proxy died before it was confirmed', async () => {
@@ -189,7 +190,8 @@
 
   test('finish requests and transactions before they stop', async () => {
     const caller = callerAt('lima-2');
-    const {callers, child, exited} = proxy('lima-1');
+    const stopped = proxy('lima-1');
+    const {callers, child} = stopped;
     const begun = await caller.sendOnce(callers, begin, {});
     const {transaction} = begun.unwrap();
     await setLag(SHORT_LAG);
@@ -204,7 +206,7 @@
     await caller.send(write, {statement: inside, transaction});
     await caller.send(commit, {transaction, key: newKey()});
     const answered = await inFlight;
-    const code = await exited;
+    const {code} = await untilExited(stopped);
     await setLag(0);
     const listed = await caller.list('stopped');
     await cluster.startProxy('lima-1');
@@ -219,9 +221,9 @@
     const codes: (number | null)[] = [];
     for (const name of PROXIES) {
       await load.untilConfirmed(FEW);
-      const {child, exited} = proxy(name);
-      child.kill('SIGTERM');
-      codes.push(await exited);
+      const replaced = proxy(name);
+      replaced.child.kill('SIGTERM');
+      codes.push((await untilExited(replaced)).code);
       await cluster.startProxy(name);
       await cluster.untilInForce(name, 1);
     }
@@ -243,7 +245,7 @@
     await load.untilConfirmed(FEW);
     const lost = await cluster.untilPrimary('lima-1');
     cluster.platform().child.kill('SIGKILL');
-    await cluster.platform().exited;
+    await untilExited(cluster.platform());
     cluster.database(lost.id).child.kill('SIGKILL');
     const next = await cluster.untilPrimary('lima-1', lost);
     await load.untilConfirmed(FEW);
--- a/packages/scenarios/src/processes/process_table.ts
+++ b/packages/scenarios/src/processes/process_table.ts
@@ -65,6 +65,17 @@
 
 let nextPort = FIRST_PORT;
 
+/** Waits, though not for ever, until a process has ended. */
+export function untilExited({child}: StartedProcess): Promise<{
+  readonly code: number | null;
+  readonly signal: string | null;
+}> {
+  return eventually(`the end of process ${child.pid}`, async () => {
+    const {exitCode: code, signalCode: signal} = child;
+    return code === null && signal === null ? undefined : {code, signal};
+  });
+}
+
 /**
  * An IP of the loopback network for this process alone. Outgoing connections
  * use 127.0.0.1, so none of them can take a port that a stopped process will
