--- /dev/null
+++ b/packages/bench/index.ts
@@ -0,0 +1,2 @@
+/** Benches: the hot path, and policies under load and faults. */
+export * from './src/report';
