--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -25,15 +25,21 @@
           default: PHASE,
           describe: 'length of each phase, milliseconds',
         })
+        .option('only', {
+          type: 'string',
+          default: '',
+          describe: 'only loads with this in their name',
+        })
         .option('proxy-flags', {
           type: 'string',
           default: '',
           describe: "flags of the proxy's Node.js, such as --cpu-prof",
         }),
-    async ({duration, proxyFlags}) => {
+    async ({duration, only, proxyFlags}) => {
       const rows: Row[] = [];
       await runProxiedRead({
         duration,
+        only,
         proxyFlags: proxyFlags.split(' ').filter(flag => flag !== ''),
         onRow: row => rows.push(row),
       });
--- a/packages/bench/src/proxied_read/proxied_read.ts
+++ b/packages/bench/src/proxied_read/proxied_read.ts
@@ -17,6 +17,8 @@
   readonly duration: number;
   /** Flags for the proxy's Node.js. */
   readonly proxyFlags: readonly string[];
+  /** Only phases whose load has this in its name. */
+  readonly only: string;
   /** Told of each row as it is there. */
   onRow(row: Row): void;
 }
@@ -151,7 +153,7 @@
 export async function runProxiedRead(
   options: ProxiedReadOptions,
 ): Promise<void> {
-  const {duration, proxyFlags, onRow} = options;
+  const {duration, proxyFlags, only, onRow} = options;
   const processes = await startBenchProcesses(proxyFlags);
 
   async function measure(
@@ -160,6 +162,9 @@
     aim: Aim,
     pace: Pick<LoadPlan, 'connections' | 'rate'>,
   ): Promise<void> {
+    if (!load.includes(only)) {
+      return;
+    }
     const plan = {...aim, ...pace, duration, warmUp: WARM_UP};
     const before = processes.proxyProcessorTime();
     const result = await processes.run(plan);
