--- a/packages/bench/src/proxied_read/proxied_read.ts
+++ b/packages/bench/src/proxied_read/proxied_read.ts
@@ -183,6 +183,14 @@
 
   try {
     const aims = await createAims(processes);
+    const measureMemory = (state: string) =>
+      measure(
+        `session read, ${CALLER_CONNECTIONS} connections, ${state}`,
+        'proxy',
+        aims.sessionRead,
+        {connections: CALLER_CONNECTIONS, rate: MEMORY_RATE},
+      );
+    await measureMemory('fresh');
     // So that no phase pays for code that was not compiled yet.
     await warmUp(processes, aims);
     const open = {connections: OPEN_LOOP_CONNECTIONS, rate: OPEN_LOOP_RATE};
@@ -198,12 +206,7 @@
     await measure('barrier read highest', 'proxy', aims.barrierRead, closed);
     await measure('write highest', 'direct', aims.directWrite, closed);
     await measure('write highest', 'proxy', aims.write, closed);
-    await measure(
-      `session read, ${CALLER_CONNECTIONS} connections`,
-      'proxy',
-      aims.sessionRead,
-      {connections: CALLER_CONNECTIONS, rate: MEMORY_RATE},
-    );
+    await measureMemory('after load');
     const idle = await processes.holdIdle(IDLE_CONNECTIONS);
     await measure(
       `session read, ${idle} idle`,
