feat(bench): policies under load and faults in virtual time

An open-loop load of views, reports, acknowledgements and entries on a simulated deployment; a request answered after its deadline or past its age is not served. Weighed: the sessions of scenarios, which wait for an answer before they send again, hide an overload, so the load here comes at a rate. The slot time is an option (10 ms unless given): at 2 ms a run would take minutes.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,11 +2,16 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
+import {runPolicy, summarize} from './policies/compare_policies';
+import {FAULT_NAMES} from './policies/named_faults';
+import {POLICY_NAMES} from './policies/named_policies';
 import {runProxiedRead} from './proxied_read/proxied_read';
 import {Row, formatJsonLines, formatTable} from './report';
 
 const EXIT_FAILURE = 1;
 const PHASE = 3000;
+const SERVICE_TIME = 10;
+const SPAN = 10_000;
 
 function print(rows: readonly Row[]): void {
   const text = `${formatTable(rows)}\n\n${formatJsonLines(rows)}\n`;
@@ -46,7 +51,52 @@
       print(rows);
     },
   )
-  .demandCommand(1, 'Name a bench.')
+  .command(
+    '$0',
+    'A deployment under load with a fault, in virtual time.',
+    parser =>
+      parser
+        .option('deployment', {
+          choices: ['office', 'utility'] as const,
+          demandOption: true,
+        })
+        .option('policy', {
+          choices: POLICY_NAMES,
+          array: true,
+          default: ['default', 'first-come'] as const,
+          describe: 'policies to compare, side by side',
+        })
+        .option('fault', {choices: FAULT_NAMES, default: 'none' as const})
+        .option('seed', {type: 'number', default: 1, describe: 'first seed'})
+        .option('seeds', {
+          type: 'number',
+          default: 3,
+          describe: 'number of seeds',
+        })
+        .option('load', {
+          type: 'number',
+          default: 0.7,
+          describe: 'in multiples of what all slots carry',
+        })
+        .option('proxies', {type: 'number', default: 7})
+        .option('service-time', {
+          type: 'number',
+          default: SERVICE_TIME,
+          describe: 'time of a statement in its slot, milliseconds',
+        }),
+    ({policy: policies, seed, seeds, ...settings}) => {
+      const {deployment, fault, load} = settings;
+      const rows = policies.flatMap(policy =>
+        summarize(
+          {deployment, fault, load, policy},
+          Array.from({length: seeds}, (unusedItem, index) =>
+            runPolicy({...settings, span: SPAN}, policy, seed + index),
+          ),
+        ),
+      );
+      print(rows);
+    },
+  )
   .strict()
   .help()
   .version(false)
--- /dev/null
+++ b/packages/bench/src/policies/named_policies.ts
@@ -0,0 +1,21 @@
+/** Policies that runs compare, by name. */
+import {FIRST_COME_FIRST_SERVED, createNoLimit} from '@kelpstep/pool';
+import {RequestPolicies, readFromAny, readFromPrimary} from '@kelpstep/routing';
+
+/** What differs from the default policies, by the policy's name. */
+export const NAMED_POLICIES = {
+  default: {},
+  'first-come': {queue: FIRST_COME_FIRST_SERVED},
+  'no-limit': {
+    queue: FIRST_COME_FIRST_SERVED,
+    createConcurrencyLimit: createNoLimit,
+  },
+  'read-primary': {read: readFromPrimary},
+  'read-any': {read: readFromAny},
+} as const satisfies Readonly<Record<string, Partial<RequestPolicies>>>;
+
+/** Name of a policy. */
+export type PolicyName = keyof typeof NAMED_POLICIES;
+
+/** Names of all policies. */
+export const POLICY_NAMES = Object.keys(NAMED_POLICIES) as PolicyName[];
--- a/packages/scenarios/src/deployments.ts
+++ b/packages/scenarios/src/deployments.ts
@@ -140,6 +140,9 @@
     'kinds:',
     '  - {name: view, worth: 1, deadline: 1000}',
     '  - {name: record, worth: 20, deadline: 2000}',
+    '  - {name: report, worth: 5, deadline: 3000}',
+    '  - {name: acknowledgement, worth: 20, deadline: 2000}',
+    '  - {name: entry, worth: 10, deadline: 2000}',
     'stop: {drainTime: 1000, acceptTime: 300}',
     '',
   );
