fix(proxy): seed daemons widely, answer requests whose handling throws

Cause: daemons seeded their random source with 31 bits, from which incarnations, idempotency keys and transaction ids are made. Two of 3,100 daemons share such a seed with a chance of about 0.2 %, and then make the same keys: a write would be taken for a repeat of another's. Now 128 bits. A request whose task threw was logged but never answered; now it gets INTERNAL_ERROR, outcome unknown (a spec brings it about; before the change it stays without answer). KEY_EXPIRED is unknown in the table as it is in the answers. Ruled out: putting the proxy id in front of keys alone, since a restarted proxy bears the same id.

--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -42,7 +42,12 @@
   UNKNOWN_KIND: define(1002, 'not_run', false, 'No such request kind.'),
   BAD_TOKEN: define(1003, 'not_run', false, 'The session token is not valid.'),
   DEADLINE_PASSED: define(1004, 'not_run', false, 'The deadline has passed.'),
-  KEY_EXPIRED: define(1005, 'not_run', false, 'The key is past its retention.'),
+  KEY_EXPIRED: define(
+    1005,
+    'unknown',
+    false,
+    'Not run now: the key is too old.',
+  ),
   KEY_CANCELLED: define(1006, 'not_run', false, 'The key was cancelled.'),
   KEY_MISMATCH: define(1007, 'not_run', false, 'Key of another statement.'),
   STATEMENT_FAILED: define(1008, 'not_run', false, 'The statement is faulty.'),
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -168,6 +168,9 @@
       transactionIdleTime: limits.transactionIdleTimeout,
     },
     onRequestEnd: createRequestRecorder(metrics, isKind),
+    ...(context.onRequestFault === undefined
+      ? {}
+      : {onFault: context.onRequestFault}),
   });
 
   membership.serve(peerHandlers);
--- a/packages/proxy/src/daemon.ts
+++ b/packages/proxy/src/daemon.ts
@@ -4,12 +4,13 @@
 import {createHttpPlatformClient} from '@kelpstep/platform';
 import {createTcpTransport} from '@kelpstep/rpc';
 import {
+  WideSeed,
   createRandom,
   createRealTimer,
   createRuntime,
   promiseFromFuture,
 } from '@kelpstep/runtime';
-import {randomInt} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {Err, Ok, Result} from 'ts-results';
 
 import {startCallerEdge} from './caller_edge';
@@ -26,12 +27,21 @@
   stop(): Promise<void>;
 }
 
-const HIGHEST_SEED = 0x7fffffff;
 const MAXIMUM_BATCH = 50;
 const OPERATOR_CONNECTIONS = 100;
 /** Bodies on the operators' port hold manifests. */
 const OPERATOR_BODY_BYTES = 4 * 1024 * 1024;
 
+function wideSeed(): WideSeed {
+  const bytes = randomBytes(16);
+  return [
+    bytes.readInt32LE(0),
+    bytes.readInt32LE(4),
+    bytes.readInt32LE(8),
+    bytes.readInt32LE(12),
+  ];
+}
+
 function callerLimits({limits}: Settings): HttpLimits {
   return {
     maximumBodyBytes: limits.maximumBodyBytes,
@@ -52,7 +62,7 @@
 function createDaemonParts(settings: Settings) {
   const timer = createRealTimer();
   const logger = createLogger({part: 'proxy', proxy: settings.proxy, timer});
-  const random = createRandom(randomInt(HIGHEST_SEED));
+  const random = createRandom(wideSeed());
   const runtime = createRuntime({
     timer,
     random,
@@ -79,7 +89,14 @@
 ): Promise<Result<Daemon, string>> {
   const {timer, logger, runtime, platform, transport} =
     createDaemonParts(settings);
-  const proxy = createProxy(settings, {runtime, transport, platform, logger});
+  const proxy = createProxy(settings, {
+    runtime,
+    transport,
+    platform,
+    logger,
+    onRequestFault: (error, method) =>
+      logger.error('request_failed', {method, message: String(error)}),
+  });
   const servers: HttpServer[] = [];
 
   async function close(): Promise<void> {
--- a/packages/proxy/src/proxy_context.ts
+++ b/packages/proxy/src/proxy_context.ts
@@ -22,6 +22,8 @@
   /** Policies and times that differ from the defaults. */
   readonly policies?: Partial<RequestPolicies>;
   readonly timings?: Partial<FailoverTimings>;
+  /** Called when serving a request throws; by default that is thrown on. */
+  readonly onRequestFault?: (error: unknown, method: string) => void;
 }
 
 /** A proxy without its HTTP edges. */
--- /dev/null
+++ b/packages/routing/__tests__/request_fault.spec.ts
@@ -0,0 +1,45 @@
+import {RpcPeer, createTcpTransport} from '@kelpstep/rpc';
+import {
+  createRandom,
+  createRuntime,
+  createVirtualTimer,
+  settledFuture,
+} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+import {Ok} from 'ts-results';
+
+import {createRequestService} from '..';
+
+describe('a request whose handling throws', () => {
+  test('is answered with a failure of unknown outcome and leaves no trace', () => {
+    const faults: string[] = [];
+    const service = createRequestService({
+      runtime: createRuntime({
+        timer: createVirtualTimer(),
+        random: createRandom(1),
+      }),
+      self: {proxy: 'a', incarnation: '1', dataCentre: 'd', address: 'a:1'},
+      transport: createTcpTransport(),
+      manifest: () => {
+        throw new Error('broken');
+      },
+      groupView: () => undefined,
+      liveProxyCount: () => 1,
+      findProxy: () => undefined,
+      forward: () => settledFuture(Ok({})),
+      onFault: (error, method) => faults.push(`${method}: ${error}`),
+    });
+    const answers: unknown[] = [];
+    service.callerHandlers
+      .dispatch(
+        'read',
+        {group: 'g', statement: {text: 'get ?', parameters: ['k']}},
+        {} as RpcPeer,
+      )
+      .onSettled(reply => answers.push(reply.err && reply.val.name));
+    expect(answers).toEqual(['INTERNAL_ERROR']);
+    expect(faults).toEqual(['read: Error: broken']);
+    expect(service.inFlight()).toEqual(0);
+  });
+});
--- a/packages/routing/src/request_service.ts
+++ b/packages/routing/src/request_service.ts
@@ -48,6 +48,10 @@
   createTransactionRequests,
 } from './transaction_requests';
 
+function rethrow(error: unknown): never {
+  throw error;
+}
+
 /** Creates the request service of a proxy. */
 export function createRequestService(
   options: RequestServiceOptions,
@@ -81,6 +85,7 @@
     limits,
     manifest: options.manifest,
   });
+  const onFault = options.onFault ?? rethrow;
   let inFlight = 0;
   let isStopping = false;
   let drained: Deferred<undefined> | undefined;
@@ -133,6 +138,11 @@
           : request;
         onEnd(result, notes);
         return result;
+      } catch (error) {
+        onFault(error, method);
+        const result = Err(createFailure('INTERNAL_ERROR'));
+        onEnd(result, notes);
+        return result;
       } finally {
         inFlight -= 1;
         checkDrained();
--- a/packages/routing/src/service_types.ts
+++ b/packages/routing/src/service_types.ts
@@ -66,6 +66,11 @@
   readonly policies?: Partial<RequestPolicies>;
   readonly limits?: Partial<RequestLimits>;
   onRequestEnd?(end: RequestEnd): void;
+  /**
+   * Called when serving a request throws; it is then answered with
+   * `INTERNAL_ERROR`. By default the error is thrown on.
+   */
+  onFault?(error: unknown, method: string): void;
 }
 
 /** Load of one target as this proxy sees it, for metrics. */
--- /dev/null
+++ b/packages/runtime/__tests__/random.spec.ts
@@ -0,0 +1,23 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {createRandom} from '..';
+
+describe('a random source', () => {
+  test('repeats its choices for the same wide seed', () => {
+    const first = createRandom([1, 2, 3, 4]);
+    const second = createRandom([1, 2, 3, 4]);
+    expect(first.hexadecimal(32)).toEqual(second.hexadecimal(32));
+  });
+
+  test('tells apart wide seeds that differ in any number', () => {
+    const texts = [
+      createRandom([1, 2, 3, 4]),
+      createRandom([9, 2, 3, 4]),
+      createRandom([1, 9, 3, 4]),
+      createRandom([1, 2, 9, 4]),
+      createRandom([1, 2, 3, 9]),
+    ].map(random => random.hexadecimal(32));
+    expect(new Set(texts).size).toEqual(texts.length);
+  });
+});
--- a/packages/runtime/src/random.ts
+++ b/packages/runtime/src/random.ts
@@ -23,9 +23,21 @@
 
 const FRACTION_RANGE = 0x1000000;
 
-/** Creates a source that gives the same choices for the same seed. */
-export function createRandom(seed: number): Random {
-  const generator: RandomGenerator = xoroshiro128plus(seed);
+/** Four 32-bit numbers: as much as a source can tell apart. */
+export type WideSeed = readonly [number, number, number, number];
+
+function createGenerator(seed: number | WideSeed): RandomGenerator {
+  return typeof seed === 'number'
+    ? xoroshiro128plus(seed)
+    : xoroshiro128plus.fromState(seed);
+}
+
+/**
+ * Creates a source that gives the same choices for the same seed. Daemons need
+ * a wide one: identifiers made from equal seeds would name two requests alike.
+ */
+export function createRandom(seed: number | WideSeed): Random {
+  const generator = createGenerator(seed);
 
   function integer(low: number, high: number): number {
     return unsafeUniformIntDistribution(low, high, generator);
--- a/packages/stand-ins/src/database/idempotency_keys.ts
+++ b/packages/stand-ins/src/database/idempotency_keys.ts
@@ -71,9 +71,12 @@
       return createFailure('KEY_FROM_FUTURE');
     }
     if (isForgotten(key.issuedAt)) {
-      return createFailure('KEY_EXPIRED', {outcome: 'unknown'});
+      return createFailure('KEY_EXPIRED');
     }
-    return age > keyRetention ? createFailure('KEY_EXPIRED') : undefined;
+    // It is still remembered: what isn't recorded by now never ran.
+    return age > keyRetention
+      ? createFailure('KEY_EXPIRED', {outcome: 'not_run'})
+      : undefined;
   }
 
   /** Forgets from the oldest record on; the first that is kept ends it. */
