fix(routing): bound a read's age by the record it was read at

Cause: the bound came from the status on which the target was chosen. A replica that starts anew between status and read answers with less, and its answer passed as fresh. Now GroupView.freshAt(at) judges the answer itself. Ruled out: asking the target for its status with each read (a message more).

--- a/packages/routing/src/read_attempt.ts
+++ b/packages/routing/src/read_attempt.ts
@@ -84,9 +84,9 @@
  * read from is confirmed, and while it is fresh enough.
  */
 function* checkAnswer(
-  {context}: ReadOptions,
+  {context, record}: ReadOptions,
   {maximumAge}: ReadRequest,
-  {id, freshAt, isPrimary}: ReadCandidate,
+  {id, isPrimary}: ReadCandidate,
   wanted: LogPosition,
   execution: Execution,
 ): Task<ReadAttemptEnd> {
@@ -94,6 +94,9 @@
     return elsewhere('NO_FRESH_TARGET', true);
   }
   const fate = yield* awaitConfirmation(context, execution.at);
+  // By what was read, not by what the target held when it was chosen: it may
+  // have started anew, with less, in between.
+  const freshAt = record.view.freshAt(execution.at) ?? -Infinity;
   const age = context.runtime.timer.now() - freshAt;
   if (fate !== 'confirmed' || age > maximumAge) {
     return elsewhere('NO_FRESH_TARGET', true);
