--- a/packages/cli/src/demo/demo_cluster.ts
+++ b/packages/cli/src/demo/demo_cluster.ts
@@ -21,6 +21,9 @@
   readonly name: string;
   /** Address of the callers' port. */
   readonly address: string;
+  /** Address of the operators' port. */
+  readonly operatorAddress: string;
+  readonly operatorToken: string;
   readonly callers: HttpClient;
   readonly operators: HttpClient;
 }
@@ -69,6 +72,7 @@
   [callers, peers, operators]: readonly string[],
   seeds: readonly string[],
   platform: string,
+  operatorToken: string,
 ): Settings {
   return settingsSchema.parse({
     format: 1,
@@ -77,7 +81,7 @@
     addresses: {callers, peers, operators},
     platform: {addresses: [platform]},
     seeds,
-    operatorToken: randomBytes(TOKEN_BYTES).toString('hex'),
+    operatorToken,
     logLevel: 'warn',
   });
 }
@@ -86,6 +90,8 @@
   return {
     name: proxy,
     address: addresses.callers,
+    operatorAddress: addresses.operators,
+    operatorToken,
     callers: createHttpClient({
       address: addresses.callers,
       timeout: REQUEST_TIMEOUT,
@@ -147,12 +153,14 @@
   const ofA = addresses.slice(0, ADDRESSES_PER_PROXY);
   const ofB = addresses.slice(ADDRESSES_PER_PROXY);
   const platform = standIns.platform.address;
+  const token = randomBytes(TOKEN_BYTES).toString('hex');
   const settingsA = demoSettings(
     'a',
     'fukuoka',
     ofA,
     ofB.slice(1, 2),
     platform,
+    token,
   );
   const settingsB = demoSettings(
     'b',
@@ -160,6 +168,7 @@
     ofB,
     ofA.slice(1, 2),
     platform,
+    token,
   );
   const daemons = [await start(settingsA), await start(settingsB)];
   const proxies = [describeProxy(settingsA), describeProxy(settingsB)] as const;
