--- a/packages/scenarios/index.ts
+++ b/packages/scenarios/index.ts
@@ -16,3 +16,6 @@
 export * from './src/processes/process_table';
 export * from './src/processes/session_caller';
 export * from './src/processes/write_load';
+export * from './src/fault_scripts';
+export * from './src/seeded_runs';
+export * from './src/differential';
