perf(failover): ask the members of a watched group instead of its streams

Cause: a group that is only watched had three streams of ten heartbeats a second and of every record: 10.2 KB/s and 2.4 ms/s a group, whoever uses it or not. Weighed: slower heartbeats (still a message per record, 1,800 a second at 50 writes/s in 10 groups); shorter notifications (a change of the targets' protocol); streams of the first watcher only (still three times too much). Change: above 64 groups in the manifest (watch_pace.ts, passed in) a watcher asks for the status at a period that grows with the groups, 2.5 s for the primary at most, 4 s by other watchers. Streams come back at once when the group is used, unsettled, or loses its primary. Small systems keep their streams. Conclusion: killed, frozen, vanished with its first watcher and cut off from its replicas, a primary is replaced within the limits (watch_pace.spec.ts).

--- a/packages/bench/__tests__/slopes/slopes.spec.ts
+++ b/packages/bench/__tests__/slopes/slopes.spec.ts
@@ -27,7 +27,12 @@
   });
 
   test('count what watched groups cost both ways', () => {
-    const load = {rank: 0, used: false, writesPerSecond: 0};
+    const load = {
+      rank: 0,
+      used: false,
+      writesPerSecond: 0,
+      groupsOfManifest: 8,
+    };
     const [one, two] = [1, 2].map(groups => measureWatcher({...load, groups}));
     expect((one?.values.receivedMessages ?? 0) > 0).toEqual(true);
     expect(two?.values.receivedMessages).toEqual(
--- a/packages/bench/src/slopes/manifest_slope.ts
+++ b/packages/bench/src/slopes/manifest_slope.ts
@@ -127,7 +127,8 @@
   };
 }
 
-const GROUP_COUNTS = [3, 10, 30, 100, 300];
+/** The stand-in manifest has room for 254 groups. */
+const GROUP_COUNTS = [3, 10, 30, 100, 250];
 const VERSION_RATES = [0, 6, 12];
 
 /** The series of manifests. */
--- a/packages/bench/src/slopes/membership_slope.ts
+++ b/packages/bench/src/slopes/membership_slope.ts
@@ -3,6 +3,7 @@
   RunningMembership,
   createIdempotentRequest,
   createMembership,
+  proportionalPace,
 } from '@kelpstep/membership';
 import {peerExchange} from '@kelpstep/protocol';
 import {createPeerLinks} from '@kelpstep/proxy';
@@ -16,13 +17,15 @@
 
 import {countTransport, createTraffic} from './counting_transport';
 import {Cost, measureStretch, usedHeap} from './meter';
-import type {Point, Series} from './series';
+import {Point, Series, measureWarm} from './series';
 
 /** Size and news of a run. */
 export interface MembershipLoad {
   readonly proxies: number;
   /** Changes of leadership per second, in the whole system. */
   readonly newsPerSecond: number;
+  /** The pace is that of at least so many proxies. */
+  readonly paceOf?: number;
 }
 
 const DATA_CENTRES = 3;
@@ -46,7 +49,7 @@
 
 /** Runs one size in virtual time; values are means over the proxies. */
 export function measureMembership(load: MembershipLoad): Point {
-  const {proxies, newsPerSecond} = load;
+  const {proxies, newsPerSecond, paceOf = 0} = load;
   const timer = createVirtualTimer();
   const random = createRandom(SEED);
   const traffic = createTraffic();
@@ -83,6 +86,8 @@
         {length: SEEDS},
         (unusedItem, seed) => `${hostOf(seed)}:${PEER_PORT}`,
       ),
+      pacePolicy: (count, base) =>
+        proportionalPace(Math.max(count, paceOf), base),
       exchange: (to, state) => ask(to, peerExchange, state, EXCHANGE_TIMEOUT),
       hooks: {
         ready: () => true,
@@ -131,27 +136,35 @@
 }
 
 const PROXY_COUNTS = [2, 8, 16, 32, 64, 128, 256];
-/** Beyond 480 proxies the interval no longer grows. */
-const LARGE_COUNTS = [480, 640];
+/** From so many proxies on the interval no longer grows. */
+const LONGEST_PACE = 480;
+const COUNTS_AT_LONGEST_PACE = [32, 64, 128, 256];
 const NEWS_RATES = [0, 0.1, 0.2, 0.5];
-const PROXIES_OF_NEWS = 480;
+const PROXIES_OF_NEWS = 128;
 
-/** The series of membership; the larger sizes take about a minute. */
+/** The series of membership. */
 export function measureMemberships(): Series[] {
-  const bySize = (counts: readonly number[]) =>
-    counts.map(proxies => measureMembership({proxies, newsPerSecond: 0}));
+  const paceOf = LONGEST_PACE;
   return [
-    {role: 'membership', variable: 'proxies', points: bySize(PROXY_COUNTS)},
     {
-      role: 'membership at its longest interval',
+      role: 'membership',
       variable: 'proxies',
-      points: bySize(LARGE_COUNTS),
+      points: measureWarm(PROXY_COUNTS, proxies =>
+        measureMembership({proxies, newsPerSecond: 0}),
+      ),
+    },
+    {
+      role: `membership at the pace of ${LONGEST_PACE} proxies`,
+      variable: 'proxies',
+      points: measureWarm(COUNTS_AT_LONGEST_PACE, proxies =>
+        measureMembership({proxies, newsPerSecond: 0, paceOf}),
+      ),
     },
     {
-      role: `membership of ${PROXIES_OF_NEWS} proxies with news`,
+      role: `membership of ${PROXIES_OF_NEWS} proxies at that pace, with news`,
       variable: 'news/s',
       points: NEWS_RATES.map(newsPerSecond => ({
-        ...measureMembership({proxies: PROXIES_OF_NEWS, newsPerSecond}),
+        ...measureMembership({proxies: PROXIES_OF_NEWS, newsPerSecond, paceOf}),
         size: newsPerSecond,
       })),
     },
--- a/packages/bench/src/slopes/watcher_slope.ts
+++ b/packages/bench/src/slopes/watcher_slope.ts
@@ -20,12 +20,14 @@
   /** True if callers use the groups all the time. */
   readonly used: boolean;
   readonly writesPerSecond: number;
+  /** Groups that the manifest is said to have: they decide the pace. */
+  readonly groupsOfManifest: number;
 }
 
 const TARGET_HOST = '10.0.0.1';
 const PROXY_HOST = '10.0.1.1';
 const SETTLING_TIME = 12_000;
-const MEASURED_TIME = 12_000;
+const MEASURED_TIME = 20_000;
 const USE_PERIOD = 1000;
 const SEED = 1;
 
@@ -54,6 +56,7 @@
     dataCentre: 'centre-1',
     watchRank: () => load.rank,
     isLeaving: () => false,
+    groupCount: () => load.groupsOfManifest,
   });
   directory.updateManifest(groups);
   if (load.used) {
@@ -72,39 +75,52 @@
 const USED_GROUP_COUNTS = [3, 10, 30, 100];
 const WRITE_RATES = [0, 10, 50];
 const GROUPS_OF_WRITES = 10;
+/** Today's size, whose watchers follow streams, and that of the target. */
+const MANIFEST_SIZES = [8, 5667];
+
+function measureGroups(
+  role: string,
+  counts: readonly number[],
+  load: Omit<WatcherLoad, 'groups'>,
+): Series {
+  return {
+    role: `${role}, manifest of ${load.groupsOfManifest} groups`,
+    variable: 'groups',
+    points: measureWarm(counts, groups => measureWatcher({groups, ...load})),
+  };
+}
+
+function measureWrites(groupsOfManifest: number): Series {
+  const load = {groups: GROUPS_OF_WRITES, rank: 0, used: false};
+  return {
+    role: `watcher rank 0 of ${GROUPS_OF_WRITES} written groups, manifest of ${groupsOfManifest} groups`,
+    variable: 'writes/s',
+    points: measureWarm(WRITE_RATES, writesPerSecond => ({
+      ...measureWatcher({...load, writesPerSecond, groupsOfManifest}),
+      size: writesPerSecond,
+    })),
+  };
+}
 
 /** The series of watched and used groups. */
 export function measureWatchers(): Series[] {
   const idle = {used: false, writesPerSecond: 0};
-  const perGroup = (
-    role: string,
-    counts: readonly number[],
-    load: Omit<WatcherLoad, 'groups'>,
-  ) => ({
-    role,
-    variable: 'groups',
-    points: measureWarm(counts, groups => measureWatcher({groups, ...load})),
-  });
   return [
-    perGroup('watcher rank 0', GROUP_COUNTS, {...idle, rank: 0}),
-    perGroup('watcher rank 1', GROUP_COUNTS, {...idle, rank: 1}),
-    perGroup('used group', USED_GROUP_COUNTS, {
+    ...MANIFEST_SIZES.flatMap(groupsOfManifest => [
+      ...[0, 1].map(rank =>
+        measureGroups(`watcher rank ${rank}`, GROUP_COUNTS, {
+          ...idle,
+          rank,
+          groupsOfManifest,
+        }),
+      ),
+      measureWrites(groupsOfManifest),
+    ]),
+    measureGroups('used group', USED_GROUP_COUNTS, {
       rank: undefined,
       used: true,
       writesPerSecond: 0,
+      groupsOfManifest: 5667,
     }),
-    {
-      role: `watcher rank 0 of ${GROUPS_OF_WRITES} written groups`,
-      variable: 'writes/s',
-      points: WRITE_RATES.map(writesPerSecond => ({
-        ...measureWatcher({
-          groups: GROUPS_OF_WRITES,
-          rank: 0,
-          used: false,
-          writesPerSecond,
-        }),
-        size: writesPerSecond,
-      })),
-    },
   ];
 }
--- a/packages/failover/__tests__/cluster.ts
+++ b/packages/failover/__tests__/cluster.ts
@@ -52,6 +52,8 @@
   readonly watchers?: number;
   readonly settings?: Partial<DatabaseSettings>;
   readonly timings?: Partial<FailoverTimings>;
+  /** Groups that the manifest is said to have; 1 by default. */
+  readonly groupCount?: number;
 }
 
 /** A proxy of the cluster. */
@@ -129,6 +131,7 @@
       runtime: runtimeOn(host),
       transport: network.transportFor(host),
       ...(options.timings === undefined ? {} : {timings: options.timings}),
+      groupCount: () => options.groupCount ?? 1,
       promoterNumber: promoterNumberOf({
         proxy: host,
         incarnation: random.hexadecimal(8),
--- a/packages/failover/index.ts
+++ b/packages/failover/index.ts
@@ -8,5 +8,6 @@
 export * from './src/round_result';
 export * from './src/terms';
 export * from './src/timings';
+export * from './src/watch_pace';
 export type {LeadershipChange} from './src/watcher';
 export type {PromotionCause, PromotionDurations} from './src/promotion';
--- a/packages/failover/src/create_member_link.ts
+++ b/packages/failover/src/create_member_link.ts
@@ -8,7 +8,6 @@
 import {
   Method,
   TargetStatus,
-  createFailure,
   targetPositions,
   targetStatus,
   targetSubscribePositions,
@@ -26,11 +25,13 @@
   race,
   settled,
   settledFuture,
+  waitFor,
 } from '@kelpstep/runtime';
 import {Err, Ok, Result} from 'ts-results';
 
-import {dialWithin, firstAnswer} from './fresh_connection';
+import {NOT_CONNECTED, dialWithin, firstAnswer} from './fresh_connection';
 import type {LinkCondition, LossReason, MemberLink} from './member_link';
+import {reconnectPause} from './reconnect_pause';
 import type {FailoverTimings} from './timings';
 
 /** What a link is made of. */
@@ -39,33 +40,25 @@
   readonly transport: Transport;
   readonly timings: FailoverTimings;
   readonly member: Member;
+  /** Period of questions in place of the stream; undefined: the stream. */
+  pollPeriod(): Milliseconds | undefined;
   /** Called after each status and each change of condition. */
   onChange(): void;
 }
 
-const NOT_CONNECTED: RequestFailure = {
-  kind: 'closed',
-  sent: false,
-  failure: createFailure('OUTCOME_UNKNOWN', {
-    message: 'No control connection.',
-    outcome: 'not_run',
-  }),
-};
-
-/** Jitter of the pauses between reconnections, as share of the pause. */
-const RECONNECT_JITTER = 0.3;
-
 /** Opens a control connection and keeps it open until it is closed. */
 export function createMemberLink(options: MemberLinkOptions): MemberLink {
   const {runtime, transport, timings, member, onChange} = options;
   const {timer, random} = runtime;
-  const suspicions = createMailbox<'suspected'>();
+  const signals = createMailbox<'suspected' | 'paced'>();
   let condition: LinkCondition = 'connecting';
   let lossReason: LossReason | undefined;
   let current: RpcPeer | undefined;
   let lastStatus: TargetStatus | undefined;
   let statusAt = -Infinity;
   let incarnationSince = timer.now();
+  /** True while the present connection carries a stream. */
+  let isStreaming = false;
 
   function changeCondition(next: LinkCondition): void {
     if (condition !== next) {
@@ -123,35 +116,46 @@
     replaced?.close('replaced by a fresh connection');
     lossReason = undefined;
     listen(peer);
+    isStreaming = false;
+    if (options.pollPeriod() === undefined) {
+      subscribe(peer);
+    }
+    condition = 'open';
+    acceptStatus(peer, status);
+  }
+
+  function subscribe(peer: RpcPeer): void {
+    isStreaming = true;
     peer.request(
       targetSubscribePositions,
       {heartbeatMilliseconds: timings.heartbeat},
       timings.requestTimeout,
     );
-    condition = 'open';
-    acceptStatus(peer, status);
   }
 
   /**
-   * Follows the stream. Ends with the reason once no connection answers, and
+   * Follows the stream, or asks from time to time. Ends with the reason once no connection answers, and
    * with `undefined` if the connection broke.
    */
   function* follow(first: RpcPeer): Task<LossReason | undefined> {
     let peer = first;
     for (;;) {
-      const quiet = timer.now() - peer.lastHeardAt();
       const winner = yield* perform(
         race<unknown>([
           settled(peer.closed),
-          suspicions.next(),
-          delay(timings.silenceLimit - quiet),
+          signals.next(),
+          delay(patience(peer)),
         ]),
       );
       if (winner.index === 0) {
         return undefined;
       }
-      const suspected = winner.index === 1;
-      if (isHeard(peer, suspected)) {
+      const signal = winner.index === 1 ? winner.value : undefined;
+      if (signal === 'paced') {
+        peer = yield* changePace(peer);
+        continue;
+      }
+      if (yield* isAlive(peer, signal === 'suspected')) {
         continue;
       }
       const next = yield* replaceSilent(peer);
@@ -162,6 +166,42 @@
     }
   }
 
+  /** How long the connection may be quiet. */
+  function patience(peer: RpcPeer): Milliseconds {
+    const limit = isStreaming ? timings.silenceLimit : pollPeriod();
+    return limit - (timer.now() - peer.lastHeardAt());
+  }
+
+  function pollPeriod(): Milliseconds {
+    return options.pollPeriod() ?? timings.silenceLimit;
+  }
+
+  function* isAlive(peer: RpcPeer, suspected: boolean): Task<boolean> {
+    if (isStreaming || suspected) {
+      return isHeard(peer, suspected);
+    }
+    return (yield* waitFor(ask(timings.requestTimeout))).ok;
+  }
+
+  /**
+   * Starts the stream, or takes a connection without one in place of the one
+   * with it: a target ends a stream only with its connection.
+   */
+  function* changePace(peer: RpcPeer): Task<RpcPeer> {
+    const streams = options.pollPeriod() === undefined;
+    if (streams === isStreaming) {
+      return peer;
+    }
+    if (!streams) {
+      const fresh = yield* connect();
+      return fresh.ok ? fresh.val : peer;
+    }
+    // Its answer comes before the silence of the stream is judged.
+    yield* waitFor(ask(timings.requestTimeout));
+    subscribe(peer);
+    return peer;
+  }
+
   function isHeard(peer: RpcPeer, suspected: boolean): boolean {
     const limit = suspected ? 2 * timings.heartbeat : timings.silenceLimit;
     return timer.now() - peer.lastHeardAt() < limit;
@@ -198,20 +238,12 @@
       // A stream that broke is tried anew at once: that is the fresh
       // connection which tells whether its target is lost.
       if (loss !== undefined || failures > 0) {
-        yield* pause(failures);
+        yield* perform(delay(reconnectPause(timings, failures, random)));
       }
       failures++;
     }
   }
 
-  function* pause(failures: number): Task<void> {
-    const base = Math.min(
-      timings.reconnectDelay * 2 ** Math.min(failures, 16),
-      timings.reconnectDelayLimit,
-    );
-    yield* perform(delay(random.jitter(base, RECONNECT_JITTER)));
-  }
-
   function request<P, R>(
     method: Method<P, R>,
     parameters: P,
@@ -247,8 +279,14 @@
     request,
     ask,
     suspect() {
-      if (condition === 'open' && suspicions.size() === 0) {
-        suspicions.post('suspected');
+      if (condition === 'open' && signals.size() === 0) {
+        signals.post('suspected');
+      }
+    },
+    reviewPace() {
+      const streams = options.pollPeriod() === undefined;
+      if (condition === 'open' && streams !== isStreaming) {
+        signals.post('paced');
       }
     },
     close() {
--- a/packages/failover/src/fresh_connection.ts
+++ b/packages/failover/src/fresh_connection.ts
@@ -16,6 +16,16 @@
   message: 'No connection in time.',
 };
 
+/** The answer to a request for which there is no connection. */
+export const NOT_CONNECTED: RequestFailure = {
+  kind: 'closed',
+  sent: false,
+  failure: createFailure('OUTCOME_UNKNOWN', {
+    message: 'No control connection.',
+    outcome: 'not_run',
+  }),
+};
+
 const NO_ANSWER: RequestFailure = {
   kind: 'timeout',
   sent: true,
--- a/packages/failover/src/group_directory.ts
+++ b/packages/failover/src/group_directory.ts
@@ -51,7 +51,10 @@
     for (const group of groups) {
       const view = views.get(group.name);
       if (view === undefined) {
-        views.set(group.name, createGroupView({...options, group}));
+        views.set(
+          group.name,
+          createGroupView({groupCount: () => views.size, ...options, group}),
+        );
       } else {
         view.updateGroup(group);
       }
--- a/packages/failover/src/managed_group_view.ts
+++ b/packages/failover/src/managed_group_view.ts
@@ -19,8 +19,10 @@
 import {describeMembers, freshAt, holds} from './member_views';
 import {runOrderedSwitchOver} from './ordered_switch_over';
 import type {PromotionContext} from './promotion';
+import {createPollPeriods} from './poll_periods';
 import {createReadRounds} from './read_rounds';
 import {DEFAULT_FAILOVER_TIMINGS, FailoverTimings} from './timings';
+import {WatchPacePolicy, proportionalWatchPace} from './watch_pace';
 import {LeadershipChange, Watcher, createWatcher} from './watcher';
 
 /** A group's view with what its owner may tell it. */
@@ -58,6 +60,10 @@
   watchRank(group: string): number | undefined;
   /** True if the platform calls the member leaving. */
   isLeaving(member: Member): boolean;
+  /** Groups of the manifest; by default this one only. */
+  groupCount?(): number;
+  /** How often members are asked while the group is only watched. */
+  readonly watchPace?: WatchPacePolicy;
   /** Called when this proxy has brought about a change of leadership. */
   onLeadershipChange?(change: LeadershipChange): void;
   /** Called when a newer confirmed leadership became known, however. */
@@ -75,11 +81,22 @@
   const state = createGroupState({
     timer,
     group: options.group,
-    createLink: (member, onChange) =>
-      createMemberLink({runtime, transport, timings, member, onChange}),
+    createLink(member, onChange) {
+      const pollPeriod = () => pollPeriods.of(member.id);
+      const common = {runtime, transport, timings, member};
+      return createMemberLink({...common, pollPeriod, onChange});
+    },
     onLeadership: leadership =>
       options.onLeadershipLearned?.(state.group().name, leadership),
   });
+  const pollPeriods = createPollPeriods({
+    state,
+    isInUse,
+    isLeaving,
+    watchRank,
+    watchPace: options.watchPace ?? proportionalWatchPace,
+    groupCount: options.groupCount ?? (() => 1),
+  });
   const rounds = createReadRounds({
     runtime,
     timings,
@@ -103,6 +120,7 @@
   let watcher: Watcher | undefined;
   let background: TaskHandle<never> | undefined;
   let cancelIdleCheck: Unsubscribe = () => {};
+  let stopReviewingPace: Unsubscribe = () => {};
   let views: readonly MemberView[] | undefined;
   state.onChange(() => {
     views = undefined;
@@ -130,8 +148,12 @@
   }
 
   function touch(): void {
+    const wasInUse = isInUse();
     lastUse = timer.now();
     open();
+    if (!wasInUse) {
+      pollPeriods.review();
+    }
   }
 
   function isInUse(): boolean {
@@ -150,6 +172,7 @@
     state.open(state.group());
     background = runtime.spawn('group rounds', runBackgroundRounds());
     cancelIdleCheck = timer.every(timings.idleTime / 4, closeIfIdle);
+    stopReviewingPace = state.onShift(pollPeriods.endIfUnsettled);
     startWatching();
   }
 
@@ -175,6 +198,7 @@
     stopWatching();
     background?.cancel();
     cancelIdleCheck();
+    stopReviewingPace();
     rounds.close();
     state.close();
   }
@@ -182,7 +206,9 @@
   function closeIfIdle(): void {
     if (!isInUse() && watchRank() === undefined) {
       closeStreams();
+      return;
     }
+    pollPeriods.review();
   }
 
   function reviewWatching(): void {
@@ -229,10 +255,7 @@
     group: options.group.name,
     touch,
     leadership: state.leadership,
-    members() {
-      views ??= describeMembers(state, isLeaving);
-      return views;
-    },
+    members: () => (views ??= describeMembers(state, isLeaving)),
     confirmed: () => state.confirmed().at,
     holds: (memberId, wanted) => holds(state, memberId, wanted),
     freshAt: end => freshAt(state, end),
--- a/packages/failover/src/member_link.ts
+++ b/packages/failover/src/member_link.ts
@@ -39,5 +39,7 @@
   ask(timeout: Milliseconds): Future<Result<TargetStatus, RequestFailure>>;
   /** Tries a fresh connection now, unless the stream was just heard. */
   suspect(): void;
+  /** Takes up the period at which the member is to be asked now. */
+  reviewPace(): void;
   close(): void;
 }
