perf(proxy): keep a watcher's rank until the proxies change

Cause: a watcher asks for its rank at each look at its group, ten times a second; among 3,100 proxies that took 342 microseconds, so 5.5 groups 1.9 % of a core. Ruled out: looking less often, which delays the watcher. Change: ranks are kept until the membership tells of a change.

--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -7,6 +7,7 @@
 import {measureManifests} from './manifest_slope';
 import {measureMemberships} from './membership_slope';
 import {measurePromoter} from './promotion_slope';
+import {measureRanking} from './rank_slope';
 import {Series, formatSeries, seriesAsJsonLines} from './series';
 import {measureWatchers} from './watcher_slope';
 
@@ -15,6 +16,7 @@
   promoter: measurePromoter,
   manifest: measureManifests,
   audit: measureAuditTrail,
+  rank: measureRanking,
   membership: measureMemberships,
 };
 
--- a/packages/proxy/index.ts
+++ b/packages/proxy/index.ts
@@ -8,3 +8,4 @@
 export * from './src/operator_methods';
 export * from './src/peer_links';
 export * from './src/proxy_context';
+export * from './src/responsibilities';
--- a/packages/proxy/src/responsibilities.ts
+++ b/packages/proxy/src/responsibilities.ts
@@ -14,22 +14,35 @@
   polls(what: 'manifest' | 'instances'): boolean;
 }
 
-/** Reads responsibilities off the membership, as it is at each call. */
+/**
+ * Reads responsibilities off the membership. Ranks are kept until the live
+ * proxies change: a watcher asks for its rank at each look at its group, and
+ * to rank among thousands of proxies takes long.
+ */
 export function createResponsibilities(
   membership: Membership,
 ): Responsibilities {
   const {proxy, incarnation, dataCentre} = membership.self;
 
+  const ranks = new Map<string, number>();
+  membership.onChange(() => ranks.clear());
+
+  /** Below 0 if it is none of the watchers. */
+  function findRank(group: string): number {
+    if (!membership.isResponsible(group, WATCHERS)) {
+      return -1;
+    }
+    return membership
+      .responsibleFor(group, WATCHERS)
+      .findIndex(
+        other => other.proxy === proxy && other.incarnation === incarnation,
+      );
+  }
+
   return {
     watchRank(group) {
-      if (!membership.isResponsible(group, WATCHERS)) {
-        return undefined;
-      }
-      const rank = membership
-        .responsibleFor(group, WATCHERS)
-        .findIndex(
-          other => other.proxy === proxy && other.incarnation === incarnation,
-        );
+      const rank = ranks.get(group) ?? findRank(group);
+      ranks.set(group, rank);
       return rank < 0 ? undefined : rank;
     },
     polls: what => membership.isResponsible(what, POLLERS, dataCentre),
