--- a/packages/bench/src/slopes/manifest_slope.ts
+++ b/packages/bench/src/slopes/manifest_slope.ts
@@ -56,11 +56,12 @@
   const digestAt = processorTime();
   manifestDigest(body);
   const digesting = processorTime() - digestAt;
+  const manifestHeap = usedHeap() - heapBefore;
   const updateAt = processorTime();
   directory.updateManifest(manifest?.groups ?? []);
   timer.advance(1000);
   const updating = processorTime() - updateAt;
-  const heapBytes = usedHeap() - heapBefore;
+  const viewHeap = usedHeap() - heapBefore - manifestHeap;
   const groupsTaken = manifest?.groups.length ?? 0;
   directory.close();
   return {
@@ -71,7 +72,8 @@
       parseMilliseconds: parsing,
       digestMilliseconds: digesting,
       takeMilliseconds: updating,
-      heapBytes,
+      manifestHeap,
+      viewHeap,
       groupsTaken,
     },
   };
