perf(membership): leave out of exchanges what the partner knows

Cause: identity and empty lists were half of each message between proxies. Weighed: one identity per connection (needs the connection in the membership and dies with it); fewer exchanges (slower detection). Change: to a partner that answered a full exchange goes peer.short, with the sender's key in place of its identity. Who doesn't know the key, or the method, refuses, and the full form follows at once: proxies of both kinds work together. The rest of a burst's cost is its number of exchanges.

--- a/packages/bench/src/slopes/membership_slope.ts
+++ b/packages/bench/src/slopes/membership_slope.ts
@@ -3,9 +3,9 @@
   RunningMembership,
   createIdempotentRequest,
   createMembership,
+  createShortExchange,
   proportionalPace,
 } from '@kelpstep/membership';
-import {peerExchange} from '@kelpstep/protocol';
 import {createPeerLinks} from '@kelpstep/proxy';
 import {createHandlerTable, createRpcPeer} from '@kelpstep/rpc';
 import {
@@ -88,7 +88,11 @@
       ),
       pacePolicy: (count, base) =>
         proportionalPace(Math.max(count, paceOf), base),
-      exchange: (to, state) => ask(to, peerExchange, state, EXCHANGE_TIMEOUT),
+      exchange: createShortExchange({
+        runtime,
+        ask,
+        timeout: EXCHANGE_TIMEOUT,
+      }),
       hooks: {
         ready: () => true,
         manifestVersion: () => 1,
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -6,3 +6,4 @@
 export * from './src/knowledge';
 export * from './src/membership';
 export * from './src/pace';
+export * from './src/short_exchange';
--- a/packages/membership/src/create_membership.ts
+++ b/packages/membership/src/create_membership.ts
@@ -11,19 +11,9 @@
   ListedInstance,
   PeerState,
   ProxyIdentity,
-  peerExchange,
 } from '@kelpstep/protocol';
 import type {HandlerTable} from '@kelpstep/rpc';
-import {
-  Future,
-  Runtime,
-  Task,
-  createDeferred,
-  settledFuture,
-  sleep,
-} from '@kelpstep/runtime';
-import {Ok} from 'ts-results';
-
+import {Future, Runtime, Task, createDeferred, sleep} from '@kelpstep/runtime';
 import {PeerExchange, createExchanges} from './exchanges';
 import {MembershipHooks, createKnowledge} from './knowledge';
 import {memberKey} from './member_table';
@@ -37,6 +27,7 @@
   onlyFrom,
   pickResponsible,
 } from './rendezvous';
+import {serveExchanges} from './serve_exchanges';
 
 /** What a membership is made of. */
 export interface MembershipOptions {
@@ -71,7 +62,7 @@
    * others.
    */
   find(proxy: string, incarnation: string): ProxyIdentity | undefined;
-  /** Serves `peer.exchange`. */
+  /** Serves `peer.exchange` and its short form. */
   serve(handlers: HandlerTable): void;
 }
 
@@ -272,13 +263,6 @@
           known => known.proxy === proxy && known.incarnation === incarnation,
         ),
     isTargetLeaving: target => knowledge.leavingTargets.includes(target),
-    serve(handlers) {
-      handlers.handle(peerExchange, state => {
-        exchanges.hear(state, state.from.address);
-        const {from} = state;
-        const partner = {address: from.address, key: memberKey(from)};
-        return settledFuture(Ok(knowledge.describe(partner, {heard: state})));
-      });
-    },
+    serve: handlers => serveExchanges(handlers, knowledge, exchanges.hear),
   };
 }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -91,6 +91,29 @@
   peerStateSchema,
 );
 
+/**
+ * A state whose sender the receiver knows already: in place of the identity
+ * stands its key, and what is empty is left out.
+ */
+export const shortPeerStateSchema = peerStateSchema
+  .omit({from: true, leaderships: true, proxies: true})
+  .extend({
+    /** Id and incarnation of the sender, `proxy/incarnation`. */
+    sender: z.string().min(1),
+    leaderships: z.array(groupLeadershipSchema).optional(),
+  });
+export type ShortPeerState = z.infer<typeof shortPeerStateSchema>;
+
+/**
+ * Exchanges as `peer.exchange` does. Refused with INVALID_PARAMETERS by a proxy
+ * that does not know the sender, and with METHOD_NOT_FOUND by older ones.
+ */
+export const peerShortExchange = defineMethod(
+  'peer.short',
+  shortPeerStateSchema,
+  shortPeerStateSchema,
+);
+
 /** Asks for the manifest that is in force, if it is newer than `above`. */
 export const peerManifest = defineMethod(
   'peer.manifest',
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -13,6 +13,7 @@
 import {
   createIdempotentRequest,
   createMembership,
+  createShortExchange,
   startInstanceWatch,
 } from '@kelpstep/membership';
 import {
@@ -24,7 +25,6 @@
 import {
   GroupLeadership,
   ProxyIdentity,
-  peerExchange,
   peerForward,
   peerManifest,
 } from '@kelpstep/protocol';
@@ -102,8 +102,11 @@
     runtime,
     self,
     seeds: settings.seeds,
-    exchange: (address, state) =>
-      askPeer(address, peerExchange, state, intervals.peerExchangeTimeout),
+    exchange: createShortExchange({
+      runtime,
+      ask: askPeer,
+      timeout: intervals.peerExchangeTimeout,
+    }),
     hooks: {
       ready: () => unreadyReason() === undefined,
       manifestVersion: () => manifests.version(),
