--- a/packages/failover/src/create_member_link.ts
+++ b/packages/failover/src/create_member_link.ts
@@ -18,7 +18,6 @@
   Milliseconds,
   Runtime,
   Task,
-  TaskHandle,
   createMailbox,
   delay,
   perform,
@@ -59,6 +58,7 @@
   let incarnationSince = timer.now();
   /** True while the present connection carries a stream. */
   let isStreaming = false;
+  let reachableSince = timer.now();
 
   function changeCondition(next: LinkCondition): void {
     if (condition !== next) {
@@ -111,6 +111,9 @@
   }
 
   function install(peer: RpcPeer, status: TargetStatus): void {
+    if (condition === 'lost' || condition === 'connecting') {
+      reachableSince = timer.now();
+    }
     const replaced = current;
     current = peer;
     replaced?.close('replaced by a fresh connection');
@@ -168,14 +171,11 @@
 
   /** How long the connection may be quiet. */
   function patience(peer: RpcPeer): Milliseconds {
-    const limit = isStreaming ? timings.silenceLimit : pollPeriod();
+    const pollPeriod = isStreaming ? undefined : options.pollPeriod();
+    const limit = pollPeriod ?? timings.silenceLimit;
     return limit - (timer.now() - peer.lastHeardAt());
   }
 
-  function pollPeriod(): Milliseconds {
-    return options.pollPeriod() ?? timings.silenceLimit;
-  }
-
   function* isAlive(peer: RpcPeer, suspected: boolean): Task<boolean> {
     if (isStreaming || suspected) {
       return isHeard(peer, suspected);
@@ -267,7 +267,7 @@
     return reply;
   }
 
-  const task: TaskHandle<never> = runtime.spawn(`link ${member.id}`, run());
+  const task = runtime.spawn(`link ${member.id}`, run());
 
   return {
     member,
@@ -275,6 +275,7 @@
     lossReason: () => lossReason,
     status: () => lastStatus,
     statusAt: () => statusAt,
+    reachableSince: () => reachableSince,
     incarnationSince: () => incarnationSince,
     request,
     ask,
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -68,14 +68,11 @@
 
 /** Creates a proxy; it does nothing until it is started. */
 export function createProxy(settings: Settings, context: ProxyContext): Proxy {
-  const {runtime, transport, logger} = context;
+  const {runtime, transport, logger, platform: inner} = context;
   const {timer} = runtime;
   const {limits, intervals} = settings;
   const self = identityOf(settings, runtime);
-  const platform = createResilientPlatformClient({
-    inner: context.platform,
-    runtime,
-  });
+  const platform = createResilientPlatformClient({inner, runtime});
   let listening = false;
   let stopping = false;
 
@@ -171,6 +168,9 @@
       transactionIdleTime: limits.transactionIdleTimeout,
     },
     onRequestEnd: createRequestRecorder(metrics, isKind),
+    ...(context.onRequestFault === undefined
+      ? {}
+      : {onFault: context.onRequestFault}),
   });
 
   membership.serve(peerHandlers);
