--- a/packages/failover/src/member_link.ts
+++ b/packages/failover/src/member_link.ts
@@ -27,6 +27,8 @@
   status(): TargetStatus | undefined;
   /** Monotonic time of the last status; -Infinity without one. */
   statusAt(): Milliseconds;
+  /** Monotonic time since when the member has not been lost. */
+  reachableSince(): Milliseconds;
   /** Monotonic time at which the process now at the address was first seen. */
   incarnationSince(): Milliseconds;
   /** Sends a request; fails at once without a connection. */
@@ -39,5 +41,7 @@
   ask(timeout: Milliseconds): Future<Result<TargetStatus, RequestFailure>>;
   /** Tries a fresh connection now, unless the stream was just heard. */
   suspect(): void;
+  /** Takes up the period at which the member is to be asked now. */
+  reviewPace(): void;
   close(): void;
 }
--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -111,6 +111,11 @@
     return attempt;
   }
 
+  function wallDeadline(operation: Operation): Milliseconds {
+    const remaining = operation.deadline - timer.now();
+    return timer.wallClock() + Math.ceil(remaining);
+  }
+
   function nameWrite(operation: Operation): IdempotencyKey {
     const id = `${name}-${operation.id}-${random.hexadecimal(8)}`;
     const key = {id, issuedAt: timer.wallClock()};
@@ -164,10 +169,11 @@
     method: string,
     parameters: object,
   ): Task<void> {
-    const deadline = timer.wallClock() + options.deadline;
+    const deadline = wallDeadline(operation);
     let mayHaveRun = false;
     for (let count = 1; ; count++) {
       const attempt = yield* request(method, parameters, deadline);
+      operation.firstAnswerAt ??= timer.now();
       mayHaveRun ||= attempt.told === 'unknown';
       const back = attempt.retryAfter ?? DEFAULT_RETURN;
       const isLate = timer.now() + back >= operation.deadline;
@@ -227,8 +233,9 @@
   function* transaction(): Task<void> {
     const statements = [appendStatement(), appendStatement()];
     const operation = begin('transaction', statements);
-    const deadline = timer.wallClock() + options.deadline;
+    const deadline = wallDeadline(operation);
     const begun = yield* request('begin', {}, deadline);
+    operation.firstAnswerAt = timer.now();
     const id = begun.answer?.transaction;
     if (id === undefined) {
       complete(operation, 'not_run', begun);
@@ -238,8 +245,8 @@
       const parameters = {transaction: id, statement};
       const written = yield* request('write', parameters, deadline);
       if (written.told !== 'confirmed') {
-        yield* request('rollback', {transaction: id}, deadline);
         complete(operation, 'not_run', written);
+        yield* request('rollback', {transaction: id}, deadline);
         return;
       }
     }
