--- a/packages/failover/__tests__/watch_pace.spec.ts
+++ b/packages/failover/__tests__/watch_pace.spec.ts
@@ -17,6 +17,7 @@
 const KILLED_LIMIT = 1500;
 const LARGE = 5667;
 const UNUSED_LONG_ENOUGH = 30_000;
+const AFTERWARDS = 60_000;
 
 type Cluster = ReturnType<typeof createCluster>;
 
@@ -38,12 +39,20 @@
     cluster.timer.advance(seed * 700);
     const term = cluster.termOf();
     const before = cluster.timer.now();
+    const changesBefore = countChanges(cluster);
     lose(cluster, primary);
     cluster.settle(() => isReplaced(cluster, primary, term));
     expect(cluster.timer.now() - before).toBeLessThan(limit);
+    // What the other watchers knew is old by now; they must not act on it.
+    cluster.timer.advance(AFTERWARDS);
+    expect(countChanges(cluster) - changesBefore).toEqual(1);
   }
 }
 
+function countChanges(cluster: Cluster): number {
+  return cluster.proxies.reduce((sum, {changes}) => sum + changes.length, 0);
+}
+
 /** True once another member leads and a majority follows it. */
 function isReplaced(cluster: Cluster, lost: MemberId, term: number): boolean {
   const statuses = MEMBERS.filter(id => id !== lost).map(id =>
