--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -13,6 +13,7 @@
 import {
   createIdempotentRequest,
   createMembership,
+  createShortExchange,
   startInstanceWatch,
 } from '@kelpstep/membership';
 import {
@@ -24,7 +25,6 @@
 import {
   GroupLeadership,
   ProxyIdentity,
-  peerExchange,
   peerForward,
   peerManifest,
 } from '@kelpstep/protocol';
@@ -68,14 +68,11 @@
 
 /** Creates a proxy; it does nothing until it is started. */
 export function createProxy(settings: Settings, context: ProxyContext): Proxy {
-  const {runtime, transport, logger} = context;
+  const {runtime, transport, logger, platform: inner} = context;
   const {timer} = runtime;
   const {limits, intervals} = settings;
   const self = identityOf(settings, runtime);
-  const platform = createResilientPlatformClient({
-    inner: context.platform,
-    runtime,
-  });
+  const platform = createResilientPlatformClient({inner, runtime});
   let listening = false;
   let stopping = false;
 
@@ -102,8 +99,11 @@
     runtime,
     self,
     seeds: settings.seeds,
-    exchange: (address, state) =>
-      askPeer(address, peerExchange, state, intervals.peerExchangeTimeout),
+    exchange: createShortExchange({
+      runtime,
+      ask: askPeer,
+      timeout: intervals.peerExchangeTimeout,
+    }),
     hooks: {
       ready: () => unreadyReason() === undefined,
       manifestVersion: () => manifests.version(),
@@ -168,6 +168,9 @@
       transactionIdleTime: limits.transactionIdleTimeout,
     },
     onRequestEnd: createRequestRecorder(metrics, isKind),
+    ...(context.onRequestFault === undefined
+      ? {}
+      : {onFault: context.onRequestFault}),
   });
 
   membership.serve(peerHandlers);
