--- a/packages/scenarios/src/scenario_actions.ts
+++ b/packages/scenarios/src/scenario_actions.ts
@@ -11,6 +11,11 @@
   recover(): void;
 }
 
+/** Who is told what was done. */
+type ActionListener = Pick<ClusterMonitor, 'noteAction' | 'noteLeaving'>;
+
+const NOBODY: ActionListener = {noteAction() {}, noteLeaving() {}};
+
 type ActionHandler = (name: string, amount: number) => void;
 
 const LATE_ONE_IN = 2;
@@ -18,7 +23,7 @@
 /** Creates a runner for a cluster. */
 export function createActionRunner(
   cluster: Cluster,
-  monitor: ClusterMonitor,
+  monitor: ActionListener = NOBODY,
 ): ActionRunner {
   const {network, targets, proxies, platform, deployment} = cluster;
   const frozen = new Map<string, FleetTarget>();
