feat(failover): count majorities over the configuration in the log

Cause: each proxy counted majorities over the members of the manifest it had in force.

Change: a log carries the configuration (member ids and addresses, version of the manifest that wanted it). Confirmation, read rounds, fences and the choice of a candidate count over it. A watcher asks the primary for changes, one member at a time (target.reconfigure), each only after the former one and the term's barrier are confirmed. Logs without a configuration are counted over the manifest as before.

--- a/packages/failover/__tests__/cluster.ts
+++ b/packages/failover/__tests__/cluster.ts
@@ -31,15 +31,39 @@
   promoterNumberOf,
 } from '..';
 
-export const MEMBERS = ['a', 'b', 'c'] as const;
-export type MemberId = (typeof MEMBERS)[number];
+const FIRST_MEMBERS = ['a', 'b', 'c'] as const;
+/** Members that may join a group of `MEMBERS`. */
+export const JOINERS = ['d', 'e', 'f'] as const;
+export type MemberId =
+  (typeof FIRST_MEMBERS)[number] | (typeof JOINERS)[number];
+/** Members of the first manifest. */
+export const MEMBERS: readonly MemberId[] = FIRST_MEMBERS;
 
 export const MEMBER_HOSTS: Record<MemberId, string> = {
   a: '10.0.0.1',
   b: '10.0.0.2',
   c: '10.0.0.3',
+  d: '10.0.0.4',
+  e: '10.0.0.5',
+  f: '10.0.0.6',
 };
 
+/** The group of the manifest with these members. */
+export function groupOf(members: readonly MemberId[]): Group {
+  return {
+    name: 'g',
+    readStaleness: 1000,
+    members: members.map(id => ({
+      id,
+      dataCentre: `dc-${id}`,
+      address: `${MEMBER_HOSTS[id]}:7000`,
+      state: 'serving',
+      slots: 3,
+      connectionLimit: 50,
+    })),
+  };
+}
+
 /** Host of a proxy by number; the number is its rank as watcher. */
 export function proxyHost(proxy: number): string {
   return `10.0.1.${proxy}`;
@@ -60,6 +84,8 @@
   readonly view: ManagedGroupView;
   /** Changes of leadership that it brought about. */
   readonly changes: LeadershipChange[];
+  /** Puts a version of the manifest in force. */
+  takeManifest(version: number, members: readonly MemberId[]): void;
 }
 
 /** A write that was told to be confirmed. */
@@ -87,18 +113,7 @@
   const superseded: ConfirmedWrite[] = [];
   let writes = 0;
 
-  const group: Group = {
-    name: 'g',
-    readStaleness: 1000,
-    members: MEMBERS.map(id => ({
-      id,
-      dataCentre: `dc-${id}`,
-      address: `${MEMBER_HOSTS[id]}:7000`,
-      state: 'serving',
-      slots: 3,
-      connectionLimit: 50,
-    })),
-  };
+  const group = groupOf(MEMBERS);
 
   function runtimeOn(host: string): Runtime {
     return createRuntime({
@@ -139,12 +154,18 @@
       isLeaving: member => leaving.has(member.id),
       onLeadershipChange: change => changes.push(change),
     });
-    directory.updateManifest([group]);
+    directory.updateManifest([group], 1);
     const view = directory.find('g');
     if (view === undefined) {
       throw new Error('no view');
     }
-    return {host, view, changes};
+    return {
+      host,
+      view,
+      changes,
+      takeManifest: (version, members) =>
+        directory.updateManifest([groupOf(members)], version),
+    };
   }
 
   MEMBERS.forEach(startMember);
@@ -289,14 +310,14 @@
   }
 
   /** Waits until all members hold the same log. */
-  function awaitConvergence(): void {
+  function awaitConvergence(members: readonly MemberId[] = MEMBERS): void {
     settle(() => {
-      const ends = MEMBERS.map(id => control(id).status().end);
+      const ends = members.map(id => control(id).status().end);
       return ends.every(
         end => end.term === ends[0]?.term && end.position === ends[0]?.position,
       );
     });
-    const logs = MEMBERS.map(id => JSON.stringify(control(id).records()));
+    const logs = members.map(id => JSON.stringify(control(id).records()));
     expect(logs.every(log => log === logs[0])).toEqual(true);
   }
 
--- a/packages/failover/index.ts
+++ b/packages/failover/index.ts
@@ -1,9 +1,11 @@
 /** Group state, confirmation by majority, failure detection and promotion. */
 export * from './src/confirmed_log';
+export * from './src/electorate';
 export * from './src/group_directory';
 export * from './src/group_view';
 export * from './src/managed_group_view';
 export * from './src/member_status';
+export * from './src/membership_change';
 export * from './src/promotion_choice';
 export * from './src/round_result';
 export * from './src/terms';
--- a/packages/failover/src/confirmed_log.ts
+++ b/packages/failover/src/confirmed_log.ts
@@ -8,7 +8,9 @@
 } from '@kelpstep/protocol';
 
 import type {Confirmation} from './group_view';
-import {MemberLog, isVoter, majorityOf} from './member_status';
+import {Electorate, electorateOf} from './electorate';
+import {newestLog} from './group_members';
+import {MemberLog, isVoter} from './member_status';
 
 /** The highest confirmed record and the history of a log that holds it. */
 export interface ConfirmedLog {
@@ -26,14 +28,15 @@
 export interface ConfirmationInput {
   /** Last status of each member that was heard; none of other targets. */
   readonly logs: readonly MemberLog[];
-  /** Members in the manifest's group, heard or not. */
+  /** Members that count, heard or not, if the logs have no configuration. */
   readonly groupSize: number;
   /** Member id of a term's primary, if it is known. */
   primaryOf(term: number): string | undefined;
 }
 
 /**
- * The highest record that a majority holds in the newest term that wrote any.
+ * The highest record that a majority holds in the newest term that wrote any;
+ * the newest log says whose majority.
  * Members that have seen a higher term do not count, so nothing is confirmed
  * in a term that is known to be fenced at a majority.
  */
@@ -45,45 +48,41 @@
     return undefined;
   }
   const {term} = newest.end;
-  const held = heldPositions(input, term, newest.end.position);
-  const position = held[majorityOf(input.groupSize) - 1];
+  const electorate = electorateOf(newest, input.groupSize);
+  const held = heldPositions(input, electorate, newest.end);
+  const position = held[electorate.majority - 1];
   if (position === undefined) {
     return undefined;
   }
   return {at: {term, position}, history: newest.history};
 }
 
-function newestLog(logs: readonly MemberLog[]): MemberLog | undefined {
-  let newest: MemberLog | undefined;
-  for (const log of logs) {
-    const end = newest?.end ?? EMPTY_LOG_END;
-    if (compareLogPositions(log.end, end) > 0) {
-      newest = log;
-    }
-  }
-  return newest;
-}
-
 /**
  * How far members hold a term's records, the farthest first. A log that ends
  * within a term holds the term's barrier, so no position lies before it.
  */
 function heldPositions(
   input: ConfirmationInput,
-  term: number,
-  farthest: number,
+  electorate: Electorate,
+  farthest: LogPosition,
 ): number[] {
+  const {term} = farthest;
   const positions: number[] = [];
   const primary = input.primaryOf(term);
   for (const log of input.logs) {
     const counts = isVoter(log) && log.term === term && log.end.term === term;
-    if (counts && log.target !== primary) {
+    const isReplica = log.target !== primary;
+    if (counts && isReplica && electorate.includes(log.target)) {
       positions.push(log.end.position);
     }
   }
-  if (primary !== undefined && !isFenced(input.logs, primary, term)) {
+  if (
+    primary !== undefined &&
+    electorate.includes(primary) &&
+    !isFenced(input.logs, primary, term)
+  ) {
     // It wrote whatever any other member holds of its term.
-    positions.push(farthest);
+    positions.push(farthest.position);
   }
   return positions.sort((left, right) => right - left);
 }
--- a/packages/failover/src/group_directory.ts
+++ b/packages/failover/src/group_directory.ts
@@ -15,8 +15,8 @@
   /** The view of a group, if the manifest has it. */
   find(group: string): ManagedGroupView | undefined;
   views(): readonly GroupView[];
-  /** Takes the groups of a new manifest. */
-  updateManifest(groups: readonly Group[]): void;
+  /** Takes the groups of a new manifest, and its version. */
+  updateManifest(groups: readonly Group[], manifestVersion?: number): void;
   /** Takes in what a peer told. Unknown groups and members are ignored. */
   learnLeadership(leadership: GroupLeadership): void;
   /** The newest confirmed leaderships known, for peers. */
@@ -27,7 +27,10 @@
 }
 
 /** What a directory is made of: what its views have in common. */
-export type GroupDirectoryOptions = Omit<GroupViewOptions, 'group'>;
+export type GroupDirectoryOptions = Omit<
+  GroupViewOptions,
+  'group' | 'manifestVersion'
+>;
 
 /** Groups whose watching is reviewed without a pause. */
 const REVIEW_BATCH = 64;
@@ -40,7 +43,7 @@
   const views = new Map<string, ManagedGroupView>();
   let review: TaskHandle<void> | undefined;
 
-  function updateManifest(groups: readonly Group[]): void {
+  function updateManifest(groups: readonly Group[], manifestVersion = 0): void {
     const names = new Set(groups.map(group => group.name));
     for (const [name, view] of views) {
       if (!names.has(name)) {
@@ -51,9 +54,12 @@
     for (const group of groups) {
       const view = views.get(group.name);
       if (view === undefined) {
-        views.set(group.name, createGroupView({...options, group}));
+        views.set(
+          group.name,
+          createGroupView({...options, group, manifestVersion}),
+        );
       } else {
-        view.updateGroup(group);
+        view.updateGroup(group, manifestVersion);
       }
     }
     reviewWatching();
--- a/packages/failover/src/group_state.ts
+++ b/packages/failover/src/group_state.ts
@@ -16,16 +16,18 @@
   createConfirmationWaiters,
 } from './confirmation_waiters';
 import {Freshness, createFreshness} from './freshness';
+import {GroupMembers, createGroupMembers} from './group_members';
 import type {Leadership} from './group_view';
 import type {MemberLink} from './member_link';
-import {majorityOf} from './member_status';
 
 /** Knowledge about one group; changes are told to listeners. */
 export interface GroupState {
   readonly freshness: Freshness;
   readonly waiters: ConfirmationWaiters;
-  group(): Group;
+  readonly members: Omit<GroupMembers, 'setGroup' | 'learn'>;
+  /** How many members count. */
   groupSize(): number;
+  /** Links to all members, whether they count or not. */
   links(): readonly MemberLink[];
   link(memberId: string): MemberLink | undefined;
   /** Last statuses of the members that were heard. */
@@ -46,9 +48,9 @@
   /** Ends the doubt: a majority answered a primary's term. */
   endDoubt(): void;
   /** Takes a new description of the group without opening links. */
-  setGroup(group: Group): void;
+  setGroup(group: Group, manifestVersion: number): void;
   /** Opens links to the group's members; closes those of former members. */
-  open(group: Group): void;
+  open(): void;
   close(): void;
   /** Calls the listener after every status. */
   onChange(listener: () => void): Unsubscribe;
@@ -60,6 +62,8 @@
 export interface GroupStateOptions {
   readonly timer: TimerService;
   readonly group: Group;
+  /** Version of the manifest that the group is of. */
+  readonly manifestVersion: number;
   /** Opens a link; `onChange` is called after each status. */
   createLink(member: Member, onChange: () => void): MemberLink;
   /** Called when a newer confirmed leadership became known. */
@@ -75,7 +79,7 @@
   const links = new Map<string, MemberLink>();
   const freshness = createFreshness();
   const waiters = createConfirmationWaiters(timer, () => confirmed);
-  let group = options.group;
+  const members = createGroupMembers(options.group, options.manifestVersion);
   let confirmed = NOTHING_CONFIRMED;
   let leader: Leadership | undefined;
   let leaderSince = -Infinity;
@@ -104,12 +108,15 @@
 
   function followedBy(replicas: readonly TargetStatus[]): string | undefined {
     const address = replicas.find(replica => replica.following)?.following;
-    return group.members.find(member => member.address === address)?.id;
+    return members.all().find(member => member.address === address)?.id;
   }
 
   function update(): void {
-    const logs = statuses();
-    const input = {logs, groupSize: group.members.length, primaryOf};
+    if (members.learn(statuses())) {
+      syncLinks();
+    }
+    const {size} = members.electorate();
+    const input = {logs: statuses(), groupSize: size, primaryOf};
     const computed = computeConfirmed(input) ?? confirmed;
     if (isAdvance(confirmed, computed)) {
       confirmed = computed;
@@ -127,7 +134,7 @@
   }
 
   function learnLeadership(leadership: Leadership): void {
-    const isMember = group.members.some(({id}) => id === leadership.primary);
+    const isMember = members.all().some(({id}) => id === leadership.primary);
     if (leadership.term <= (leader?.term ?? 0) || !isMember) {
       return;
     }
@@ -147,11 +154,12 @@
 
   /** True if what members told since shows that the leadership is over. */
   function isDeposed({term, primary}: Leadership): boolean {
+    const electorate = members.electorate();
     let above = 0;
     for (const status of statuses()) {
-      above += status.term > term ? 1 : 0;
+      above += status.term > term && electorate.includes(status.target) ? 1 : 0;
     }
-    return above >= majorityOf(group.members.length) || hasLeft(term, primary);
+    return above >= electorate.majority || hasLeft(term, primary);
   }
 
   function hasLeft(term: number, primary: string): boolean {
@@ -177,21 +185,24 @@
     return Math.max(observedTerm, leader?.term ?? 0, ...terms);
   }
 
-  function open(next: Group): void {
-    group = next;
+  function open(): void {
+    syncLinks();
+    update();
+  }
+
+  function syncLinks(): void {
     for (const [id, link] of links) {
-      const member = group.members.find(candidate => candidate.id === id);
+      const member = members.all().find(candidate => candidate.id === id);
       if (member?.address !== link.member.address) {
         link.close();
         links.delete(id);
       }
     }
-    for (const member of group.members) {
+    for (const member of members.all()) {
       if (!links.has(member.id)) {
         links.set(member.id, options.createLink(member, update));
       }
     }
-    update();
   }
 
   function close(): void {
@@ -226,8 +237,8 @@
   return {
     freshness,
     waiters,
-    group: () => group,
-    groupSize: () => group.members.length,
+    members,
+    groupSize: () => members.electorate().size,
     links: () => [...links.values()],
     link: memberId => links.get(memberId),
     statuses,
@@ -242,9 +253,7 @@
       inDoubt = false;
       notify();
     },
-    setGroup(next) {
-      group = next;
-    },
+    setGroup: members.setGroup,
     open,
     close,
     onChange: listener => subscribe(listeners, listener),
--- a/packages/failover/src/managed_group_view.ts
+++ b/packages/failover/src/managed_group_view.ts
@@ -26,7 +26,7 @@
 /** A group's view with what its owner may tell it. */
 export interface ManagedGroupView extends GroupView {
   /** Takes the group as a new manifest describes it. */
-  updateGroup(group: Group): void;
+  updateGroup(group: Group, manifestVersion?: number): void;
   /** Takes in a leadership that a peer told. */
   learnLeadership(leadership: Leadership): void;
   /** The newest leadership known to have been confirmed, perhaps over. */
@@ -48,6 +48,8 @@
   readonly runtime: Runtime;
   readonly transport: Transport;
   readonly group: Group;
+  /** Version of the manifest that the group is of; 0 by default. */
+  readonly manifestVersion?: number;
   /** Times that differ from the defaults. */
   readonly timings?: Partial<FailoverTimings>;
   /** 0 to 65535, see `promoterNumberOf`. */
@@ -75,10 +77,11 @@
   const state = createGroupState({
     timer,
     group: options.group,
+    manifestVersion: options.manifestVersion ?? 0,
     createLink: (member, onChange) =>
       createMemberLink({runtime, transport, timings, member, onChange}),
     onLeadership: leadership =>
-      options.onLeadershipLearned?.(state.group().name, leadership),
+      options.onLeadershipLearned?.(options.group.name, leadership),
   });
   const rounds = createReadRounds({
     runtime,
@@ -109,19 +112,21 @@
   });
 
   function findMember(memberId: string): Member | undefined {
-    return state.group().members.find(({id}) => id === memberId);
+    return state.members.all().find(({id}) => id === memberId);
   }
 
   function isLeaving(memberId: string): boolean {
     const member = findMember(memberId);
     return (
       member !== undefined &&
-      (member.state === 'leaving' || options.isLeaving(member))
+      (member.state === 'leaving' ||
+        options.isLeaving(member) ||
+        state.members.isUnwanted(memberId))
     );
   }
 
   function cost(memberId: string): number {
-    const {members} = state.group();
+    const members = state.members.all();
     const index = members.findIndex(({id}) => id === memberId);
     const isNear = members[index]?.dataCentre === options.dataCentre;
     return (
@@ -139,7 +144,7 @@
   }
 
   function watchRank(): number | undefined {
-    return options.watchRank(state.group().name);
+    return options.watchRank(options.group.name);
   }
 
   function open(): void {
@@ -147,7 +152,7 @@
       return;
     }
     isOpen = true;
-    state.open(state.group());
+    state.open();
     background = runtime.spawn('group rounds', runBackgroundRounds());
     cancelIdleCheck = timer.every(timings.idleTime / 4, closeIfIdle);
     startWatching();
@@ -214,7 +219,7 @@
     successor?: string,
   ): Future<Result<LeadershipChange, Failure>> {
     touch();
-    const name = `switch-over ${state.group().name}`;
+    const name = `switch-over ${options.group.name}`;
     const task = runOrderedSwitchOver(context, isLeaving, successor);
     const result = runtime.spawn(name, task).result;
     result.onSettled(change => {
@@ -254,11 +259,10 @@
     },
     observeSilence: memberId => state.link(memberId)?.suspect(),
     onChange: state.onShift,
-    updateGroup(group) {
+    updateGroup(group, manifestVersion = 0) {
+      state.setGroup(group, manifestVersion);
       if (isOpen) {
-        state.open(group);
-      } else {
-        state.setGroup(group);
+        state.open();
       }
       reviewWatching();
     },
--- a/packages/failover/src/member_status.ts
+++ b/packages/failover/src/member_status.ts
@@ -4,14 +4,15 @@
 /** The part of a status that confirmation and promotion look at. */
 export type MemberLog = Pick<
   TargetStatus,
-  'target' | 'role' | 'term' | 'end' | 'history' | 'catchingUp'
+  | 'target'
+  | 'role'
+  | 'term'
+  | 'end'
+  | 'history'
+  | 'catchingUp'
+  | 'configuration'
 >;
 
-/** The least number of members that is a majority. */
-export function majorityOf(groupSize: number): number {
-  return Math.floor(groupSize / 2) + 1;
-}
-
 /**
  * True if the member counts towards majorities. One that started empty may
  * have forgotten records and fences that it had agreed to, so it counts again
--- a/packages/failover/src/member_views.ts
+++ b/packages/failover/src/member_views.ts
@@ -5,12 +5,12 @@
 import type {GroupState} from './group_state';
 import type {MemberView} from './group_view';
 
-/** All members of the manifest's group, heard or not. */
+/** All members of the group, heard or not. */
 export function describeMembers(
   state: GroupState,
   isLeaving: (memberId: string) => boolean,
 ): MemberView[] {
-  return state.group().members.map(member => {
+  return state.members.all().map(member => {
     const link = state.link(member.id);
     const status = link?.status();
     const end = status?.end ?? EMPTY_LOG_END;
--- a/packages/failover/src/ordered_switch_over.ts
+++ b/packages/failover/src/ordered_switch_over.ts
@@ -40,7 +40,7 @@
   }
   const {term, primary, durations} = outcome;
   return Ok({
-    group: context.state.group().name,
+    group: context.state.members.group().name,
     term,
     primary,
     previous: request.from.primary,
--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -5,6 +5,7 @@
  * steps refused once another has fenced a higher term.
  */
 import {
+  Configuration,
   LogPosition,
   TargetStatus,
   targetFence,
@@ -148,8 +149,9 @@
   if (link === undefined) {
     return undefined;
   }
+  const request = {term, configuration: initialConfiguration(state)};
   const promoted = yield* waitFor(
-    link.request(targetPromote, {term}, timings.requestTimeout),
+    link.request(targetPromote, request, timings.requestTimeout),
   );
   if (promoted.ok) {
     return promoted.val.at;
@@ -161,6 +163,14 @@
   return leads ? status.val.end : undefined;
 }
 
+/** What the manifest wants: it counts if no log has a configuration yet. */
+function initialConfiguration({members}: GroupState): Configuration {
+  return {
+    version: members.manifestVersion(),
+    members: members.group().members.map(({id, address}) => ({id, address})),
+  };
+}
+
 /** Waits for the barrier's majority, unless its primary is lost as well. */
 function* waitForBarrier(
   {runtime, timings, state}: PromotionContext,
--- a/packages/failover/src/promotion_choice.ts
+++ b/packages/failover/src/promotion_choice.ts
@@ -1,10 +1,12 @@
 /** Which member a promoter may and should promote. */
 import {TargetStatus, compareLogPositions} from '@kelpstep/protocol';
 
-import {isVoter, majorityOf} from './member_status';
+import {electorateOf} from './electorate';
+import {isVoter} from './member_status';
 
 /** What bears on the choice besides the logs. */
 export interface ChoicePreferences {
+  /** Members that count if the logs have no configuration. */
   readonly groupSize: number;
   /** Members to pass over if a majority remains without them. */
   isAvoided(memberId: string): boolean;
@@ -12,18 +14,35 @@
   cost(memberId: string): number;
 }
 
-/**
- * True if these members, fenced, decide a term: a majority of voters, or
- * every member of the group. The latter bootstraps a group whose members are
- * empty and completes a bootstrap that was broken off: with every log at hand
- * the highest lacks nothing that any of them holds.
- */
+/** True if one of these members, fenced, may be promoted. */
 export function isQuorum(
   statuses: readonly TargetStatus[],
   groupSize: number,
 ): boolean {
-  const voters = statuses.filter(isVoter).length;
-  return voters >= majorityOf(groupSize) || statuses.length === groupSize;
+  return statuses.some(status => mayLead(status, statuses, groupSize));
+}
+
+/**
+ * True if a member may lead by the configuration of its own log: a majority of
+ * voters whose logs are not higher, or no higher log among all members. The
+ * latter bootstraps a group whose members are empty and completes a bootstrap
+ * that was broken off: the log lacks nothing that any member holds.
+ */
+function mayLead(
+  candidate: TargetStatus,
+  fenced: readonly TargetStatus[],
+  groupSize: number,
+): boolean {
+  const electorate = electorateOf(candidate, groupSize);
+  const members = fenced.filter(({target}) => electorate.includes(target));
+  const covered = members.filter(
+    ({end}) => compareLogPositions(end, candidate.end) <= 0,
+  );
+  return (
+    electorate.includes(candidate.target) &&
+    (covered.filter(isVoter).length >= electorate.majority ||
+      covered.length === electorate.size)
+  );
 }
 
 /**
@@ -35,15 +54,13 @@
   fenced: readonly TargetStatus[],
   preferences: ChoicePreferences,
 ): TargetStatus | undefined {
-  const {groupSize} = preferences;
-  if (!isQuorum(fenced, groupSize)) {
-    return undefined;
-  }
-  const wanted = fenced.filter(
+  const able = fenced.filter(status =>
+    mayLead(status, fenced, preferences.groupSize),
+  );
+  const wanted = able.filter(
     status => isVoter(status) && !preferences.isAvoided(status.target),
   );
-  const enough = wanted.length >= majorityOf(groupSize);
-  return highest(enough ? wanted : fenced, preferences);
+  return highest(wanted.length > 0 ? wanted : able, preferences);
 }
 
 function highest(
--- a/packages/failover/src/round_result.ts
+++ b/packages/failover/src/round_result.ts
@@ -1,7 +1,8 @@
 /** What a round of status questions to all members proves. */
 import type {LogPosition, TargetStatus} from '@kelpstep/protocol';
 
-import {findPrimary, isVoter, majorityOf} from './member_status';
+import {electorateOf} from './electorate';
+import {findPrimary, isVoter} from './member_status';
 
 /** A round that succeeded. */
 export interface RoundResult {
@@ -13,7 +14,8 @@
 }
 
 /**
- * Succeeds if a majority, the primary among them, answered its term. Then no
+ * Succeeds if a majority, by the primary's log and with the primary among
+ * them, answered its term. Then no
  * later primary had confirmed anything when the questions were sent, and the
  * primary's log holds all that was confirmed until then.
  */
@@ -26,10 +28,14 @@
     return undefined;
   }
   const {term, target, end} = primary;
+  const electorate = electorateOf(primary, groupSize);
   const inTerm = answers.filter(
-    answer => isVoter(answer) && answer.term === term,
+    answer =>
+      isVoter(answer) &&
+      answer.term === term &&
+      electorate.includes(answer.target),
   );
-  return inTerm.length >= majorityOf(groupSize)
+  return inTerm.length >= electorate.majority
     ? {term, primary: target, end}
     : undefined;
 }
--- a/packages/failover/src/situation.ts
+++ b/packages/failover/src/situation.ts
@@ -3,7 +3,8 @@
 import type {Milliseconds} from '@kelpstep/runtime';
 
 import type {LinkCondition, LossReason} from './member_link';
-import {findPrimary, isVoter, majorityOf} from './member_status';
+import {majorityOf} from './electorate';
+import {findPrimary, isVoter} from './member_status';
 import type {FailoverTimings} from './timings';
 
 /** One member as a watcher sees it. */
@@ -40,10 +41,13 @@
 
 /** What a watcher knows besides the members' own reports. */
 export interface SituationInput {
+  /** The members that count. */
   readonly members: readonly WatchedMember[];
   /** The newest leadership this proxy heard of. */
   readonly known: {readonly term: number; readonly primary: string} | undefined;
   readonly confirmedTerm: number;
+  /** Highest term of a member that doesn't count yet. */
+  readonly joinersTerm?: number;
   readonly isolationLimit: Milliseconds;
 }
 
@@ -121,7 +125,7 @@
   if (role !== 'primary' || term !== leader.term) {
     return 'leaderless';
   }
-  if (above > 0) {
+  if (above > 0 || (input.joinersTerm ?? 0) > leader.term) {
     return 'split_term';
   }
   if (isIsolated(input, statuses, leader, member.address)) {
--- a/packages/failover/src/switch_over.ts
+++ b/packages/failover/src/switch_over.ts
@@ -85,6 +85,7 @@
   {from, isLeaving, successor}: SwitchOverRequest,
 ): MemberLink | undefined {
   const end = state.link(from.primary)?.status()?.end.position ?? 0;
+  const electorate = state.members.electorate();
   let best: MemberLink | undefined;
   for (const link of state.links()) {
     const status = link.status();
@@ -92,6 +93,7 @@
     const eligible =
       id !== from.primary &&
       !isLeaving(id) &&
+      electorate.includes(id) &&
       (successor === undefined || id === successor) &&
       link.condition() === 'open' &&
       status !== undefined &&
--- a/packages/failover/src/watcher.ts
+++ b/packages/failover/src/watcher.ts
@@ -21,6 +21,7 @@
   promote,
 } from './promotion';
 import {createReconciler} from './reconciliation';
+import {createReconfigurer} from './reconfiguration';
 import {Problem, WatchedMember, findProblem, patienceFor} from './situation';
 import {judgeSurvey, survey} from './survey';
 import {findSuccessor, switchOver} from './switch_over';
@@ -70,6 +71,7 @@
   const {timer, random} = runtime;
   const wake = createMailbox<'shifted'>();
   const reconciler = createReconciler(context, options.majorityAskedAt);
+  const reconfigurer = createReconfigurer(context);
   let suspicion: Suspicion | undefined;
   /** Since when replicas have told that they hear a primary lost to us. */
   let heardSince: Milliseconds | undefined;
@@ -103,8 +105,15 @@
   }
 
   function findProblemNow(): Problem | undefined {
+    const electorate = state.members.electorate();
+    const isCounted = (link: MemberLink) => electorate.includes(link.member.id);
+    const joiners = state.links().filter(link => !isCounted(link));
     return findProblem({
-      members: state.links().map(describeMember),
+      members: state.links().filter(isCounted).map(describeMember),
+      joinersTerm: Math.max(
+        0,
+        ...joiners.map(link => link.status()?.term ?? 0),
+      ),
       known: state.lastLeadership(),
       confirmedTerm: state.confirmed().at.term,
       isolationLimit: timings.isolationLimit,
@@ -183,7 +192,7 @@
     const sinceHeard =
       heardAt === undefined ? undefined : timer.now() - heardAt;
     options.onLeadershipChange({
-      group: state.group().name,
+      group: state.members.group().name,
       term,
       primary,
       previous,
@@ -199,6 +208,7 @@
 
   function* maintain(rank: number): Task<void> {
     reconciler.bringBackStrays(rank);
+    reconfigurer.changeMembers(rank);
     const leadership = state.leadership();
     if (leadership === undefined) {
       return;
@@ -229,7 +239,7 @@
   }
 
   const task: TaskHandle<never> = runtime.spawn(
-    `watcher ${state.group().name}`,
+    `watcher ${state.members.group().name}`,
     watch(),
   );
 
--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -67,6 +67,7 @@
   WRITES_PAUSED: define(2004, 'not_run', true, 'Paused for a switch-over.'),
   CONNECTIONS_EXHAUSTED: define(2005, 'not_run', true, 'At connection limit.'),
   SLOTS_EXHAUSTED: define(2006, 'not_run', true, 'No free slot.'),
+  CONFIGURATION_CHANGED: define(2007, 'not_run', false, 'Another is newer.'),
 
   VERSION_CONFLICT: define(3001, 'not_run', false, 'Another commit won.'),
   UNAUTHORIZED: define(3002, 'not_run', false, 'The operator token is wrong.'),
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -9,6 +9,27 @@
 export const targetRoleSchema = z.enum(['primary', 'replica']);
 export type TargetRole = z.infer<typeof targetRoleSchema>;
 
+/** Most members of a configuration. */
+const MAXIMUM_MEMBERS = 100;
+
+/** The members of a group that count towards its majorities. */
+export const configurationSchema = z.strictObject({
+  /** Version of the manifest that wanted this configuration. */
+  version: z.number().int().nonnegative(),
+  members: z
+    .array(z.strictObject({id: z.string(), address: z.string()}))
+    .min(1)
+    .max(MAXIMUM_MEMBERS)
+    .readonly(),
+});
+export type Configuration = z.infer<typeof configurationSchema>;
+
+/** A configuration and the record that brought it. */
+export const loggedConfigurationSchema = configurationSchema.extend({
+  at: logPositionSchema,
+});
+export type LoggedConfiguration = z.infer<typeof loggedConfigurationSchema>;
+
 /** What a target tells about itself. */
 export const targetStatusSchema = z.strictObject({
   /** Member id, as in the manifest. */
@@ -32,6 +53,11 @@
    * have forgotten records and fences.
    */
   catchingUp: z.boolean().optional(),
+  /**
+   * The newest configuration in its log, in effect from its record on. Absent
+   * if the log is empty, or written before logs held configurations.
+   */
+  configuration: loggedConfigurationSchema.optional(),
   /** Statements that it runs at a time. */
   slots: z.number().int().positive(),
   /** Connections it accepts at most. */
@@ -137,11 +163,31 @@
 
 /**
  * Makes the target, fenced at just this term, the primary. It writes a barrier
- * record as the first of its term and answers with the barrier's position.
+ * record as the first of its term and answers with the barrier's position. If
+ * its log holds no configuration, the barrier takes the one given here.
  */
 export const targetPromote = defineMethod(
   'target.promote',
-  z.strictObject({term: termSchema}),
+  z.strictObject({
+    term: termSchema,
+    configuration: configurationSchema.optional(),
+  }),
+  z.strictObject({at: logPositionSchema}),
+);
+
+/**
+ * Makes the primary of just this term write a record with a new configuration,
+ * unless the newest in its log is another than that at `replaces`; then the
+ * answer is `CONFIGURATION_CHANGED`. Who asks has seen the record `replaces`
+ * and the term's barrier confirmed, and changes one member.
+ */
+export const targetReconfigure = defineMethod(
+  'target.reconfigure',
+  z.strictObject({
+    term: termSchema,
+    replaces: logPositionSchema,
+    configuration: configurationSchema,
+  }),
   z.strictObject({at: logPositionSchema}),
 );
 
@@ -192,6 +238,8 @@
   rows: rowsSchema.optional(),
   /** True if the record cancels its key. */
   cancelsKey: z.boolean().optional(),
+  /** Counts for majorities from this record on. */
+  configuration: configurationSchema.optional(),
 });
 export type LogRecord = z.infer<typeof logRecordSchema>;
 
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -201,7 +201,7 @@
 
   function takeManifest({version, manifest}: AcceptedManifest): void {
     logger.info('manifest_in_force', {version});
-    groups.updateManifest(manifest.groups);
+    groups.updateManifest(manifest.groups, version);
     requests.reconfigure();
     membership.spread();
   }
--- a/packages/stand-ins/src/database/database.ts
+++ b/packages/stand-ins/src/database/database.ts
@@ -10,6 +10,7 @@
   targetFollow,
   targetPauseWrites,
   targetPromote,
+  targetReconfigure,
   targetReplicate,
   targetRollback,
   targetSettleKey,
@@ -153,6 +154,7 @@
 
   function status(): TargetStatus {
     const following = member.following();
+    const configuration = store.configuration();
     return {
       target,
       incarnation,
@@ -162,6 +164,7 @@
       history: store.history(),
       catchingUp: catchUp.isCatchingUp(store.end().position),
       ...(following === undefined ? {} : {following}),
+      ...(configuration === undefined ? {} : {configuration}),
       ...(member.role() === 'primary'
         ? {}
         : {primarySilence: client.silence()}),
@@ -192,8 +195,13 @@
       .handle(targetFence, ({term}) =>
         settledFuture(member.fence(term).map(status)),
       )
-      .handle(targetPromote, ({term}) =>
-        settledFuture(member.promote(term).map(at => ({at}))),
+      .handle(targetPromote, ({term, configuration}) =>
+        settledFuture(member.promote(term, configuration).map(at => ({at}))),
+      )
+      .handle(targetReconfigure, ({term, replaces, configuration}) =>
+        settledFuture(
+          member.reconfigure(term, replaces, configuration).map(at => ({at})),
+        ),
       )
       .handle(targetFollow, ({term, primary}) =>
         settledFuture(member.follow(term, primary).map(() => ({}))),
--- a/packages/stand-ins/src/database/member_state.ts
+++ b/packages/stand-ins/src/database/member_state.ts
@@ -1,8 +1,10 @@
 /** Term and role of one member of a group. */
 import {
+  Configuration,
   Failure,
   LogPosition,
   TargetRole,
+  compareLogPositions,
   createFailure,
 } from '@kelpstep/protocol';
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
@@ -23,8 +25,20 @@
   checkPause(): Failure | undefined;
   /** Refuses lower terms from now on. */
   fence(term: number): Result<undefined, Failure>;
-  /** Makes it primary; gives the barrier's position. */
-  promote(term: number): Result<LogPosition, Failure>;
+  /**
+   * Makes it primary; gives the barrier's position. The barrier takes the
+   * configuration if the log holds none.
+   */
+  promote(
+    term: number,
+    configuration?: Configuration,
+  ): Result<LogPosition, Failure>;
+  /** Writes a configuration in place of the one at a position. */
+  reconfigure(
+    term: number,
+    replaces: LogPosition,
+    configuration: Configuration,
+  ): Result<LogPosition, Failure>;
   /** Makes it a replica of the primary of a term. */
   follow(term: number, primary: string): Result<undefined, Failure>;
   /** Refuses writes for a time. */
@@ -96,7 +110,10 @@
     return Ok(undefined);
   }
 
-  function promote(wanted: number): Result<LogPosition, Failure> {
+  function promote(
+    wanted: number,
+    initial?: Configuration,
+  ): Result<LogPosition, Failure> {
     if (wanted < term) {
       return Err(tooLow());
     }
@@ -109,14 +126,36 @@
     fencedAt = undefined;
     role = 'primary';
     options.catchUp.lead();
+    const configuration = store.configuration() ? undefined : initial;
     return store
-      .write({term, statements: [], answersRows: false})
+      .write({term, statements: [], answersRows: false, configuration})
       .map(written => {
         barrier = written.at;
         return written.at;
       });
   }
 
+  function reconfigure(
+    wanted: number,
+    replaces: LogPosition,
+    configuration: Configuration,
+  ): Result<LogPosition, Failure> {
+    const refusal = checkPrimary(wanted) ?? checkPause();
+    if (refusal !== undefined) {
+      return Err(refusal);
+    }
+    const current = store.configuration();
+    if (
+      current === undefined ||
+      compareLogPositions(current.at, replaces) !== 0
+    ) {
+      return Err(createFailure('CONFIGURATION_CHANGED', {term}));
+    }
+    return store
+      .write({term, statements: [], answersRows: false, configuration})
+      .map(({at}) => at);
+  }
+
   function follow(
     newTerm: number,
     primary: string,
@@ -157,6 +196,7 @@
     checkPause,
     fence,
     promote,
+    reconfigure,
     follow,
     pauseWrites,
   };
--- a/packages/stand-ins/src/database/replicated_log.ts
+++ b/packages/stand-ins/src/database/replicated_log.ts
@@ -3,6 +3,7 @@
   EMPTY_LOG_END,
   LogPosition,
   LogRecord,
+  LoggedConfiguration,
   TermHistory,
   termAt,
 } from '@kelpstep/protocol';
@@ -17,6 +18,8 @@
   /** Drops the records beyond a position. */
   truncate(keep: number): void;
   recordAt(position: number): LogRecord | undefined;
+  /** The newest configuration up to a position. */
+  configurationAt(position: number): LoggedConfiguration | undefined;
   /** At most `limit` records beyond a position. */
   recordsAfter(position: number, limit: number): LogRecord[];
 }
@@ -36,6 +39,7 @@
 export function createReplicatedLog(): ReplicatedLog {
   let records: LogRecord[] = [];
   let history: TermHistory = [];
+  let configurations: LoggedConfiguration[] = [];
 
   function end(): LogPosition {
     return records.at(-1)?.at ?? EMPTY_LOG_END;
@@ -46,12 +50,20 @@
     if (term !== end().term) {
       history = [...history, {term, firstPosition: position}];
     }
+    if (record.configuration !== undefined) {
+      configurations.push({...record.configuration, at: record.at});
+    }
     records.push(record);
   }
 
+  function configurationAt(position: number): LoggedConfiguration | undefined {
+    return configurations.findLast(({at}) => at.position <= position);
+  }
+
   function truncate(keep: number): void {
     records = records.slice(0, keep);
     history = historyUpTo(history, keep);
+    configurations = configurations.filter(({at}) => at.position <= keep);
   }
 
   return {
@@ -59,6 +71,7 @@
     history: () => history,
     append,
     truncate,
+    configurationAt,
     recordAt: position => records[position - 1],
     recordsAfter: (position, limit) =>
       records.slice(position, position + limit),
--- a/packages/stand-ins/src/database/store.ts
+++ b/packages/stand-ins/src/database/store.ts
@@ -3,11 +3,13 @@
  * records that are not applied yet; they don't count as part of its log.
  */
 import {
+  Configuration,
   EMPTY_LOG_END,
   Failure,
   IdempotencyKey,
   LogPosition,
   LogRecord,
+  LoggedConfiguration,
   Rows,
   Statement,
   TermHistory,
@@ -25,6 +27,7 @@
   readonly statements: Statement[];
   readonly key?: IdempotencyKey;
   readonly cancelsKey?: boolean;
+  readonly configuration?: Configuration | undefined;
   /** Whether the rows of the last statement are the answer. */
   readonly answersRows: boolean;
 }
@@ -42,6 +45,8 @@
   /** End of the log that is applied. */
   end(): LogPosition;
   history(): TermHistory;
+  /** The newest configuration in the log that is applied. */
+  configuration(): LoggedConfiguration | undefined;
   /** Log with the records that are received but not applied. */
   received(): LogOutline;
   recordsAfter(position: number, limit: number): LogRecord[];
@@ -84,6 +89,7 @@
 
   function write(newRecord: NewRecord): Result<Written, Failure> {
     const {term, statements, key, cancelsKey, answersRows} = newRecord;
+    const {configuration} = newRecord;
     const at = {term, position: end.position + 1};
     tables.setPosition(at.position);
     const answer = run(statements);
@@ -96,6 +102,7 @@
       statements,
       ...(key === undefined ? {} : {key, rows}),
       ...(cancelsKey === undefined ? {} : {cancelsKey}),
+      ...(configuration === undefined ? {} : {configuration}),
     };
     log.append(record);
     keys.record(record);
@@ -154,6 +161,7 @@
     keys,
     end: () => end,
     history: () => historyUpTo(log.history(), end.position),
+    configuration: () => log.configurationAt(end.position),
     received: () => ({end: log.end(), history: log.history()}),
     recordsAfter: log.recordsAfter,
     write,
