--- a/packages/stand-ins/__tests__/replication.spec.ts
+++ b/packages/stand-ins/__tests__/replication.spec.ts
@@ -3,9 +3,11 @@
   targetFollow,
   targetPauseWrites,
   targetPromote,
+  targetReconfigure,
   targetStatus,
   targetStatusSchema,
   targetSubscribePositions,
+  type Configuration,
   type TargetStatus,
 } from '@kelpstep/protocol';
 import {expect} from 'earl';
@@ -26,6 +28,10 @@
   return statement('append ? ?', 'log', text);
 }
 
+function configurationOf(id: string): Configuration {
+  return {version: 1, members: [{id, address: `${id}:1`}]};
+}
+
 describe('a group of databases', () => {
   test('starts empty, in no term', () => {
     const {call, connect} = createGroup(1);
@@ -170,6 +176,40 @@
     expect(control(2).status().end).toEqual({term: 1, position: 1});
   });
 
+  test('takes a configuration only in place of the one that is meant', () => {
+    const {connect, call, catchUp, control} = createGroup(2);
+    const first = configurationOf('a');
+    const second = configurationOf('b');
+    const third = configurationOf('c');
+    const [primary, replica] = [connect(1), connect(2)];
+    call(primary, targetFence, {term: 1});
+    call(primary, targetPromote, {term: 1, configuration: first});
+    const replaces = {term: 1, position: 1};
+    const change = {term: 1, replaces, configuration: second};
+    expect(call(replica, targetReconfigure, change)).toEqual('NOT_PRIMARY');
+    const lower = {...change, term: 0};
+    expect(call(primary, targetReconfigure, lower)).toEqual('TERM_TOO_LOW');
+    expect(call(primary, targetReconfigure, change)).toEqual({
+      at: {term: 1, position: 2},
+    });
+    const late = {...change, configuration: third};
+    expect(call(primary, targetReconfigure, late)).toEqual(
+      'CONFIGURATION_CHANGED',
+    );
+    call(replica, targetFollow, {term: 1, primary: addressOfMember(1)});
+    catchUp(2, 1);
+    // A later barrier keeps the configuration of the log.
+    call(replica, targetFence, {term: 2});
+    call(replica, targetPromote, {term: 2, configuration: third});
+    const held = {...second, at: {term: 1, position: 2}};
+    expect(control(1).status().configuration).toEqual(held);
+    expect(control(2).status().configuration).toEqual(held);
+    const paused = {term: 2, durationMilliseconds: 100};
+    call(replica, targetPauseWrites, paused);
+    const next = {term: 2, replaces: held.at, configuration: third};
+    expect(call(replica, targetReconfigure, next)).toEqual('WRITES_PAUSED');
+  });
+
   test('pauses writes for a switch-over, then goes on', () => {
     const {promote, connect, write, call, timer} = createGroup(1);
     promote(1, 1);
