--- a/packages/failover/__tests__/abstract_membership.ts
+++ b/packages/failover/__tests__/abstract_membership.ts
@@ -11,7 +11,12 @@
   compareLogPositions,
 } from '@kelpstep/protocol';
 
-import {chooseCandidate, computeConfirmed, nextConfiguration} from '..';
+import {
+  chooseCandidate,
+  computeConfirmed,
+  findPrimary,
+  nextConfiguration,
+} from '..';
 
 const IDS = ['m0', 'm1', 'm2', 'm3', 'm4'];
 
@@ -92,11 +97,11 @@
   to.catchingUp &&= to.records.length < from.records.length;
 }
 
-/** Three members that count and two that may join. */
-export function createChangingGroup() {
-  const first = configurationOf(IDS.slice(0, 3));
+/** Members that count, three by default, and others that may join. */
+export function createChangingGroup(size = 3) {
+  const first = configurationOf(IDS.slice(0, size));
   const members = IDS.map((id, index): ChangingMember => {
-    const counts = index < 3;
+    const counts = index < size;
     return {
       id,
       term: counts ? 1 : 0,
@@ -107,6 +112,7 @@
   });
   const primaries = new Map([[1, 'm0']]);
   const watchers: Snapshots[] = [new Map(), new Map()];
+  const lastConfirmed = new Map<Snapshots, LogPosition>();
   let highestTerm = 1;
 
   function at(index: number): ChangingMember {
@@ -125,7 +131,7 @@
       member.role = 'replica';
     }
     const candidate = chooseCandidate(fenced.map(snapshotOf), {
-      groupSize: 3,
+      groupSize: size,
       isAvoided: id => id === IDS[avoided],
       cost: () => 0,
     });
@@ -140,21 +146,24 @@
 
   /** What a watcher takes to be confirmed. */
   function confirmedBy(snapshots: Snapshots): LogPosition | undefined {
-    return computeConfirmed({
+    const found = computeConfirmed({
       logs: [...snapshots.values()],
-      groupSize: 3,
+      groupSize: size,
       primaryOf: term => primaries.get(term),
-    })?.at;
+    });
+    if (found !== undefined) {
+      lastConfirmed.set(snapshots, found.at);
+    }
+    return found?.at ?? lastConfirmed.get(snapshots);
   }
 
   function reconfigure(snapshots: Snapshots, wanted: readonly number[]): void {
     const confirmed = confirmedBy(snapshots);
-    const term = confirmed?.term ?? 0;
-    const primary = primaries.get(term) ?? '';
-    const configuration = snapshots.get(primary)?.configuration;
-    if (confirmed === undefined || configuration === undefined) {
+    const leader = findPrimary([...snapshots.values()]);
+    if (confirmed === undefined || leader?.configuration === undefined) {
       return;
     }
+    const {term, target: primary, configuration} = leader;
     const next = nextConfiguration({
       configuration,
       wanted: configurationOf(wanted.map(index => at(index).id)).members,
--- a/packages/manifest/src/succession.ts
+++ b/packages/manifest/src/succession.ts
@@ -1,7 +1,9 @@
 /**
- * Checks that one manifest may follow another. Proxies take a new version at
- * different moments, so majorities of two consecutive versions of a group must
- * overlap: else each could confirm records that the other does not see.
+ * Checks that one manifest may follow another. Logs that hold no configuration
+ * are counted over the manifest, which proxies take at different moments, so
+ * majorities of two consecutive versions of a group must overlap: else each
+ * could confirm records that the other does not see. Groups whose logs hold
+ * configurations don't need the rule; the manifest can't tell them apart.
  */
 import {DataIssue} from './finding';
 import type {Group, Manifest} from './manifest_schema';
