--- a/packages/failover/src/watcher.ts
+++ b/packages/failover/src/watcher.ts
@@ -109,7 +109,10 @@
     const isCounted = (link: MemberLink) => electorate.includes(link.member.id);
     const joiners = state.links().filter(link => !isCounted(link));
     return findProblem({
-      members: state.links().filter(isCounted).map(describeMember),
+      members: state
+        .links()
+        .filter(isCounted)
+        .map(link => describeMember(link, timer.now())),
       joinersTerm: Math.max(
         0,
         ...joiners.map(link => link.status()?.term ?? 0),
@@ -117,6 +120,7 @@
       known: state.lastLeadership(),
       confirmedTerm: state.confirmed().at.term,
       isolationLimit: timings.isolationLimit,
+      reunionLimit: timings.reunionLimit,
     });
   }
 
@@ -259,12 +263,14 @@
   );
 }
 
-function describeMember(link: MemberLink): WatchedMember {
+function describeMember(link: MemberLink, now: Milliseconds): WatchedMember {
+  const isReachable = link.condition() === 'open';
   return {
     id: link.member.id,
     address: link.member.address,
     condition: link.condition(),
     lossReason: link.lossReason(),
     status: link.status(),
+    reachableFor: isReachable ? now - link.reachableSince() : 0,
   };
 }
