--- /dev/null
+++ b/packages/scenarios/__tests__/known_red.spec.ts
@@ -0,0 +1,35 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {judgeRun, readKnownRed} from '../../../scripts/known_red';
+
+function failed(name: string, type: string): string {
+  return `    not ok 1 - ${name}\n      ---\n      failureType: '${type}'\n`;
+}
+
+describe('KNOWN-RED.txt', () => {
+  test('lets a run pass over the tests that it names, and over no others', () => {
+    const listed = readKnownRed('# why\na.spec.ts "flaky one": cause; issue 4');
+    const tap =
+      failed('flaky one', 'testCodeFailure') +
+      failed('another', 'testCodeFailure') +
+      failed('the suite', 'subtestsFailed');
+    expect(judgeRun(tap, listed)).toEqual({
+      knownRed: ['flaky one'],
+      unexpected: ['another'],
+    });
+  });
+
+  test('counts a file that breaks off or runs out of time', () => {
+    const tap =
+      failed('packages/a/__tests__/a.spec.ts', 'testCodeFailure') +
+      failed('slow', 'testTimeoutFailure');
+    expect(judgeRun(tap, []).unexpected.length).toEqual(2);
+  });
+
+  test('takes three lines at most, each with a test in quotes', () => {
+    const four = ['a', 'b', 'c', 'd'].map(name => `"${name}"`).join('\n');
+    expect(() => readKnownRed(four)).toThrow('more than 3');
+    expect(() => readKnownRed('no name')).toThrow('names no test');
+  });
+});
