--- a/packages/failover/src/managed_group_view.ts
+++ b/packages/failover/src/managed_group_view.ts
@@ -16,6 +16,7 @@
 import {createGroupState} from './group_state';
 import type {GroupView, Leadership, MemberView} from './group_view';
 import {awaitLeadership} from './leadership_wait';
+import {createMemberPreferences} from './member_preferences';
 import {describeMembers, freshAt, holds} from './member_views';
 import {runOrderedSwitchOver} from './ordered_switch_over';
 import type {PromotionContext} from './promotion';
@@ -72,9 +73,6 @@
   onLeadershipLearned?(group: string, leadership: Leadership): void;
 }
 
-const LEAVING_COST = 1000;
-const FAR_COST = 100;
-
 /** Creates the view of a group; it opens streams when it is used or watched. */
 export function createGroupView(options: GroupViewOptions): ManagedGroupView {
   const {runtime, transport} = options;
@@ -92,6 +90,12 @@
     onLeadership: leadership =>
       options.onLeadershipLearned?.(options.group.name, leadership),
   });
+  const preferences = createMemberPreferences({
+    members: state.members,
+    dataCentre: options.dataCentre,
+    isCalledLeaving: options.isLeaving,
+  });
+  const {isLeaving} = preferences;
   const pollPeriods = createPollPeriods({
     state,
     isInUse,
@@ -115,7 +119,7 @@
     timings,
     state,
     promoterNumber: options.promoterNumber,
-    cost,
+    cost: preferences.cost,
   };
   let isOpen = false;
   let isClosed = false;
@@ -129,29 +133,6 @@
     views = undefined;
   });
 
-  function findMember(memberId: string): Member | undefined {
-    return state.members.all().find(({id}) => id === memberId);
-  }
-
-  function isLeaving(memberId: string): boolean {
-    const member = findMember(memberId);
-    return (
-      member !== undefined &&
-      (member.state === 'leaving' ||
-        options.isLeaving(member) ||
-        state.members.isUnwanted(memberId))
-    );
-  }
-
-  function cost(memberId: string): number {
-    const members = state.members.all();
-    const index = members.findIndex(({id}) => id === memberId);
-    const isNear = members[index]?.dataCentre === options.dataCentre;
-    return (
-      index + (isNear ? 0 : FAR_COST) + (isLeaving(memberId) ? LEAVING_COST : 0)
-    );
-  }
-
   function touch(): void {
     const wasInUse = isInUse();
     lastUse = timer.now();
--- a/packages/pool/index.ts
+++ b/packages/pool/index.ts
@@ -3,6 +3,7 @@
 export * from './src/admission_queue';
 export * from './src/concurrency_limit';
 export * from './src/connection_share';
+export * from './src/connection_times';
 export * from './src/connections';
 export * from './src/lease';
 export * from './src/pool_types';
--- a/packages/pool/src/pool_types.ts
+++ b/packages/pool/src/pool_types.ts
@@ -7,7 +7,7 @@
 
 import type {AdmissionPolicies} from './admission';
 import type {ShareRule} from './connection_share';
-import type {ConnectionTimes} from './connections';
+import type {ConnectionTimes} from './connection_times';
 import type {Lease} from './lease';
 
 /** Policies of a pool. */
