--- a/packages/bench/src/proxied_read/bundles.ts
+++ b/packages/bench/src/proxied_read/bundles.ts
@@ -2,9 +2,10 @@
  * Builds the programs that are measured as an operator's build does: a
  * development loader wraps every function, which costs more than the request.
  */
-import {build} from 'esbuild';
 import {basename, join} from 'node:path';
 
+import {bundleProgram} from '../../../../scripts/bundle';
+
 /** Programs as files that plain Node.js runs. */
 export interface Bundles {
   readonly proxy: string;
@@ -12,26 +13,13 @@
   readonly loadGenerator: string;
 }
 
-const IMPORT_META_URL = 'importMetaUrl';
-const BANNER = `const ${IMPORT_META_URL} = require('node:url').pathToFileURL(__filename).href;`;
-
 async function bundle(
   entry: string,
   directory: string,
   name: string,
 ): Promise<string> {
   const outfile = join(directory, `${basename(name)}.cjs`);
-  await build({
-    entryPoints: [entry],
-    outfile,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    mainFields: ['module', 'main'],
-    define: {'import.meta.url': IMPORT_META_URL},
-    banner: {js: BANNER},
-  });
+  await bundleProgram(entry, outfile);
   return outfile;
 }
 
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -2,7 +2,6 @@
  * Builds `dist/kelpstep`, one program that holds all it needs: the code as one
  * file, injected into a copy of the node program that runs this script.
  */
-import {build} from 'esbuild';
 import {execFileSync} from 'node:child_process';
 import {
   chmodSync,
@@ -15,6 +14,8 @@
 import {resolve} from 'node:path';
 import {inject} from 'postject';
 
+import {bundleProgram} from './bundle';
+
 const OUTPUT = resolve('dist');
 const BUNDLE = `${OUTPUT}/kelpstep.cjs`;
 const SEA_CONFIGURATION = `${OUTPUT}/sea.json`;
@@ -27,24 +28,6 @@
 const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 const CHECK_TIMEOUT_MILLISECONDS = 60_000;
 
-/** yargs looks for its locales beside `import.meta.url`, which cjs lacks. */
-const IMPORT_META_URL = 'importMetaUrl';
-const BANNER = `const ${IMPORT_META_URL} = require('node:url').pathToFileURL(process.execPath).href;`;
-
-async function bundle(): Promise<void> {
-  await build({
-    entryPoints: ['packages/cli/src/main.ts'],
-    outfile: BUNDLE,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    mainFields: ['module', 'main'],
-    define: {'import.meta.url': IMPORT_META_URL},
-    banner: {js: BANNER},
-  });
-}
-
 function makeBlob(): void {
   const configuration = {
     main: BUNDLE,
@@ -79,7 +62,7 @@
 
 async function run(): Promise<void> {
   mkdirSync(OUTPUT, {recursive: true});
-  await bundle();
+  await bundleProgram('packages/cli/src/main.ts', BUNDLE);
   makeBlob();
   await injectBlob();
   check('--version');
