refactor: drop what nothing uses, find free addresses in one place

Found in the read-through: freeAddresses stood in the demo and in the bench (now in stand-ins, which both use already); the bound that a read's candidate carried was dead since answers are judged by GroupView.freshAt, so ReadCandidate was ReadTarget again; futureFromPromise, waitForAll, OPERATOR_METHODS and firstColumn had no user; keyExpired repeated the table's outcome.

--- a/packages/bench/src/proxied_read/bench_processes.ts
+++ b/packages/bench/src/proxied_read/bench_processes.ts
@@ -2,8 +2,7 @@
 import {manifestCommit} from '@kelpstep/proxy';
 import {createHttpClient} from '@kelpstep/cli';
 import {callerRead} from '@kelpstep/protocol';
-import {createTcpTransport} from '@kelpstep/rpc';
-import {promiseFromFuture} from '@kelpstep/runtime';
+import {freeAddresses} from '@kelpstep/stand-ins';
 import {ChildProcess, fork, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
@@ -66,17 +65,6 @@
   }
 }
 
-async function freeAddresses(count: number): Promise<string[]> {
-  const transport = createTcpTransport();
-  const listeners = [];
-  for (let index = 0; index < count; index++) {
-    const listening = transport.listen(ANY_PORT, () => {});
-    listeners.push((await promiseFromFuture(listening)).unwrap());
-  }
-  listeners.forEach(listener => listener.close());
-  return listeners.map(({address}) => address);
-}
-
 function manifestOf(databases: readonly string[]): string {
   return JSON.stringify({
     format: 1,
--- a/packages/cli/src/demo/demo_cluster.ts
+++ b/packages/cli/src/demo/demo_cluster.ts
@@ -6,12 +6,11 @@
   proxyStatus,
   startDaemon,
 } from '@kelpstep/proxy';
-import {startEmbeddedStandIns} from '@kelpstep/stand-ins';
+import {startEmbeddedStandIns, freeAddresses} from '@kelpstep/stand-ins';
 import {randomBytes, randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {HttpClient, createHttpClient} from '../http_client';
-import {freeAddresses} from './free_ports';
 
 /** The demo's group of databases. */
 export const DEMO_GROUP = 'handbook';
--- a/packages/proxy/src/operator_methods.ts
+++ b/packages/proxy/src/operator_methods.ts
@@ -101,11 +101,3 @@
   }),
   auditPageSchema,
 );
-
-/** The methods that operators' ports carry, and no callers' port does. */
-export const OPERATOR_METHODS = {
-  manifestCommit,
-  manifestShow,
-  proxyStatus,
-  auditList,
-} as const;
--- a/packages/request-ledger/src/idempotency_key.ts
+++ b/packages/request-ledger/src/idempotency_key.ts
@@ -34,7 +34,7 @@
   const message =
     'The key is past its retention. Nothing was run now; an earlier sending ' +
     'with this key may have been.';
-  return createFailure('KEY_EXPIRED', {message, outcome: 'unknown'});
+  return createFailure('KEY_EXPIRED', {message});
 }
 
 /** Gives a failure if targets can't be relied on to remember the key. */
--- a/packages/routing/src/read.ts
+++ b/packages/routing/src/read.ts
@@ -5,7 +5,8 @@
 import {Err, Ok, Result} from 'ts-results';
 
 import {ReadAttemptEnd, attemptRead} from './read_attempt';
-import {ReadCandidate, createReadCandidates} from './read_candidates';
+import {createReadCandidates} from './read_candidates';
+import type {ReadTarget} from './read_policy';
 import type {ReadAnswer, ReadOptions, ReadRequest} from './read_types';
 
 type Elsewhere = Extract<ReadAttemptEnd, {kind: 'elsewhere'}>;
@@ -30,7 +31,7 @@
 
   /** Gives a failure if there shall be no other try. */
   function* prepareRetry(
-    {id}: ReadCandidate,
+    {id}: ReadTarget,
     {failure, wasSent}: Elsewhere,
   ): Task<Failure | undefined> {
     candidates.exclude(id);
--- a/packages/routing/src/read_attempt.ts
+++ b/packages/routing/src/read_attempt.ts
@@ -11,7 +11,7 @@
 import type {RequestFailure} from '@kelpstep/rpc';
 import {Task, waitFor} from '@kelpstep/runtime';
 
-import type {ReadCandidate} from './read_candidates';
+import type {ReadTarget} from './read_policy';
 import type {ReadAnswer, ReadOptions, ReadRequest} from './read_types';
 
 /** How a try ended. */
@@ -29,7 +29,7 @@
 export function* attemptRead(
   options: ReadOptions,
   request: ReadRequest,
-  candidate: ReadCandidate,
+  candidate: ReadTarget,
   wanted: LogPosition,
 ): Task<ReadAttemptEnd> {
   const {context, record} = options;
@@ -65,7 +65,7 @@
 
 function judgeFailure(
   {record}: ReadOptions,
-  {id}: ReadCandidate,
+  {id}: ReadTarget,
   {kind, sent, failure}: RequestFailure,
 ): ReadAttemptEnd {
   if (kind === 'timeout' || kind === 'closed') {
@@ -86,7 +86,7 @@
 function* checkAnswer(
   {context, record}: ReadOptions,
   {maximumAge}: ReadRequest,
-  {id, isPrimary}: ReadCandidate,
+  {id, isPrimary}: ReadTarget,
   wanted: LogPosition,
   execution: Execution,
 ): Task<ReadAttemptEnd> {
--- a/packages/routing/src/read_candidates.ts
+++ b/packages/routing/src/read_candidates.ts
@@ -6,16 +6,10 @@
 import type {ReadTarget} from './read_policy';
 import type {ReadOptions} from './read_types';
 
-/** A target that a read may go to. */
-export interface ReadCandidate extends ReadTarget {
-  /** Monotonic time at which its data was fresh for certain. */
-  readonly freshAt: Milliseconds;
-}
-
 /** The targets that one read may go to. */
 export interface ReadCandidates {
   /** Reachable members that take work and were not excluded. */
-  list(wanted: LogPosition): ReadCandidate[];
+  list(wanted: LogPosition): ReadTarget[];
   /**
    * Asks what a read has to see to miss nothing confirmed before; whoever
    * holds that is as fresh as the question. `undefined`: no majority answers.
@@ -62,7 +56,7 @@
     wanted: LogPosition,
     primary: string | undefined,
     now: Milliseconds,
-  ): ReadCandidate {
+  ): ReadTarget {
     const {member} = memberView;
     const pool = record.pool(member.id);
     const isNear = member.dataCentre === dataCentre;
@@ -72,7 +66,6 @@
       id: member.id,
       isPrimary: member.id === primary,
       holdsPosition: view.holds(member.id, wanted),
-      freshAt,
       expectedAge: now + expectedTime - freshAt,
       expectedTime,
       roundTrip:
@@ -80,10 +73,10 @@
     };
   }
 
-  function list(wanted: LogPosition): ReadCandidate[] {
+  function list(wanted: LogPosition): ReadTarget[] {
     const primary = view.leadership()?.primary;
     const now = timer.now();
-    const candidates: ReadCandidate[] = [];
+    const candidates: ReadTarget[] = [];
     for (const memberView of record.members()) {
       const {reachable, leaving, member} = memberView;
       if (reachable && !leaving && !excluded.has(member.id)) {
--- a/packages/runtime/src/deferred.ts
+++ b/packages/runtime/src/deferred.ts
@@ -87,19 +87,6 @@
   return deferred.future;
 }
 
-/** Wraps a promise; `onRejected` turns a rejection into a value. */
-export function futureFromPromise<T>(
-  promise: Promise<T>,
-  onRejected: (reason: unknown) => T,
-): Future<T> {
-  const deferred = createDeferred<T>();
-  promise.then(
-    value => deferred.settle(value),
-    (reason: unknown) => deferred.settle(onRejected(reason)),
-  );
-  return deferred.future;
-}
-
 /** Wraps a future for callers that use promises, such as tests. */
 export function promiseFromFuture<T>(future: Future<T>): Promise<T> {
   return new Promise(resolve => {
--- a/packages/runtime/src/effect.ts
+++ b/packages/runtime/src/effect.ts
@@ -107,12 +107,3 @@
   );
   return winner.value;
 }
-
-/** Waits for all futures and gives their values in the same order. */
-export function* waitForAll<T>(futures: ReadonlyArray<Future<T>>): Task<T[]> {
-  const values: T[] = [];
-  for (const future of futures) {
-    values.push(yield* waitFor(future));
-  }
-  return values;
-}
--- a/packages/scenarios/src/session_load.ts
+++ b/packages/scenarios/src/session_load.ts
@@ -6,7 +6,6 @@
 import {
   ErrorName,
   IdempotencyKey,
-  Rows,
   Statement,
   rowsSchema,
 } from '@kelpstep/protocol';
@@ -277,8 +276,3 @@
     yield* sleep(Math.max(0, next - timer.now()));
   }
 }
-
-/** The entries of the first column. */
-export function firstColumn(rows: Rows): string[] {
-  return rows.map(row => String(row[0]));
-}
--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -6,6 +6,7 @@
 export type * from './src/database/database_control';
 export * from './src/database/database_settings';
 export * from './src/embedded';
+export * from './src/free_addresses';
 export * from './src/platform/in_process_client';
 export * from './src/platform/platform';
 export * from './src/platform/platform_faults';
