feat(platform): statement sessions on the users' platform, thin

The path from a caller's line to a target's answer: line codec, store feeds, shared connections, positions that prove a read's freshness, change of primary by one row a group.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 
 // Google TypeScript Style Guide, as far as a linter can see it.
 module.exports = typescriptEslint.config(
-  {ignores: ['dist/**', 'node_modules/**', 'eslint.config.js']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**', 'eslint.config.js']},
   ...typescriptEslint.configs.recommended,
   {
     files: ['**/*.ts'],
@@ -51,7 +51,7 @@
   },
   {
     // Time and chance come from the runtime only, so that tasks replay.
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: [
       'packages/runtime/**',
       'packages/stand-ins/**',
--- /dev/null
+++ b/packages/gateway/index.ts
@@ -0,0 +1,6 @@
+/** Statement sessions of callers, from configuration to answer. */
+export * from './src/caller_connection';
+export * from './src/configuration';
+export * from './src/create_gateway';
+export * from './src/dispatch';
+export * from './src/gateway_events';
--- /dev/null
+++ b/packages/gateway/src/serve_session.ts
@@ -0,0 +1,313 @@
+/** One caller's session: its settings, its transaction, its answers in order. */
+import type {LogPosition} from '@kelpstep/protocol';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  receive,
+  receiveAtMost,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+import {
+  type CallerRequest,
+  type PreparedShape,
+  type SessionStatement,
+  type StatementAnswer,
+  type StatementErrorName,
+  type TransactionState,
+  applyLocally,
+  createSessionSettings,
+  errorAnswer,
+  localAnswer,
+  sharedName,
+} from '@kelpstep/statements';
+import type {PinnedConnection} from '@kelpstep/targets';
+
+import type {CallerConnection, CallerMessage} from './caller_connection';
+import type {CallerRoute, ConfigurationKeeper} from './configuration';
+import type {DispatchResult, Dispatcher} from './dispatch';
+import type {GatewayEvents, RequestEnd} from './gateway_events';
+
+/** What a session is served with. */
+export interface SessionOptions {
+  readonly runtime: Runtime;
+  readonly caller: CallerConnection;
+  readonly configuration: ConfigurationKeeper;
+  readonly dispatcher: Dispatcher;
+  readonly events: GatewayEvents;
+  /** True once idle sessions are to end. */
+  isStopping(): boolean;
+}
+
+interface Transaction {
+  readonly pinned: PinnedConnection;
+  readonly route: CallerRoute;
+  hasWritten: boolean;
+}
+
+/** A statement that is passed on, with what a prepared name stands for. */
+interface Resolved {
+  readonly statement: SessionStatement;
+  readonly shape: PreparedShape | undefined;
+  readonly isWrite: boolean;
+}
+
+type RequestFacts = Pick<
+  RequestEnd,
+  'group' | 'kind' | 'target' | 'attempts' | 'reason'
+>;
+
+const LOCAL: RequestFacts = {
+  group: '',
+  kind: 'local',
+  target: '',
+  attempts: 0,
+  reason: '',
+};
+
+/** Pause before a statement that found no room is sent again. */
+const BUSY_PAUSE: Milliseconds = 20;
+
+/** Serves a session to its end. */
+export function* serveSession(options: SessionOptions): Task<void> {
+  const {runtime, caller, configuration, dispatcher, events} = options;
+  const {timer} = runtime;
+  const settings = createSessionSettings();
+  let state: TransactionState = 'idle';
+  let transaction: Transaction | undefined;
+  let lastCommit: LogPosition | undefined;
+
+  function endTransaction(): void {
+    transaction?.pinned.end();
+    transaction = undefined;
+  }
+
+  function* nextMessage(): Task<CallerMessage | undefined> {
+    if (transaction === undefined) {
+      return yield* receive(caller.messages);
+    }
+    const idle = configuration.current()?.transactionIdle ?? Infinity;
+    return yield* receiveAtMost(caller.messages, idle);
+  }
+
+  function resolve(statement: SessionStatement): Resolved | undefined {
+    if (statement.kind !== 'execute') {
+      const isWrite = statement.kind === 'write';
+      return {statement, shape: undefined, isWrite};
+    }
+    const shape = settings.prepared.get(statement.name);
+    if (shape === undefined) {
+      return undefined;
+    }
+    const renamed = {...statement, name: sharedName(shape)};
+    return {statement: renamed, shape, isWrite: shape.access === 'write'};
+  }
+
+  function factsOf(route: CallerRoute, result: DispatchResult, kind: string) {
+    const {target, attempts, reason} = result;
+    const name = `${route.freshness} ${kind}`;
+    return {group: route.group, kind: name, target, attempts, reason};
+  }
+
+  function* serveOutside(
+    request: CallerRequest,
+    statement: SessionStatement,
+  ): Task<[StatementAnswer, RequestFacts]> {
+    const arrivedAt = timer.now();
+    const route = configuration.route(caller.database);
+    if (route === undefined) {
+      return [errorAnswer('noDatabase', 'idle'), LOCAL];
+    }
+    const resolved = resolve(statement);
+    if (resolved === undefined) {
+      return [errorAnswer('notPrepared', 'idle'), LOCAL];
+    }
+    const isPlainBegin = statement.kind === 'begin' && !statement.readOnly;
+    const result = yield* dispatcher.dispatch({
+      id: request.id,
+      route,
+      ...resolved,
+      settings,
+      arrivedAt,
+      lastCommit,
+      needsPrimary:
+        resolved.isWrite || isPlainBegin || route.freshness === 'primary',
+      isAbandoned: caller.isClosed,
+    });
+    const {answer, pinned} = result;
+    if (pinned !== undefined) {
+      transaction = {pinned, route, hasWritten: false};
+      state = 'open';
+    } else if (resolved.isWrite && answer.error === undefined) {
+      lastCommit = answer.position ?? lastCommit;
+    }
+    const facts = factsOf(route, result, statement.kind);
+    return [{...answer, state}, facts];
+  }
+
+  function* sendPinned(
+    held: Transaction,
+    request: CallerRequest,
+    {statement, shape}: Resolved,
+  ): Task<StatementAnswer | undefined> {
+    const deadline = timer.now() + held.route.timeout;
+    const {id} = request;
+    for (;;) {
+      const reply = yield* waitFor(
+        held.pinned.send({id, body: statement}, shape, deadline - timer.now()),
+      );
+      if (reply.err) {
+        return undefined;
+      }
+      const answer = reply.val;
+      const mayRepeat =
+        answer.error?.name === 'busy' && answer.state === 'open';
+      if (!mayRepeat || timer.now() + BUSY_PAUSE >= deadline) {
+        return answer;
+      }
+      yield* sleep(BUSY_PAUSE);
+    }
+  }
+
+  function* serveInside(
+    held: Transaction,
+    request: CallerRequest,
+    statement: SessionStatement,
+  ): Task<[StatementAnswer, RequestFacts]> {
+    const {pinned, route} = held;
+    const kind = `${route.freshness} ${statement.kind}`;
+    const {target} = pinned;
+    const facts = {group: route.group, kind, target, attempts: 1, reason: ''};
+    const resolved = resolve(statement);
+    if (resolved === undefined || statement.kind === 'begin') {
+      endTransaction();
+      state = 'failed';
+      return [errorAnswer('malformed', state), facts];
+    }
+    held.hasWritten ||= resolved.isWrite;
+    const answer = yield* sendPinned(held, request, resolved);
+    if (answer !== undefined && answer.error === undefined) {
+      state = answer.state;
+      if (state !== 'open') {
+        concludeEnd(held, statement, answer);
+      }
+      return [answer, facts];
+    }
+    const reason = answer?.error?.name ?? 'answer lost';
+    return [fail(held, statement, reason), {...facts, reason}];
+  }
+
+  /** The target's answer ended the transaction. */
+  function concludeEnd(
+    held: Transaction,
+    statement: SessionStatement,
+    answer: StatementAnswer,
+  ): void {
+    if (statement.kind === 'commit' && held.hasWritten) {
+      lastCommit = answer.position ?? lastCommit;
+    }
+    endTransaction();
+  }
+
+  /**
+   * A transaction that failed before its commit was sent is rolled back by
+   * closing its connection. A commit that wrote may have taken effect.
+   */
+  function fail(
+    held: Transaction,
+    statement: SessionStatement,
+    reason: StatementErrorName | 'answer lost',
+  ): StatementAnswer {
+    endTransaction();
+    const isEnd = statement.kind === 'commit' || statement.kind === 'rollback';
+    state = isEnd ? 'idle' : 'failed';
+    if (statement.kind === 'rollback') {
+      return localAnswer(state);
+    }
+    const isInDoubt =
+      statement.kind === 'commit' &&
+      held.hasWritten &&
+      reason !== 'readOnly' &&
+      reason !== 'busy';
+    return isInDoubt
+      ? errorAnswer('inDoubt', state)
+      : errorAnswer('aborted', state, `rolled back: ${reason}`);
+  }
+
+  function serveFailed(statement: SessionStatement): StatementAnswer {
+    if (statement.kind === 'rollback') {
+      state = 'idle';
+      return localAnswer(state);
+    }
+    if (statement.kind === 'commit') {
+      state = 'idle';
+      return errorAnswer('aborted', state);
+    }
+    return errorAnswer('malformed', state);
+  }
+
+  function* serve(
+    request: CallerRequest,
+  ): Task<[StatementAnswer, RequestFacts]> {
+    const {statement} = request;
+    if (statement === undefined) {
+      return [errorAnswer('malformed', state), LOCAL];
+    }
+    if (state === 'failed') {
+      return [serveFailed(statement), LOCAL];
+    }
+    switch (statement.kind) {
+      case 'set':
+      case 'prepare':
+      case 'deallocate':
+        applyLocally(settings, statement);
+        return [localAnswer(state), LOCAL];
+      case 'commit':
+      case 'rollback':
+        break;
+    }
+    if (transaction !== undefined) {
+      return yield* serveInside(transaction, request, statement);
+    }
+    if (statement.kind === 'commit' || statement.kind === 'rollback') {
+      return [errorAnswer('malformed', state), LOCAL];
+    }
+    return yield* serveOutside(request, statement);
+  }
+
+  function* handle(request: CallerRequest): Task<void> {
+    const startedAt = timer.now();
+    const [answer, facts] = yield* serve(request);
+    // The position is the targets' own matter.
+    caller.answer({...answer, position: undefined});
+    events.onRequestEnd({
+      id: request.id,
+      ...facts,
+      outcome: answer.error?.name ?? 'ok',
+      duration: timer.now() - startedAt,
+    });
+  }
+
+  try {
+    for (;;) {
+      if (options.isStopping() && state === 'idle') {
+        break;
+      }
+      const message = yield* nextMessage();
+      if (message === undefined) {
+        // Idle for too long inside a transaction: the next request is told.
+        endTransaction();
+        state = 'failed';
+      } else if (message.kind === 'closed') {
+        break;
+      } else if (message.kind === 'request') {
+        yield* handle(message.request);
+      }
+    }
+  } finally {
+    endTransaction();
+    caller.close();
+    events.onSession('closed', caller.database);
+  }
+}
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -7,3 +7,4 @@
 export * from './src/membership';
 export * from './src/pace';
 export * from './src/short_exchange';
+export * from './src/store_presence';
--- /dev/null
+++ b/packages/membership/src/store_presence.ts
@@ -0,0 +1,114 @@
+/**
+ * Tells other proxies through the platform's store that this one runs, and
+ * counts them. The count sets each proxy's share of a target's connections.
+ */
+import {type TableRows, type TableStore, followTable} from '@kelpstep/platform';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  type TaskHandle,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+
+/** Table of the rows; the key is the proxy's name. */
+export const PRESENCE_TABLE = 'kelpstep-proxies';
+
+/** What presence is made of. */
+export interface StorePresenceOptions {
+  readonly runtime: Runtime;
+  readonly store: TableStore;
+  /** Name of this proxy. */
+  readonly self: string;
+}
+
+/** Presence of this proxy and of the others. */
+export interface StorePresence {
+  /** Proxies that run, this one included. */
+  count(): number;
+  stop(): void;
+}
+
+/**
+ * Period of writes. At 3,100 proxies they are 310 a second, within what the
+ * platform carries; a shorter one buys little, as shares change seldom.
+ */
+const WRITE_PERIOD: Milliseconds = 10_000;
+const PERIOD_JITTER = 0.2;
+/** A row that stood still for two periods and a bit is of a dead proxy. */
+const EXPIRY: Milliseconds = 25_000;
+const RETRY_PAUSE: Milliseconds = 400;
+
+interface Seen {
+  readonly version: number;
+  readonly seenAt: Milliseconds;
+}
+
+/** Starts to write this proxy's row and to follow the others'. */
+export function startStorePresence(
+  options: StorePresenceOptions,
+): StorePresence {
+  const {runtime, store, self} = options;
+  const {timer, random} = runtime;
+  const seen = new Map<string, Seen>();
+  let ownVersion = 0;
+
+  function onRows(rows: TableRows): void {
+    for (const [key, {version}] of rows) {
+      if (seen.get(key)?.version !== version) {
+        seen.set(key, {version, seenAt: timer.now()});
+      }
+    }
+    for (const key of [...seen.keys()]) {
+      if (!rows.has(key)) {
+        seen.delete(key);
+      }
+    }
+    ownVersion = rows.get(self)?.version ?? 0;
+  }
+
+  const follower = followTable({
+    runtime,
+    store,
+    table: PRESENCE_TABLE,
+    onRows,
+    onFeed: () => {},
+  });
+
+  function* announce(): Task<void> {
+    for (;;) {
+      if (follower.isFollowing()) {
+        const value = {aliveAt: Math.round(timer.wallClock())};
+        const written = yield* waitFor(
+          store.replaceRow(PRESENCE_TABLE, self, ownVersion, value),
+        );
+        if (written.ok) {
+          ownVersion = written.val;
+          yield* sleep(random.jitter(WRITE_PERIOD, PERIOD_JITTER));
+          continue;
+        }
+      }
+      yield* sleep(random.jitter(RETRY_PAUSE, PERIOD_JITTER));
+    }
+  }
+
+  const task: TaskHandle<void> = runtime.spawn('presence', announce());
+
+  function isLive({seenAt}: Seen): boolean {
+    return timer.now() - seenAt < EXPIRY;
+  }
+
+  return {
+    count() {
+      const others = [...seen].filter(
+        ([key, entry]) => key !== self && isLive(entry),
+      );
+      return others.length + 1;
+    },
+    stop() {
+      task.cancel();
+      follower.stop();
+    },
+  };
+}
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -25,6 +25,13 @@
   readonly version?: number;
   readonly count?: number;
   readonly milliseconds?: number;
+  /** Targets that were tried. */
+  readonly attempts?: number;
+  /** Log position, `term.position`. */
+  readonly position?: string;
+  readonly epoch?: number;
+  readonly step?: string;
+  readonly reason?: string;
   /** Text for people, without anything that a caller sent. */
   readonly message?: string;
 }
--- a/packages/platform/index.ts
+++ b/packages/platform/index.ts
@@ -4,3 +4,5 @@
 export * from './src/http_platform_client';
 export * from './src/platform_client';
 export * from './src/resilient_platform_client';
+export * from './src/table_follower';
+export * from './src/table_store';
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -9,11 +9,13 @@
 
 /** A request of the platform's interface. */
 export interface HttpRequest {
-  readonly method: 'GET' | 'PUT';
+  readonly method: 'GET' | 'PUT' | 'POST';
   /** Path and query. */
   readonly path: string;
   readonly body?: string;
   readonly contentType?: string;
+  /** Further headers. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** An answer, or why there is none. */
@@ -80,7 +82,7 @@
 
   async function send(
     address: string,
-    {method, path, body, contentType}: HttpRequest,
+    {method, path, body, contentType, headers}: HttpRequest,
     signal: AbortSignal,
   ): Promise<HttpOutcome> {
     const answer = await request(`http://${address}${path}`, {
@@ -88,9 +90,10 @@
       dispatcher: agent,
       signal,
       ...(body === undefined ? {} : {body}),
-      ...(contentType === undefined
-        ? {}
-        : {headers: {'content-type': contentType}}),
+      headers: {
+        ...headers,
+        ...(contentType === undefined ? {} : {'content-type': contentType}),
+      },
     });
     const text = await answer.body.text();
     return {kind: 'answer', status: answer.statusCode, body: text};
--- /dev/null
+++ b/packages/platform/src/table_follower.ts
@@ -0,0 +1,121 @@
+/** Keeps a table's rows current through the store's feed of changes. */
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  type TaskHandle,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+
+import type {
+  StoreFailure,
+  StoredRow,
+  TableChanges,
+  TableStore,
+} from './table_store';
+
+/** The rows of a table by key. */
+export type TableRows = ReadonlyMap<string, StoredRow>;
+
+/** What a follower is made of. */
+export interface TableFollowerOptions {
+  readonly runtime: Runtime;
+  readonly store: TableStore;
+  readonly table: string;
+  /** Called with all rows at first and after each change. */
+  onRows(rows: TableRows): void;
+  /** The feed was lost or is back; `failure` says why it was lost. */
+  onFeed(isFollowing: boolean, failure?: StoreFailure): void;
+}
+
+/** Follows a table until it is cancelled. */
+export interface TableFollower {
+  rows(): TableRows;
+  isFollowing(): boolean;
+  /** When the store last answered; -Infinity if never. */
+  heardAt(): Milliseconds;
+  stop(): void;
+}
+
+/**
+ * Longest wait of one question. A connection that went silent is noticed that
+ * much later at the worst: within the bound of three seconds in which a
+ * configuration is to be in force.
+ */
+const FEED_WAIT: Milliseconds = 1800;
+const FIRST_PAUSE: Milliseconds = 50;
+const LONGEST_PAUSE: Milliseconds = 800;
+const PAUSE_JITTER = 0.3;
+
+/** Starts to follow a table. */
+export function followTable(options: TableFollowerOptions): TableFollower {
+  const {runtime, store, table} = options;
+  const {timer, random} = runtime;
+  const rows = new Map<string, StoredRow>();
+  let version: number | undefined;
+  let isFollowing = false;
+  let heardAt: Milliseconds = -Infinity;
+  let pause = FIRST_PAUSE;
+
+  function setFollowing(following: boolean, failure?: StoreFailure): void {
+    if (following !== isFollowing) {
+      isFollowing = following;
+      options.onFeed(following, failure);
+    }
+  }
+
+  function take(changes: TableChanges, isWhole: boolean): void {
+    if (isWhole) {
+      rows.clear();
+    }
+    for (const row of changes.rows) {
+      if (row.isRemoved) {
+        rows.delete(row.key);
+      } else {
+        rows.set(row.key, row);
+      }
+    }
+    version = changes.version;
+    if (isWhole || changes.rows.length > 0) {
+      options.onRows(rows);
+    }
+  }
+
+  function* step(): Task<void> {
+    const isWhole = version === undefined;
+    const reply = yield* waitFor(
+      version === undefined
+        ? store.readTable(table)
+        : store.awaitChanges(table, version, FEED_WAIT),
+    );
+    if (reply.ok) {
+      heardAt = timer.now();
+      pause = FIRST_PAUSE;
+      setFollowing(true);
+      take(reply.val, isWhole);
+      return;
+    }
+    if (reply.val === 'history lost') {
+      version = undefined;
+      return;
+    }
+    setFollowing(false, reply.val);
+    yield* sleep(random.jitter(pause, PAUSE_JITTER));
+    pause = Math.min(LONGEST_PAUSE, pause * 2);
+  }
+
+  function* follow(): Task<void> {
+    for (;;) {
+      yield* step();
+    }
+  }
+
+  const task: TaskHandle<void> = runtime.spawn(`follow ${table}`, follow());
+  return {
+    rows: () => rows,
+    isFollowing: () => isFollowing,
+    heardAt: () => heardAt,
+    stop: task.cancel,
+  };
+}
--- /dev/null
+++ b/packages/statements/src/answer.ts
@@ -0,0 +1,63 @@
+/** Answers to statements, from targets and to callers. */
+import type {LogPosition} from '@kelpstep/protocol';
+
+/** What an error of a target or to a caller says about the statement. */
+export interface ErrorMeaning {
+  /** True if the statement certainly had no effect and won't have one. */
+  readonly notRun: boolean;
+  readonly meaning: string;
+}
+
+/** All errors of statement sessions by name. */
+export const STATEMENT_ERRORS = {
+  busy: {notRun: true, meaning: 'No room to run it now.'},
+  lagging: {notRun: true, meaning: 'The log lacks the wanted position.'},
+  readOnly: {notRun: true, meaning: 'The target does not lead.'},
+  misrouted: {notRun: true, meaning: 'Another target has this address.'},
+  tooManyConnections: {notRun: true, meaning: 'At the connection limit.'},
+  notPrepared: {notRun: true, meaning: 'No prepared statement of this name.'},
+  aborted: {notRun: true, meaning: 'The transaction was rolled back.'},
+  noDatabase: {notRun: true, meaning: 'No database of this name.'},
+  malformed: {notRun: true, meaning: 'Not a statement that can run here.'},
+  tooLarge: {notRun: true, meaning: 'The message is too large.'},
+  failed: {notRun: false, meaning: 'The target failed while running it.'},
+  timedOut: {notRun: false, meaning: 'No answer in time.'},
+  inDoubt: {notRun: false, meaning: 'It may have run: its answer is lost.'},
+} as const satisfies Record<string, ErrorMeaning>;
+
+/** Name of an error of statement sessions. */
+export type StatementErrorName = keyof typeof STATEMENT_ERRORS;
+
+/** An error with a text for people. */
+export interface StatementError {
+  readonly name: StatementErrorName;
+  readonly text: string;
+}
+
+/** Where a session stands: outside a transaction, in one, in a failed one. */
+export type TransactionState = 'idle' | 'open' | 'failed';
+
+/** A whole answer to one statement. */
+export interface StatementAnswer {
+  readonly rows: readonly string[];
+  /** The target's proof that it ran the statement; empty for local answers. */
+  readonly receipt: string;
+  readonly error: StatementError | undefined;
+  readonly state: TransactionState;
+  /** End of the target's applied log. */
+  readonly position: LogPosition | undefined;
+}
+
+/** An answer that the proxy gives itself. */
+export function localAnswer(state: TransactionState): StatementAnswer {
+  return {rows: [], receipt: '', error: undefined, state, position: undefined};
+}
+
+/** An answer that says why there is no other. */
+export function errorAnswer(
+  name: StatementErrorName,
+  state: TransactionState,
+  text: string = STATEMENT_ERRORS[name].meaning,
+): StatementAnswer {
+  return {...localAnswer(state), error: {name, text}};
+}
--- /dev/null
+++ b/packages/succession/index.ts
@@ -0,0 +1,4 @@
+/** Changes of primary in groups that the platform promotes in. */
+export * from './src/choose_successor';
+export * from './src/succession';
+export * from './src/succession_row';
--- /dev/null
+++ b/packages/targets/index.ts
@@ -0,0 +1,7 @@
+/** Targets of statement sessions: connections, admission, log positions. */
+export * from './src/group_positions';
+export * from './src/registration';
+export * from './src/shared_connections';
+export * from './src/suspension_guard';
+export * from './src/target_group';
+export * from './src/target_link';
