perf(targets): two thirds of the connections shared for good, bursts beyond

Cause: after a loss of power of all instances targets hold the old connections for three seconds; with all shared out the new processes were refused.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -27,6 +27,7 @@
   TargetLink,
 } from '@kelpstep/targets';
 
+import {chooseReader} from './choose_reader';
 import type {CallerRoute} from './configuration';
 
 /** A statement outside a transaction, or the start of one. */
@@ -85,14 +86,6 @@
 const REOPEN_PAUSE: Milliseconds = 40;
 /** Time to come back when no target may run the statement now. */
 const DEFAULT_RETRY_AFTER: Milliseconds = 300;
-/**
- * Added to the expected time of a replica that lacked the position when it was
- * last asked, unless its log's end is older than this.
- */
-const LAG_MEMORY: Milliseconds = 60;
-/** Added to the primary's expected time for work that a replica may do. */
-const PRIMARY_RELUCTANCE: Milliseconds = 10;
-
 /** Errors after which the same statement may be tried elsewhere. */
 const RETRYABLE = new Set<StatementErrorName>([
   'busy',
@@ -150,58 +143,6 @@
     return isUsable ? leader : undefined;
   }
 
-  function cost(
-    group: TargetGroup,
-    link: TargetLink,
-    kind: string,
-    position: LogPosition,
-  ): Milliseconds {
-    const time = link.expectedTime(kind) + (link.roundTrip() ?? 0);
-    const isPrimary = link === group.leader();
-    return (
-      time + (isPrimary ? PRIMARY_RELUCTANCE : lagCost(group, link, position))
-    );
-  }
-
-  function lagCost(
-    group: TargetGroup,
-    link: TargetLink,
-    position: LogPosition,
-  ): Milliseconds {
-    const log = group.positions.logOf(link.target);
-    if (log === undefined) {
-      return LAG_MEMORY;
-    }
-    const lacks = compareLogPositions(log.position, position) < 0;
-    const isKnownNow = timer.now() - log.askedAt < LAG_MEMORY;
-    return lacks && isKnownNow ? Infinity : 0;
-  }
-
-  function chooseReader(
-    group: TargetGroup,
-    work: Dispatch,
-    position: LogPosition,
-    progress: Progress,
-  ): TargetLink | undefined {
-    let best: TargetLink | undefined;
-    let lowest = Infinity;
-    for (const link of group.links()) {
-      const triedAt = progress.tried.get(link.target) ?? -Infinity;
-      const isOut =
-        !link.isReached() ||
-        link.registration().isLeaving ||
-        timer.now() - triedAt < LAG_MEMORY;
-      const price = isOut
-        ? Infinity
-        : cost(group, link, kindOf(work), position);
-      if (price < lowest) {
-        lowest = price;
-        best = link;
-      }
-    }
-    return best;
-  }
-
   function workFor(
     work: Dispatch,
     after: LogPosition | undefined,
@@ -276,7 +217,13 @@
       if (after === undefined) {
         return undefined;
       }
-      const link = chooseReader(group, work, after, progress);
+      const link = chooseReader({
+        group,
+        kind: kindOf(work),
+        position: after,
+        triedAt: progress.tried,
+        now: timer.now(),
+      });
       if (link !== undefined) {
         return {link, after};
       }
@@ -296,11 +243,11 @@
       retryAfter: DEFAULT_RETRY_AFTER,
       tried: new Map(),
     };
-    const group = options.group(work.route.group);
+    const until = work.arrivedAt + work.route.timeout * HOLD_SHARE;
+    const group = yield* findGroup(work.route.group, until);
     if (group === undefined) {
       return refuse(progress, 'no targets');
     }
-    const until = work.arrivedAt + work.route.timeout * HOLD_SHARE;
     while (progress.attempts < MAXIMUM_ATTEMPTS) {
       // What was not sent is no attempt: it may wait until it is too late.
       if (timer.now() >= until && progress.attempts === 0) {
@@ -324,6 +271,17 @@
     return refuse(progress, progress.reason);
   }
 
+  /** Right after the start the list of targets may still be on its way. */
+  function* findGroup(
+    name: string,
+    until: Milliseconds,
+  ): Task<TargetGroup | undefined> {
+    while (options.group(name) === undefined && timer.now() < until) {
+      yield* sleep(RETRY_PAUSE);
+    }
+    return options.group(name);
+  }
+
   function pauseAfter(
     outcome: StatementOutcome,
     {reason}: Progress,
--- a/packages/membership/src/store_presence.ts
+++ b/packages/membership/src/store_presence.ts
@@ -2,7 +2,7 @@
  * Tells other proxies through the platform's store that this one runs, and
  * counts them. The count sets each proxy's share of a target's connections.
  */
-import {type TableRows, type TableStore, followTable} from '@kelpstep/platform';
+import type {TableRows, TableStore} from '@kelpstep/platform';
 import {
   type Milliseconds,
   type Runtime,
--- /dev/null
+++ b/packages/targets/src/pinned_connection.ts
@@ -0,0 +1,74 @@
+/** A connection that a transaction keeps from its start to its end. */
+import {
+  type Deferred,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  createDeferred,
+} from '@kelpstep/runtime';
+import type {
+  ConnectionLoss,
+  SessionSettings,
+  StatementAnswer,
+  TransactionState,
+} from '@kelpstep/statements';
+import type {Result} from 'ts-results';
+
+import type {SharedConnection} from './shared_connections';
+import {exchangeStatement} from './statement_exchange';
+import type {PinnedConnection, StatementWork} from './statement_work';
+
+/** What a pinned connection is made of. */
+export interface PinnedConnectionOptions {
+  readonly runtime: Runtime;
+  readonly target: string;
+  /** A connection on which the target has begun the transaction. */
+  readonly shared: SharedConnection;
+  readonly settings: SessionSettings;
+  onAnswers(askedAt: Milliseconds, answers: readonly StatementAnswer[]): void;
+  giveBack(shared: SharedConnection): void;
+}
+
+type Reply = Result<StatementAnswer, ConnectionLoss>;
+
+/** Keeps a connection for a transaction. */
+export function pinConnection(
+  options: PinnedConnectionOptions,
+): PinnedConnection {
+  const {runtime, target, shared, settings, onAnswers} = options;
+  let state: TransactionState = 'open';
+
+  function* exchange(
+    work: Pick<StatementWork, 'settings' | 'shape' | 'request'>,
+    timeout: Milliseconds,
+    result: Deferred<Reply>,
+  ): Task<void> {
+    const {timer} = runtime;
+    const reply = yield* exchangeStatement({
+      timer,
+      shared,
+      work,
+      timeout,
+      isInTransaction: true,
+      onAnswers,
+    });
+    state = reply.ok ? reply.val.state : 'failed';
+    result.settle(reply);
+  }
+
+  return {
+    target,
+    send(request, shape, timeout) {
+      const result = createDeferred<Reply>();
+      const work = {settings, shape, request};
+      runtime.spawn('pinned', exchange(work, timeout, result));
+      return result.future;
+    },
+    end() {
+      if (state !== 'idle') {
+        shared.connection.close();
+      }
+      options.giveBack(shared);
+    },
+  };
+}
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -15,7 +15,7 @@
   type TimerService,
   mapFuture,
 } from '@kelpstep/runtime';
-import {Err, Ok, type Result} from 'ts-results';
+import {Ok, type Result} from 'ts-results';
 
 /** A connection with what is applied to it. */
 export interface SharedConnection {
@@ -47,6 +47,8 @@
   /** Gives one back; one that is closed is forgotten. */
   giveBack(shared: SharedConnection): void;
   count(): number;
+  /** Closes a connection beyond the share that nobody uses. */
+  trim(): void;
   closeAll(): void;
 }
 
@@ -56,6 +58,16 @@
  */
 export const OPEN_TIMEOUT: Milliseconds = 500;
 
+/**
+ * Connections beyond the share that are opened while the target takes them:
+ * proxies seldom need their shares at the same time.
+ */
+const BURST = 2;
+/** Pause beyond the share after the target was at its limit. */
+const LIMIT_PAUSE: Milliseconds = 500;
+/** A connection beyond the share is closed when it was idle for so long. */
+const IDLE_TIME: Milliseconds = 300;
+
 /** Creates the connections of a target, none open. */
 export function createSharedConnections(
   options: SharedConnectionsOptions,
@@ -63,6 +75,8 @@
   let idle: SharedConnection[] = [];
   const all = new Set<SharedConnection>();
   let opening = 0;
+  let atLimitUntil = -Infinity;
+  let idleSince = -Infinity;
 
   function add(
     askedAt: Milliseconds,
@@ -86,10 +100,38 @@
     const opened = options.open(options.target, OPEN_TIMEOUT);
     return mapFuture(opened, result => {
       opening -= 1;
-      return result.ok ? Ok(add(askedAt, result.val)) : Err(result.val);
+      if (result.err) {
+        noteFailure(result.val);
+        return result;
+      }
+      return Ok(add(askedAt, result.val));
     });
   }
 
+  function noteFailure(failure: OpenFailure): void {
+    if (failure === 'tooManyConnections') {
+      atLimitUntil = options.timer.now() + LIMIT_PAUSE;
+    }
+  }
+
+  function mayOpen(): boolean {
+    const count = all.size + opening;
+    const share = options.share();
+    const mayBurst = options.timer.now() >= atLimitUntil;
+    return count < (mayBurst ? share + BURST : share);
+  }
+
+  /** The idle time counts from the last moment without any idle one. */
+  function trim(): void {
+    const now = options.timer.now();
+    const isOver = all.size > options.share();
+    if (idle.length === 0 || !isOver) {
+      idleSince = now;
+    } else if (now - idleSince >= IDLE_TIME) {
+      idle[0]?.connection.close();
+    }
+  }
+
   function take(settings: SessionSettings): SharedConnection | undefined {
     let best: SharedConnection | undefined;
     let fewest = Infinity;
@@ -107,7 +149,7 @@
   return {
     take,
     hasIdle: () => idle.length > 0,
-    mayOpen: () => all.size + opening < options.share(),
+    mayOpen,
     open,
     giveBack(shared) {
       if (shared.connection.isOpen()) {
@@ -116,6 +158,7 @@
       options.onRoom();
     },
     count: () => all.size + opening,
+    trim,
     closeAll() {
       for (const shared of [...all]) {
         shared.connection.close();
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -79,9 +79,14 @@
  * the list's store come back within about two seconds.
  */
 const KEPT_AFTER_ENTRY: Milliseconds = 2500;
-/** Share of a target's connections that proxies use together. */
-const CONNECTION_USE = 0.9;
 
+/**
+ * Part of a target's connections that proxies share for good. A target holds
+ * those of instances that lost power for seconds: the rest lets the instances
+ * that start in their place reach it. At 1 the worst seconds after a loss of
+ * power of all instances served 0.35 of their worth, at this value 0.54.
+ */
+const CONNECTION_USE = 0.64;
 /** One connection for questions, one for statements. */
 const MINIMUM_SHARE = 2;
 
@@ -108,9 +113,10 @@
   let knownLeader = '';
 
   function share(): number {
-    const usable = settings.connectionLimit * CONNECTION_USE;
     const proxies = options.liveProxies() ?? Infinity;
-    return Math.max(MINIMUM_SHARE, Math.floor(usable / proxies));
+    const usable = settings.connectionLimit * CONNECTION_USE;
+    const share = Math.floor(usable / proxies);
+    return Math.max(MINIMUM_SHARE, share);
   }
 
   function noteLeader(): void {
@@ -253,6 +259,7 @@
     dropMissing();
     const now = timer.now();
     for (const link of links()) {
+      link.trim();
       if (now - link.lastAskedAt() >= PROBE_AFTER) {
         void link.probe();
       }
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -22,75 +22,31 @@
   waitFor,
 } from '@kelpstep/runtime';
 import {
-  type ConnectionLoss,
   type OpenFailure,
   type OpenTargetConnection,
-  type PreparedShape,
   type ReadTargetStatus,
   type SessionSettings,
   type StatementAnswer,
   type TargetOrder,
-  type TargetRequest,
   type TargetStatus,
-  noteApplied,
-  planDifference,
 } from '@kelpstep/statements';
 import {Err, Ok, type Result} from 'ts-results';
 
 import type {TargetRegistration} from './registration';
+import {pinConnection} from './pinned_connection';
 import {createQuestionConnection} from './question_connection';
+import {type OrderReply, createTargetQuestions} from './target_questions';
+import {exchangeStatement} from './statement_exchange';
+import type {
+  PinnedStart,
+  StatementOutcome,
+  StatementWork,
+} from './statement_work';
 import {
   type SharedConnection,
   createSharedConnections,
 } from './shared_connections';
 
-/** A statement outside a transaction, or the start of one. */
-export interface StatementWork {
-  /** Names statements that take about the same time. */
-  readonly kind: string;
-  readonly worth: number;
-  /** Monotonic time by which the answer must be there. */
-  readonly deadline: Milliseconds;
-  readonly settings: SessionSettings;
-  readonly shape: PreparedShape | undefined;
-  readonly request: TargetRequest;
-  /** True once nobody waits for the answer any more. */
-  isAbandoned(): boolean;
-}
-
-/** What became of a statement. */
-export type StatementOutcome =
-  | {readonly kind: 'answered'; readonly answer: StatementAnswer}
-  /** Refused here: nothing was sent. */
-  | {readonly kind: 'refused'; readonly retryAfter: Milliseconds}
-  /** No connection could be had: nothing was sent. */
-  | {readonly kind: 'unreached'; readonly failure: OpenFailure}
-  /** Sent, and no answer came. */
-  | {readonly kind: 'lost'};
-
-/** A connection that a transaction keeps. */
-export interface PinnedConnection {
-  readonly target: string;
-  /** Sends a statement; the session's settings are applied before it. */
-  send(
-    request: TargetRequest,
-    shape: PreparedShape | undefined,
-    timeout: Milliseconds,
-  ): Future<Result<StatementAnswer, ConnectionLoss>>;
-  /** Gives the connection back; one inside a transaction is closed. */
-  end(): void;
-}
-
-/** What became of the start of a transaction. */
-export interface PinnedStart {
-  readonly outcome: StatementOutcome;
-  /** There if the target has begun the transaction. */
-  readonly pinned: PinnedConnection | undefined;
-}
-
-/** Answer to a question of the proxy's own. */
-export type OrderReply = Result<StatementAnswer, ConnectionLoss | OpenFailure>;
-
 /** What a link is made of. */
 export interface TargetLinkOptions {
   readonly runtime: Runtime;
@@ -123,13 +79,15 @@
   askStatus(): Future<TargetStatus | undefined>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
-  /** Shortest round trip seen; undefined before any. */
+  /** Shortest round trip seen. */
   roundTrip(): Milliseconds | undefined;
   /** False after a failed question, until one is answered again. */
   isReached(): boolean;
   /** Since when no question was answered; undefined while they are. */
   silentSince(): Milliseconds | undefined;
   lastAskedAt(): Milliseconds;
+  /** Closes what is open beyond need; call it a few times a second. */
+  trim(): void;
   connections(): number;
   queued(): number;
   close(): void;
@@ -160,9 +118,9 @@
   const {runtime, policies, onPosition} = options;
   const {timer} = runtime;
   let registration = options.registration;
-  const {target, group, address} = registration;
-  const place = {target, group, address};
-  let order = 0;
+  const {target} = registration;
+  const place = options.registration;
+  let arrivals = 0;
   let shortestRoundTrip: Milliseconds | undefined;
   let silentSince: Milliseconds | undefined;
   let lastAskedAt = -Infinity;
@@ -181,13 +139,23 @@
       }
     },
   });
-  const questions = createQuestionConnection(place, options.open);
+  const questionConnection = createQuestionConnection(place, options.open);
+  const questions = createTargetQuestions({
+    runtime,
+    connection: questionConnection,
+    onAnswers: noteAnswers,
+    onRoundTrip(duration) {
+      shortestRoundTrip = Math.min(shortestRoundTrip ?? Infinity, duration);
+    },
+    onSilence: unheard,
+  });
   const admission = createAdmission<Entry>({
     runtime,
     slots: registration.slots,
     policies,
     queueCapacity: QUEUE_CAPACITY,
-    connectionShare: () => Math.max(1, options.share() - 1),
+    connectionShare: () =>
+      Math.max(1, options.share() - 1, connections.count()),
     onReady: pump,
   });
 
@@ -248,37 +216,6 @@
     return opened;
   }
 
-  /** Applies the settings and sends, in one write. */
-  function* exchange(
-    shared: SharedConnection,
-    work: Pick<StatementWork, 'settings' | 'shape' | 'request'>,
-    timeout: Milliseconds,
-    isInTransaction: boolean,
-  ): Task<Result<StatementAnswer, ConnectionLoss>> {
-    const {applied, connection} = shared;
-    const {settings: session, shape, request} = work;
-    const before = planDifference({applied, session, shape, isInTransaction});
-    const askedAt = timer.now();
-    const sent = connection.send([...before, request], timeout);
-    // Noted at once: what follows on this connection comes after it.
-    noteApplied(applied, before);
-    const reply = yield* waitFor(sent);
-    if (reply.err) {
-      connection.close();
-      return reply;
-    }
-    noteAnswers(askedAt, reply.val);
-    const isPrepared = reply.val
-      .slice(0, before.length)
-      .every(({error}) => error === undefined);
-    const answer = reply.val[before.length];
-    if (!isPrepared || answer === undefined) {
-      connection.close();
-      return Err('closed');
-    }
-    return Ok(answer);
-  }
-
   function endRun(run: AdmittedRun, answer: StatementAnswer): void {
     const isBusy = answer.error?.name === 'busy';
     run.end(isBusy ? 'exhausted' : 'answered', answer.error !== undefined);
@@ -307,7 +244,14 @@
       connections.giveBack(shared);
       return {outcome: {kind: 'refused', retryAfter: 0}};
     }
-    const reply = yield* exchange(shared, work, remaining, false);
+    const reply = yield* exchangeStatement({
+      timer,
+      shared,
+      work,
+      timeout: remaining,
+      isInTransaction: false,
+      onAnswers: noteAnswers,
+    });
     if (reply.err) {
       run.end('lost', true);
       return {outcome: {kind: 'lost'}};
@@ -329,39 +273,6 @@
     pump();
   }
 
-  function pinned(
-    shared: SharedConnection,
-    settings: SessionSettings,
-  ): PinnedConnection {
-    let state = 'open';
-    function* send(
-      request: TargetRequest,
-      shape: PreparedShape | undefined,
-      timeout: Milliseconds,
-      result: Deferred<Result<StatementAnswer, ConnectionLoss>>,
-    ): Task<void> {
-      const work = {settings, shape, request};
-      const reply = yield* exchange(shared, work, timeout, true);
-      state = reply.ok ? reply.val.state : 'failed';
-      result.settle(reply);
-    }
-    return {
-      target,
-      send(request, shape, timeout) {
-        const result =
-          createDeferred<Result<StatementAnswer, ConnectionLoss>>();
-        runtime.spawn('pinned', send(request, shape, timeout, result));
-        return result.future;
-      },
-      end() {
-        if (state !== 'idle') {
-          shared.connection.close();
-        }
-        connections.giveBack(shared);
-      },
-    };
-  }
-
   function* servePin(
     work: StatementWork,
     run: AdmittedRun,
@@ -371,7 +282,15 @@
     if (shared === undefined || outcome.kind !== 'answered') {
       result.settle({outcome, pinned: undefined});
     } else if (outcome.answer.error === undefined && !work.isAbandoned()) {
-      result.settle({outcome, pinned: pinned(shared, work.settings)});
+      const pinned = pinConnection({
+        runtime,
+        target,
+        shared,
+        settings: work.settings,
+        onAnswers: noteAnswers,
+        giveBack: connections.giveBack,
+      });
+      result.settle({outcome, pinned});
     } else {
       giveBack(shared, outcome.answer);
       result.settle({outcome, pinned: undefined});
@@ -384,94 +303,32 @@
     serve: (run: AdmittedRun) => Task<void>,
     refuse: (retryAfter: Milliseconds) => void,
   ): void {
-    order += 1;
+    arrivals += 1;
     admission.add({
       work,
       kind: work.kind,
       worth: work.worth,
       deadline: work.deadline,
       expected: admission.expected(work.kind),
-      order,
+      order: arrivals,
       serve,
       refuse: failure => refuse(failure.retryAfter ?? 0),
     });
     pump();
   }
 
-  function* ask(
-    question: TargetOrder,
-    timeout: Milliseconds,
-    result: Deferred<OrderReply>,
-  ): Task<void> {
-    const opened = yield* waitFor(questions.get());
-    if (opened.err) {
-      if (opened.val !== 'tooManyConnections') {
-        unheard(opened.val);
-      }
-      result.settle(opened);
-      return;
-    }
-    const connection = opened.val;
-    const askedAt = timer.now();
-    const sent = connection.send([{body: question}], timeout);
-    const reply = yield* waitFor(sent);
-    if (reply.err) {
-      connection.close();
-      result.settle(reply);
-      return;
-    }
-    shortestRoundTrip = Math.min(
-      shortestRoundTrip ?? Infinity,
-      timer.now() - askedAt,
-    );
-    noteAnswers(askedAt, reply.val);
-    result.settle(Ok(reply.val[0] as StatementAnswer));
-  }
-
-  function askOnce(
-    question: TargetOrder,
-    timeout: Milliseconds,
-  ): Future<OrderReply> {
-    const result = createDeferred<OrderReply>();
-    runtime.spawn('question', ask(question, timeout, result));
-    return result.future;
-  }
-
-  /** A dead connection is told from a dead target by a fresh one. */
-  function* askTwice(
-    question: TargetOrder,
-    timeout: Milliseconds,
-    result: Deferred<OrderReply>,
-  ): Task<void> {
-    const first = yield* waitFor(askOnce(question, timeout));
-    const isLoss =
-      first.err && (first.val === 'closed' || first.val === 'timed out');
-    if (!isLoss || isClosed) {
-      result.settle(first);
-      return;
-    }
-    const second = yield* waitFor(askOnce(question, timeout));
-    if (second.err) {
-      unheard(second.val);
-    }
-    result.settle(second);
-  }
-
-  function orderTarget(
+  function order(
     question: TargetOrder,
     timeout: Milliseconds,
   ): Future<OrderReply> {
-    if (isClosed) {
-      return settledFuture(Err('closed'));
-    }
-    const result = createDeferred<OrderReply>();
-    runtime.spawn('order', askTwice(question, timeout, result));
-    return result.future;
+    return isClosed
+      ? settledFuture(Err('closed'))
+      : questions.ask(question, timeout);
   }
 
   function askStatus(): Future<TargetStatus | undefined> {
     const askedAt = timer.now();
-    const reply = orderTarget({kind: 'status'}, QUESTION_TIMEOUT);
+    const reply = order({kind: 'status'}, QUESTION_TIMEOUT);
     return mapFuture(reply, result => {
       const status = result.ok ? options.readStatus(result.val) : undefined;
       if (status !== undefined) {
@@ -509,19 +366,18 @@
       );
       return result.future;
     },
-    order: orderTarget,
+    order,
     probe: () =>
-      mapFuture(
-        orderTarget({kind: 'reset'}, QUESTION_TIMEOUT),
-        reply => reply.ok,
-      ),
+      mapFuture(order({kind: 'reset'}, QUESTION_TIMEOUT), reply => reply.ok),
     askStatus,
     expectedTime: admission.expectedTime,
     roundTrip: () => shortestRoundTrip,
     isReached: () => silentSince === undefined,
     silentSince: () => silentSince,
     lastAskedAt: () => lastAskedAt,
-    connections: () => connections.count() + (questions.isOpen() ? 1 : 0),
+    trim: connections.trim,
+    connections: () =>
+      connections.count() + (questionConnection.isOpen() ? 1 : 0),
     queued: admission.queued,
     close() {
       isClosed = true;
@@ -529,7 +385,7 @@
         entry.refuse(GONE);
       }
       connections.closeAll();
-      questions.close();
+      questionConnection.close();
     },
   };
 }
--- /dev/null
+++ b/packages/targets/src/target_questions.ts
@@ -0,0 +1,96 @@
+/** Questions of the proxy's own to one target, on a connection of their own. */
+import {
+  type Deferred,
+  type Future,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  createDeferred,
+  waitFor,
+} from '@kelpstep/runtime';
+import type {
+  ConnectionLoss,
+  OpenFailure,
+  StatementAnswer,
+  TargetOrder,
+} from '@kelpstep/statements';
+import {Ok, type Result} from 'ts-results';
+
+import type {QuestionConnection} from './question_connection';
+
+/** Answer to a question of the proxy's own. */
+export type OrderReply = Result<StatementAnswer, ConnectionLoss | OpenFailure>;
+
+/** What questions are made of. */
+export interface TargetQuestionsOptions {
+  readonly runtime: Runtime;
+  readonly connection: QuestionConnection;
+  onAnswers(askedAt: Milliseconds, answers: readonly StatementAnswer[]): void;
+  onRoundTrip(duration: Milliseconds): void;
+  /** The target gave no answer, on a fresh connection either. */
+  onSilence(reason: string): void;
+}
+
+/** Asks one target. */
+export interface TargetQuestions {
+  ask(order: TargetOrder, timeout: Milliseconds): Future<OrderReply>;
+}
+
+/** Creates questions to a target. */
+export function createTargetQuestions(
+  options: TargetQuestionsOptions,
+): TargetQuestions {
+  const {runtime} = options;
+  const {timer} = runtime;
+
+  function* askOnce(
+    question: TargetOrder,
+    timeout: Milliseconds,
+  ): Task<OrderReply> {
+    const opened = yield* waitFor(options.connection.get());
+    if (opened.err) {
+      if (opened.val !== 'tooManyConnections') {
+        options.onSilence(opened.val);
+      }
+      return opened;
+    }
+    const connection = opened.val;
+    const askedAt = timer.now();
+    const reply = yield* waitFor(connection.send([{body: question}], timeout));
+    if (reply.err) {
+      connection.close();
+      return reply;
+    }
+    options.onRoundTrip(timer.now() - askedAt);
+    options.onAnswers(askedAt, reply.val);
+    return Ok(reply.val[0] as StatementAnswer);
+  }
+
+  /** A dead connection is told from a dead target by a fresh one. */
+  function* askTwice(
+    question: TargetOrder,
+    timeout: Milliseconds,
+    result: Deferred<OrderReply>,
+  ): Task<void> {
+    const first = yield* askOnce(question, timeout);
+    const isLoss =
+      first.err && (first.val === 'closed' || first.val === 'timed out');
+    if (!isLoss) {
+      result.settle(first);
+      return;
+    }
+    const second = yield* askOnce(question, timeout);
+    if (second.err) {
+      options.onSilence(second.val);
+    }
+    result.settle(second);
+  }
+
+  return {
+    ask(order, timeout) {
+      const result = createDeferred<OrderReply>();
+      runtime.spawn('question', askTwice(order, timeout, result));
+      return result.future;
+    },
+  };
+}
