test(scenarios): statement sessions under faults, with a checker of every rule

A stand-in group, store and callers in virtual time run the product's own wiring (createStatementProxy, moved out of the adapter). The checker judges reads, settings, transactions, commits and promotions by what targets saw.

--- a/packages/gateway/index.ts
+++ b/packages/gateway/index.ts
@@ -4,3 +4,4 @@
 export * from './src/create_gateway';
 export * from './src/dispatch';
 export * from './src/gateway_events';
+export * from './src/create_statement_proxy';
--- /dev/null
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -0,0 +1,295 @@
+/** Callers with sessions, transactions and retries, in virtual time. */
+import type {
+  CallerConnection,
+  CallerMessage,
+  CallerRoute,
+} from '@kelpstep/gateway';
+import {
+  type Milliseconds,
+  type Random,
+  type Runtime,
+  type Task,
+  createDeferred,
+  createMailbox,
+  sleep,
+  waitAtMost,
+} from '@kelpstep/runtime';
+import type {
+  SessionStatement,
+  StatementAnswer,
+  StatementErrorName,
+} from '@kelpstep/statements';
+
+import {type RuleChecker, type SentRequest, isPromise} from './rule_checker';
+
+/** What callers are made of. */
+export interface SessionCallersOptions {
+  readonly runtime: Runtime;
+  readonly random: Random;
+  readonly checker: RuleChecker;
+  readonly routes: readonly CallerRoute[];
+  readonly sessions: number;
+  /** Operations stop after this time. */
+  readonly until: Milliseconds;
+  /** Connects to a proxy that runs; undefined if none does. */
+  connect(caller: CallerConnection): boolean;
+}
+
+/** How operations ended. */
+export interface OperationCounts {
+  started: number;
+  served: number;
+  readonly errors: Map<StatementErrorName | 'no answer', number>;
+  /** Served ones among those that started after a time. */
+  servedSince(time: Milliseconds): {started: number; served: number};
+}
+
+/** Time after which a caller gives an answer up. */
+const ANSWER_TIMEOUT: Milliseconds = 2500;
+const LONGEST_PAUSE: Milliseconds = 120;
+const SHAPES = ['q1', 'q2'] as const;
+
+interface Session {
+  readonly number: number;
+  readonly route: CallerRoute;
+  readonly connection: CallerConnection;
+  readonly values: Map<string, string>;
+  readonly prepared: Map<string, string>;
+  answer: (answer: StatementAnswer) => void;
+  isClosed: boolean;
+}
+
+type Outcome = StatementAnswer | undefined;
+
+/** Starts callers; gives the counts that they keep. */
+export function startSessionCallers(
+  options: SessionCallersOptions,
+): OperationCounts {
+  const {runtime, random, checker, routes} = options;
+  const {timer} = runtime;
+  const log: Array<{at: Milliseconds; isServed: boolean}> = [];
+  const counts: OperationCounts = {
+    started: 0,
+    served: 0,
+    errors: new Map(),
+    servedSince(time) {
+      const recent = log.filter(({at}) => at >= time);
+      const served = recent.filter(({isServed}) => isServed).length;
+      return {started: recent.length, served};
+    },
+  };
+  let nextNumber = 1;
+
+  function createSession(route: CallerRoute): Session | undefined {
+    const messages = createMailbox<CallerMessage>();
+    const session: Session = {
+      number: nextNumber++,
+      route,
+      values: new Map(),
+      prepared: new Map(),
+      answer: () => {},
+      isClosed: false,
+      connection: {
+        database: route.database,
+        messages,
+        isClosed: () => session.isClosed,
+        answer: answer => session.answer(answer),
+        close() {
+          session.isClosed = true;
+          messages.post({kind: 'closed'});
+        },
+      },
+    };
+    return options.connect(session.connection) ? session : undefined;
+  }
+
+  function* ask(
+    session: Session,
+    id: string,
+    statement: SessionStatement,
+  ): Task<Outcome> {
+    const result = createDeferred<StatementAnswer>();
+    session.answer = answer => void result.settle(answer);
+    const request = {id, statement};
+    session.connection.messages.post({kind: 'request', request});
+    const answer = yield* waitAtMost(result.future, ANSWER_TIMEOUT);
+    if (answer === undefined) {
+      session.connection.close();
+    }
+    return answer;
+  }
+
+  function sentRequest(
+    session: Session,
+    kind: SentRequest['kind'],
+    part: Partial<SentRequest>,
+  ): SentRequest {
+    const {number, route} = session;
+    return {
+      id: `q${nextNumber++}`,
+      session: number,
+      kind,
+      freshness: route.freshness,
+      maximumStaleness: route.maximumStaleness,
+      since: timer.now(),
+      values: new Map(session.values),
+      shape: undefined,
+      transaction: undefined,
+      writes: [],
+      ...part,
+    };
+  }
+
+  function* askChecked(
+    session: Session,
+    request: SentRequest,
+    statement: SessionStatement,
+  ): Task<Outcome> {
+    checker.onSent(request);
+    const answer = yield* ask(session, request.id, statement);
+    if (answer !== undefined) {
+      checker.onAnswer(request, answer);
+    }
+    return answer;
+  }
+
+  /** Sets a value or prepares a shape now and then. */
+  function* changeSettings(session: Session): Task<void> {
+    if (random.fraction() < 0.3) {
+      const name = random.pick(['a', 'b']);
+      const value = random.hexadecimal(2);
+      session.values.set(name, value);
+      yield* ask(session, 's', {kind: 'set', name, value});
+    }
+    if (random.fraction() < 0.3) {
+      const name = random.pick(['p', 'q']);
+      const access = random.pick(['read', 'write'] as const);
+      const shape = random.pick(SHAPES);
+      session.prepared.set(name, `${access} ${shape}`);
+      yield* ask(session, 's', {kind: 'prepare', name, access, shape});
+    }
+  }
+
+  function chooseStatement(
+    session: Session,
+    access: 'read' | 'write',
+  ): {statement: SessionStatement; shape: string | undefined} {
+    const usable = [...session.prepared].filter(([, text]) =>
+      text.startsWith(access),
+    );
+    if (usable.length > 0 && random.fraction() < 0.5) {
+      const [name, shape] = random.pick(usable);
+      return {statement: {kind: 'execute', name, parameters: 'i'}, shape};
+    }
+    const statement: SessionStatement =
+      access === 'read'
+        ? {kind: 'read', item: 'i'}
+        : {kind: 'write', item: 'i', data: 'd'};
+    return {statement, shape: undefined};
+  }
+
+  function* runSingle(session: Session): Task<Outcome> {
+    const mayWrite = session.route.freshness !== 'bounded';
+    const access = mayWrite && random.fraction() < 0.3 ? 'write' : 'read';
+    const {statement, shape} = chooseStatement(session, access);
+    const request = sentRequest(session, access, {shape});
+    const writes = access === 'write' ? [request.id] : [];
+    const answer = yield* askChecked(session, {...request, writes}, statement);
+    if (answer !== undefined && isPromise(answer)) {
+      checker.onPromise(writes);
+    }
+    return answer;
+  }
+
+  function* runTransaction(session: Session): Task<Outcome> {
+    const readOnly = session.route.freshness === 'bounded';
+    const since = timer.now();
+    const transaction = nextNumber++;
+    const writes: string[] = [];
+    const begun = yield* ask(session, 'b', {kind: 'begin', readOnly});
+    if (begun === undefined || begun.error !== undefined) {
+      return begun;
+    }
+    for (let count = random.integer(1, 4); count > 0; count--) {
+      yield* sleep(LONGEST_PAUSE * random.fraction());
+      const access = !readOnly && random.fraction() < 0.5 ? 'write' : 'read';
+      const {statement, shape} = chooseStatement(session, access);
+      const part = {since, transaction, shape};
+      const request = sentRequest(session, access, part);
+      if (access === 'write') {
+        writes.push(request.id);
+      }
+      const answer = yield* askChecked(session, request, statement);
+      if (answer === undefined || answer.error !== undefined) {
+        return endFailed(session, answer, writes);
+      }
+    }
+    if (random.fraction() < 0.1) {
+      checker.onPromise(writes);
+      return yield* ask(session, 'r', {kind: 'rollback'});
+    }
+    const part = {since, transaction, writes};
+    const commit = sentRequest(session, 'commit', part);
+    const answer = yield* askChecked(session, commit, {kind: 'commit'});
+    return answer?.error === undefined
+      ? answer
+      : endFailed(session, answer, writes);
+  }
+
+  function endFailed(
+    session: Session,
+    answer: Outcome,
+    writes: readonly string[],
+  ): Outcome {
+    if (answer !== undefined && isPromise(answer)) {
+      checker.onPromise(writes);
+    }
+    session.connection.close();
+    return answer;
+  }
+
+  function note(at: Milliseconds, outcome: Outcome): void {
+    const isServed = outcome !== undefined && outcome.error === undefined;
+    log.push({at, isServed});
+    counts.served += isServed ? 1 : 0;
+    if (!isServed) {
+      const name = outcome?.error?.name ?? 'no answer';
+      counts.errors.set(name, (counts.errors.get(name) ?? 0) + 1);
+    }
+  }
+
+  function* live(route: CallerRoute): Task<void> {
+    let session: Session | undefined;
+    while (timer.now() < options.until) {
+      yield* sleep(LONGEST_PAUSE * (0.2 + random.fraction()));
+      if (session === undefined || session.isClosed) {
+        session = createSession(route);
+      }
+      if (session === undefined) {
+        continue;
+      }
+      yield* changeSettings(session);
+      if (session.isClosed) {
+        continue;
+      }
+      counts.started += 1;
+      const at = timer.now();
+      const isTransaction = random.fraction() < 0.25;
+      note(
+        at,
+        isTransaction
+          ? yield* runTransaction(session)
+          : yield* runSingle(session),
+      );
+    }
+    session?.connection.close();
+  }
+
+  for (let number = 0; number < options.sessions; number++) {
+    const route = routes[number % routes.length];
+    if (route !== undefined) {
+      runtime.spawn('caller', live(route));
+    }
+  }
+  return counts;
+}
--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -11,3 +11,8 @@
 export * from './src/platform/platform';
 export * from './src/platform/platform_faults';
 export * from './src/platform/platform_server';
+export * from './src/statement_group/link_network';
+export * from './src/statement_group/run_record';
+export * from './src/statement_group/stand_in_group';
+export * from './src/statement_group/stand_in_store';
+export * from './src/statement_group/stand_in_target';
--- /dev/null
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -0,0 +1,191 @@
+/** The platform's table store in virtual time, with its faults. */
+import type {
+  StoreFailure,
+  StoredRow,
+  TableChanges,
+  TableStore,
+} from '@kelpstep/platform';
+import {
+  type Future,
+  type Milliseconds,
+  type Random,
+  type TimerService,
+  createDeferred,
+} from '@kelpstep/runtime';
+import {Err, Ok, type Result} from 'ts-results';
+
+/** What may go wrong at the store. */
+export interface StoreFaults {
+  /** Clients that are refused, or all. */
+  refused: Set<string> | 'all';
+  /** Clients that get no answer at all. */
+  silent: Set<string> | 'all';
+  /** Share of writes that are done and not answered. */
+  lostAnswers: number;
+  /** Share of writes that are not answered and done this much later. */
+  lateWrites: number;
+}
+
+/** A store with what a test may do to it. */
+export interface StandInStore {
+  /** The store as a client sees it. */
+  clientOf(name: string): TableStore;
+  /** Writes without conditions, as the operator and targets do. */
+  put(table: string, key: string, value: unknown): void;
+  remove(table: string, key: string): void;
+  /** Forgets the history of changes. */
+  compact(): void;
+  readonly faults: StoreFaults;
+}
+
+/** How a store behaves. */
+export interface StandInStoreOptions {
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly answerTime: Milliseconds;
+}
+
+/** Longest time after which a write without an answer is done. */
+const LONGEST_DELAY: Milliseconds = 6000;
+/** Time after which a silent store counts as away. */
+const SILENCE_TIMEOUT: Milliseconds = 1200;
+
+/** Creates an empty store. */
+export function createStandInStore(options: StandInStoreOptions): StandInStore {
+  const {timer, random, answerTime} = options;
+  const tables = new Map<string, Map<string, StoredRow>>();
+  const removed = new Map<string, StoredRow[]>();
+  const faults: StoreFaults = {
+    refused: new Set(),
+    silent: new Set(),
+    lostAnswers: 0,
+    lateWrites: 0,
+  };
+  let version = 0;
+  let historyFrom = 0;
+  let waiters: Array<() => void> = [];
+
+  function tableOf(name: string): Map<string, StoredRow> {
+    const table = tables.get(name) ?? new Map<string, StoredRow>();
+    tables.set(name, table);
+    return table;
+  }
+
+  function changed(): void {
+    const woken = waiters;
+    waiters = [];
+    woken.forEach(wake => wake());
+  }
+
+  function put(table: string, key: string, value: unknown): number {
+    version += 1;
+    tableOf(table).set(key, {key, value, version, isRemoved: false});
+    changed();
+    return version;
+  }
+
+  function remove(table: string, key: string): void {
+    version += 1;
+    tableOf(table).delete(key);
+    const row = {key, value: undefined, version, isRemoved: true};
+    removed.set(table, [...(removed.get(table) ?? []), row]);
+    changed();
+  }
+
+  function hits(clients: Set<string> | 'all', name: string): boolean {
+    return clients === 'all' || clients.has(name);
+  }
+
+  function changesAfter(table: string, after: number): StoredRow[] {
+    return [...tableOf(table).values(), ...(removed.get(table) ?? [])]
+      .filter(row => row.version > after)
+      .sort((left, right) => left.version - right.version);
+  }
+
+  function clientOf(name: string): TableStore {
+    /** Answers after the store's time, unless the store is away. */
+    function call<T>(
+      answer: (settle: (reply: Result<T, StoreFailure>) => void) => void,
+    ): Future<Result<T, StoreFailure>> {
+      const result = createDeferred<Result<T, StoreFailure>>();
+      timer.after(answerTime, () => {
+        if (hits(faults.silent, name)) {
+          timer.after(SILENCE_TIMEOUT, () => result.settle(Err('unanswered')));
+        } else if (hits(faults.refused, name)) {
+          result.settle(Err('refused'));
+        } else {
+          answer(result.settle);
+        }
+      });
+      return result.future;
+    }
+
+    function replace(
+      table: string,
+      key: string,
+      expected: number,
+      value: unknown,
+    ): Result<number, StoreFailure> {
+      const current = tableOf(table).get(key)?.version ?? 0;
+      return current === expected
+        ? Ok(put(table, key, value))
+        : Err('conflict');
+    }
+
+    return {
+      readTable: table =>
+        call(settle =>
+          settle(Ok({rows: [...tableOf(table).values()], version})),
+        ),
+      awaitChanges: (table, after, wait) =>
+        call<TableChanges>(settle => {
+          const deadline = timer.now() + wait;
+          function look(): void {
+            if (after < historyFrom) {
+              settle(Err('history lost'));
+              return;
+            }
+            if (hits(faults.refused, name) || hits(faults.silent, name)) {
+              settle(Err('unanswered'));
+              return;
+            }
+            const rows = changesAfter(table, after);
+            if (rows.length > 0 || timer.now() >= deadline) {
+              settle(Ok({rows, version}));
+              return;
+            }
+            waiters.push(look);
+          }
+          timer.after(wait, changed);
+          look();
+        }),
+      replaceRow: (table, key, expected, value) =>
+        call(settle => {
+          if (random.fraction() < faults.lateWrites) {
+            const delay = LONGEST_DELAY * random.fraction();
+            timer.after(delay, () => replace(table, key, expected, value));
+            timer.after(SILENCE_TIMEOUT, () => settle(Err('unanswered')));
+            return;
+          }
+          const reply = replace(table, key, expected, value);
+          if (random.fraction() < faults.lostAnswers) {
+            timer.after(SILENCE_TIMEOUT, () => settle(Err('unanswered')));
+          } else {
+            settle(reply);
+          }
+        }),
+    };
+  }
+
+  return {
+    clientOf,
+    put: (table, key, value) => void put(table, key, value),
+    remove,
+    compact() {
+      historyFrom = version;
+      removed.clear();
+      changed();
+    },
+    faults,
+  };
+}
--- /dev/null
+++ b/packages/statements/__tests__/session_settings.spec.ts
@@ -0,0 +1,105 @@
+import {expect} from 'earl';
+import * as fc from 'fast-check';
+import {describe, test} from 'node:test';
+
+import {
+  type PreparedShape,
+  type SessionSettings,
+  applyLocally,
+  createSessionSettings,
+  noteApplied,
+  planDifference,
+  sharedName,
+} from '../src/session_settings';
+import type {TargetRequest} from '../src/target_connection';
+
+const NAMES = ['a', 'b', 'c'] as const;
+
+const shapes = fc.record(
+  {
+    access: fc.constantFrom('read' as const, 'write' as const),
+    shape: fc.constantFrom('s1', 's2', 's 3'),
+  },
+  {noNullPrototype: true},
+);
+
+/** What a session does before one of its statements. */
+const steps = fc.array(
+  fc.record({
+    session: fc.integer({min: 0, max: 3}),
+    sets: fc.array(fc.tuple(fc.constantFrom(...NAMES), fc.string()), {
+      maxLength: 3,
+    }),
+    shape: fc.option(shapes, {nil: undefined}),
+  }),
+  {maxLength: 40},
+);
+
+/** A connection as a target keeps it. */
+function applyAtTarget(
+  target: SessionSettings,
+  requests: readonly TargetRequest[],
+): void {
+  for (const {body} of requests) {
+    if (body.kind === 'reset') {
+      target.values.clear();
+      target.prepared.clear();
+    } else if (body.kind === 'set' || body.kind === 'prepare') {
+      applyLocally(target, body);
+    }
+  }
+}
+
+describe('sessions that share a connection', () => {
+  test('each find their own values and shapes on it', () => {
+    fc.assert(
+      fc.property(steps, operations => {
+        const sessions = Array.from({length: 4}, createSessionSettings);
+        const applied = createSessionSettings();
+        const target = createSessionSettings();
+        for (const {session: index, sets, shape} of operations) {
+          const session = sessions[index] as SessionSettings;
+          for (const [name, value] of sets) {
+            applyLocally(session, {kind: 'set', name, value});
+          }
+          const requests = planDifference({
+            applied,
+            session,
+            shape,
+            isInTransaction: false,
+          });
+          noteApplied(applied, requests);
+          applyAtTarget(target, requests);
+          expect(target.values).toEqual(session.values);
+          if (shape !== undefined) {
+            const held = target.prepared.get(sharedName(shape));
+            expect(held).toEqual(shape);
+          }
+        }
+      }),
+      {seed: 1, numRuns: 500},
+    );
+  });
+
+  test('send nothing when the connection matches', () => {
+    const session = createSessionSettings();
+    const applied = createSessionSettings();
+    const set = {kind: 'set', name: 'a', value: '1'} as const;
+    applyLocally(session, set);
+    applyLocally(applied, set);
+    const shape = undefined;
+    const options = {applied, session, shape, isInTransaction: false};
+    expect(planDifference(options)).toEqual([]);
+  });
+
+  test('give different shapes different names', () => {
+    fc.assert(
+      fc.property(shapes, shapes, (left: PreparedShape, right) => {
+        const isSame =
+          left.access === right.access && left.shape === right.shape;
+        expect(sharedName(left) === sharedName(right)).toEqual(isSame);
+      }),
+      {seed: 2},
+    );
+  });
+});
--- /dev/null
+++ b/packages/targets/__tests__/group_positions.spec.ts
@@ -0,0 +1,129 @@
+import type {TargetStatus} from '@kelpstep/statements';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {createGroupPositions} from '../src/group_positions';
+
+const TARGETS = ['a', 'b', 'c'] as const;
+
+function at(term: number, position: number) {
+  return {term, position};
+}
+
+function status(
+  role: TargetStatus['role'],
+  term: number,
+  received = at(term, 0),
+): TargetStatus {
+  return {role, term, received, termHeld: 0};
+}
+
+function createLed(synchronousReplicas = 1) {
+  const positions = createGroupPositions();
+  positions.setTargets(TARGETS, synchronousReplicas);
+  positions.noteStatus('a', 1, status('primary', 1));
+  return positions;
+}
+
+describe('a position', () => {
+  test('covers all commits before the earliest question to any target', () => {
+    const positions = createLed();
+    positions.notePosition('b', 90, at(1, 3));
+    positions.notePosition('c', 80, at(1, 4));
+    positions.notePosition('a', 100, at(1, 5));
+    expect(positions.coveredAt()).toEqual(80);
+    expect(positions.lowestCovering(80)).toEqual(at(1, 5));
+    expect(positions.lowestCovering(81)).toEqual(undefined);
+  });
+
+  test('is proved by nothing while one target has not answered', () => {
+    const positions = createLed();
+    positions.notePosition('a', 100, at(1, 5));
+    positions.notePosition('b', 100, at(1, 5));
+    expect(positions.coveredAt()).toEqual(-Infinity);
+  });
+
+  test('is proved with one silent target by what the others received', () => {
+    const positions = createLed();
+    positions.notePosition('a', 100, at(1, 5));
+    positions.noteStatus('a', 95, status('primary', 1, at(1, 5)));
+    positions.noteStatus('b', 90, status('replica', 1, at(1, 5)));
+    expect(positions.coveredAt()).toEqual(90);
+  });
+
+  test('needs every answer where commits need no receiver', () => {
+    const positions = createLed(0);
+    positions.notePosition('a', 100, at(1, 5));
+    positions.noteStatus('a', 95, status('primary', 1, at(1, 5)));
+    positions.noteStatus('b', 90, status('replica', 1, at(1, 5)));
+    expect(positions.coveredAt()).toEqual(-Infinity);
+  });
+
+  test('of a replaced primary proves nothing once a later term shows', () => {
+    const positions = createLed();
+    positions.notePosition('a', 100, at(1, 5));
+    positions.notePosition('b', 100, at(2, 6));
+    positions.notePosition('c', 100, at(1, 5));
+    expect(positions.coveredAt()).toEqual(-Infinity);
+  });
+
+  test('of a replaced primary proves nothing once a replica received a later term', () => {
+    const positions = createLed();
+    positions.notePosition('a', 100, at(1, 5));
+    positions.noteStatus('a', 100, status('primary', 1, at(1, 5)));
+    positions.noteStatus('b', 100, status('replica', 2, at(2, 6)));
+    expect(positions.coveredAt()).toEqual(-Infinity);
+  });
+
+  test('of a leader that lost its log is not relied on', () => {
+    const positions = createLed();
+    positions.notePosition('a', 100, at(1, 5));
+    positions.notePosition('a', 110, at(0, 0));
+    expect(positions.leader()).toEqual(undefined);
+  });
+
+  test('is forgotten after time that passed unnoticed', () => {
+    const positions = createLed();
+    for (const target of TARGETS) {
+      positions.notePosition(target, 100, at(1, 5));
+    }
+    positions.forgetAll();
+    expect(positions.lowestCovering(0)).toEqual(undefined);
+  });
+
+  test('as old as may be is taken, which more replicas hold', () => {
+    const positions = createLed();
+    for (const [time, end] of [
+      [100, 5],
+      [200, 9],
+    ] as const) {
+      for (const target of TARGETS) {
+        positions.notePosition(target, time, at(1, end));
+      }
+    }
+    expect(positions.lowestCovering(100)).toEqual(at(1, 5));
+    expect(positions.lowestCovering(150)).toEqual(at(1, 9));
+  });
+
+  test('is not replaced by an answer to an earlier question', () => {
+    const positions = createLed();
+    positions.notePosition('b', 100, at(1, 5));
+    positions.notePosition('b', 90, at(1, 2));
+    expect(positions.logOf('b')).toEqual({askedAt: 100, position: at(1, 5)});
+  });
+});
+
+describe('a leader', () => {
+  test('is who leads the highest term', () => {
+    const positions = createLed();
+    positions.noteStatus('b', 5, status('primary', 2));
+    positions.noteStatus('a', 6, status('primary', 1));
+    expect(positions.leader()).toEqual({target: 'b', term: 2});
+  });
+
+  test('is dismissed when it says that it follows', () => {
+    const positions = createLed();
+    positions.noteStatus('a', 5, status('replica', 2));
+    expect(positions.leader()).toEqual(undefined);
+  });
+});
--- /dev/null
+++ b/packages/targets/__tests__/suspension_guard.spec.ts
@@ -0,0 +1,21 @@
+import {createVirtualTimer} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {createSuspensionGuard} from '../src/suspension_guard';
+
+describe('a suspension', () => {
+  test('shows as wall-clock time that the monotonic clock lacks', () => {
+    const timer = createVirtualTimer();
+    let slept = 0;
+    const guard = createSuspensionGuard({
+      ...timer,
+      wallClock: () => timer.wallClock() + slept,
+    });
+    timer.advance(5000);
+    expect(guard.hasSlept()).toEqual(false);
+    slept = 3000;
+    expect(guard.hasSlept()).toEqual(true);
+    expect(guard.hasSlept()).toEqual(false);
+  });
+});
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -5,13 +5,16 @@
 
 import {judgeRun, readKnownRed} from './known_red';
 
-const PACKAGES = 'packages';
+const ROOTS = ['packages', 'platform'];
 const KNOWN_RED = 'KNOWN-RED.txt';
 
 function findTests(): string[] {
-  return readdirSync(PACKAGES, {recursive: true, encoding: 'utf8'})
+  return ROOTS.flatMap(root =>
+    readdirSync(root, {recursive: true, encoding: 'utf8'}).map(path =>
+      join(root, path),
+    ),
+  )
     .filter(path => path.endsWith('.spec.ts') && !path.includes('node_modules'))
-    .map(path => join(PACKAGES, path))
     .sort();
 }
 
