--- a/packages/scenarios/src/statements/random_faults.ts
+++ b/packages/scenarios/src/statements/random_faults.ts
@@ -11,6 +11,9 @@
   'cut primary from a proxy',
   'cut a proxy off',
   'isolate primary',
+  'isolate primary and a proxy from the store',
+  'cut primary from most proxies',
+  'only copy silent',
   'deaf replica',
   'deaf replica, then crash',
   'leaving primary',
@@ -85,6 +88,25 @@
     case 'isolate primary':
       cut(primary, [...replicas, ...proxies.slice(1)]);
       return;
+    case 'isolate primary and a proxy from the store':
+      // Long enough for another target to lead and take writes.
+      store.faults.refused = new Set(proxies.slice(0, 1));
+      later(() => (store.faults.refused = new Set()));
+      cut(primary, [...replicas, ...proxies.slice(1)]);
+      return;
+    case 'cut primary from most proxies':
+      cut(primary, proxies.slice(1));
+      return;
+    case 'only copy silent': {
+      const other = replicas.filter(name => name !== replica);
+      group.target(replica).setDeaf(true);
+      timer.after(duration / 4, () => {
+        crash(primary);
+        other.forEach(name => cut(name, proxies));
+      });
+      later(() => group.target(replica).setDeaf(false));
+      return;
+    }
     case 'deaf replica':
     case 'deaf replica, then crash':
       group.target(replica).setDeaf(true);
