--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -1,19 +1,30 @@
-/** The one connection on which a proxy asks a target its own questions. */
+/**
+ * The one connection on which a proxy asks a target its own questions. It is lent
+ * for single statements while the target takes no other connection, as after a
+ * loss of power, when it still holds those of the processes before.
+ */
 import {
   type OpenFailure,
   type OpenTargetConnection,
   type TargetAddress,
-  type TargetConnection,
+  createSessionSettings,
 } from '@kelpstep/statements';
 import {type Future, mapFuture, settledFuture} from '@kelpstep/runtime';
 import {Ok, type Result} from 'ts-results';
 
-import {OPEN_TIMEOUT} from './shared_connections';
+import {OPEN_TIMEOUT, type SharedConnection} from './shared_connections';
 
 /** A connection that is opened when it is first needed, again if it was lost. */
 export interface QuestionConnection {
-  get(): Future<Result<TargetConnection, OpenFailure>>;
+  get(): Future<Result<SharedConnection, OpenFailure>>;
   isOpen(): boolean;
+  /** True while a statement runs on it: its answers may take longer. */
+  isLent(): boolean;
+  mayLend(): boolean;
+  /** Lends it for one statement; give it back with `takeBack`. */
+  lend(): SharedConnection | undefined;
+  takeBack(shared: SharedConnection): void;
+  owns(shared: SharedConnection): boolean;
   close(): void;
 }
 
@@ -22,18 +33,23 @@
   target: TargetAddress,
   open: OpenTargetConnection,
 ): QuestionConnection {
-  let current: TargetConnection | undefined;
-  let opening: Future<Result<TargetConnection, OpenFailure>> | undefined;
+  let current: SharedConnection | undefined;
+  let opening: Future<Result<SharedConnection, OpenFailure>> | undefined;
+  let lent: SharedConnection | undefined;
 
-  function get(): Future<Result<TargetConnection, OpenFailure>> {
-    if (current?.isOpen()) {
+  function mayLend(): boolean {
+    return lent === undefined && (current?.connection.isOpen() ?? false);
+  }
+
+  function get(): Future<Result<SharedConnection, OpenFailure>> {
+    if (current?.connection.isOpen()) {
       return settledFuture(Ok(current));
     }
     opening ??= mapFuture(open(target, OPEN_TIMEOUT), result => {
       opening = undefined;
       return result.map(({connection}) => {
-        current = connection;
-        return connection;
+        current = {connection, applied: createSessionSettings()};
+        return current;
       });
     });
     return opening;
@@ -41,7 +57,17 @@
 
   return {
     get,
-    isOpen: () => current?.isOpen() ?? false,
-    close: () => current?.close(),
+    isOpen: () => current?.connection.isOpen() ?? false,
+    isLent: () => lent !== undefined && lent === current,
+    mayLend,
+    lend() {
+      lent = mayLend() ? current : undefined;
+      return lent;
+    },
+    takeBack(shared) {
+      lent = lent === shared ? undefined : lent;
+    },
+    owns: shared => shared === lent || shared === current,
+    close: () => current?.connection.close(),
   };
 }
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -62,7 +62,7 @@
  * Connections beyond the share that are opened while the target takes them:
  * proxies seldom need their shares at the same time.
  */
-const BURST = 2;
+const BURST = 1;
 /** Pause beyond the share after the target was at its limit. */
 const LIMIT_PAUSE: Milliseconds = 500;
 /** A connection beyond the share is closed when it was idle for so long. */
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -25,7 +25,6 @@
   type OpenFailure,
   type OpenTargetConnection,
   type ReadTargetStatus,
-  type SessionSettings,
   type StatementAnswer,
   type TargetOrder,
   type TargetStatus,
@@ -189,7 +188,9 @@
     while (
       !isClosed &&
       admission.mayStart() &&
-      (connections.hasIdle() || connections.mayOpen())
+      (connections.hasIdle() ||
+        connections.mayOpen() ||
+        questionConnection.mayLend())
     ) {
       const entry = admission.next();
       if (entry === undefined) {
@@ -204,18 +205,40 @@
     }
   }
 
-  function* obtain(settings: SessionSettings): Task<Obtained> {
-    const idle = connections.take(settings);
+  function* obtain(work: StatementWork): Task<Obtained> {
+    const idle = connections.take(work.settings);
     if (idle !== undefined) {
       return Ok(idle);
     }
+    if (!connections.mayOpen()) {
+      return lendQuestions(work);
+    }
     const opened = yield* waitFor(connections.open());
-    if (opened.err && opened.val !== 'tooManyConnections') {
-      unheard(opened.val);
+    if (opened.ok) {
+      return opened;
+    }
+    if (opened.val === 'tooManyConnections') {
+      return lendQuestions(work);
     }
+    unheard(opened.val);
     return opened;
   }
 
+  /** A transaction would keep questions waiting: it gets none. */
+  function lendQuestions({request}: StatementWork): Obtained {
+    const isBegin = request.body.kind === 'begin';
+    const lent = isBegin ? undefined : questionConnection.lend();
+    return lent === undefined ? Err('tooManyConnections') : Ok(lent);
+  }
+
+  function release(shared: SharedConnection): void {
+    if (questionConnection.owns(shared)) {
+      questionConnection.takeBack(shared);
+    } else {
+      connections.giveBack(shared);
+    }
+  }
+
   function endRun(run: AdmittedRun, answer: StatementAnswer): void {
     const isBusy = answer.error?.name === 'busy';
     run.end(isBusy ? 'exhausted' : 'answered', answer.error !== undefined);
@@ -225,14 +248,14 @@
     if (answer.state !== 'idle') {
       shared.connection.close();
     }
-    connections.giveBack(shared);
+    release(shared);
   }
 
   function* attempt(
     work: StatementWork,
     run: AdmittedRun,
   ): Task<{outcome: StatementOutcome; shared?: SharedConnection}> {
-    const obtained = yield* obtain(work.settings);
+    const obtained = yield* obtain(work);
     if (obtained.err) {
       run.end('lost', true);
       return {outcome: {kind: 'unreached', failure: obtained.val}};
@@ -241,7 +264,7 @@
     const remaining = work.deadline - timer.now();
     if (remaining <= 0 || work.isAbandoned()) {
       run.end('lost', true);
-      connections.giveBack(shared);
+      release(shared);
       return {outcome: {kind: 'refused', retryAfter: 0}};
     }
     const reply = yield* exchangeStatement({
@@ -254,6 +277,7 @@
     });
     if (reply.err) {
       run.end('lost', true);
+      release(shared);
       return {outcome: {kind: 'lost'}};
     }
     endRun(run, reply.val);
--- a/packages/targets/src/target_questions.ts
+++ b/packages/targets/src/target_questions.ts
@@ -8,18 +8,23 @@
   createDeferred,
   waitFor,
 } from '@kelpstep/runtime';
-import type {
-  ConnectionLoss,
-  OpenFailure,
-  StatementAnswer,
-  TargetOrder,
+import {
+  type ConnectionLoss,
+  type OpenFailure,
+  type StatementAnswer,
+  type TargetConnection,
+  type TargetOrder,
+  noteApplied,
 } from '@kelpstep/statements';
-import {Ok, type Result} from 'ts-results';
+import {Err, Ok, type Result} from 'ts-results';
 
 import type {QuestionConnection} from './question_connection';
 
 /** Answer to a question of the proxy's own. */
-export type OrderReply = Result<StatementAnswer, ConnectionLoss | OpenFailure>;
+export type OrderReply = Result<
+  StatementAnswer,
+  ConnectionLoss | OpenFailure | 'behind a statement'
+>;
 
 /** What questions are made of. */
 export interface TargetQuestionsOptions {
@@ -54,18 +59,32 @@
       }
       return opened;
     }
-    const connection = opened.val;
+    const {connection, applied} = opened.val;
+    const request = {body: question};
     const askedAt = timer.now();
-    const reply = yield* waitFor(connection.send([{body: question}], timeout));
+    const sent = connection.send([request], timeout);
+    noteApplied(applied, [request]);
+    const reply = yield* waitFor(sent);
     if (reply.err) {
-      connection.close();
-      return reply;
+      return loseAnswer(connection, reply.val);
     }
     options.onRoundTrip(timer.now() - askedAt);
     options.onAnswers(askedAt, reply.val);
     return Ok(reply.val[0] as StatementAnswer);
   }
 
+  /** Behind a statement an answer may take longer: that tells nothing. */
+  function loseAnswer(
+    connection: TargetConnection,
+    loss: ConnectionLoss,
+  ): OrderReply {
+    if (loss === 'timed out' && options.connection.isLent()) {
+      return Err('behind a statement');
+    }
+    connection.close();
+    return Err(loss);
+  }
+
   /** A dead connection is told from a dead target by a fresh one. */
   function* askTwice(
     question: TargetOrder,
@@ -80,7 +99,7 @@
       return;
     }
     const second = yield* askOnce(question, timeout);
-    if (second.err) {
+    if (second.err && second.val !== 'behind a statement') {
       options.onSilence(second.val);
     }
     result.settle(second);
