--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,4 +1,5 @@
 /** The bench's command line: `npm run bench -- --help`. */
+import {STATEMENT_FAULTS} from '@kelpstep/scenarios';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
@@ -7,6 +8,7 @@
 import {POLICY_NAMES} from './policies/named_policies';
 import {runProxiedRead} from './proxied_read/proxied_read';
 import {Row, formatJsonLines, formatTable} from './report';
+import {playStatements} from './statements/play_statements';
 
 const EXIT_FAILURE = 1;
 const PHASE = 3000;
@@ -51,6 +53,28 @@
       print(rows);
     },
   )
+  .command(
+    'statements',
+    'Statement sessions with faults, in virtual time; judged by every rule.',
+    parser =>
+      parser
+        .option('fault', {
+          choices: [...STATEMENT_FAULTS, 'pairs'] as const,
+          default: 'pairs' as const,
+        })
+        .option('seed', {type: 'number', default: 1, describe: 'first seed'})
+        .option('seeds', {type: 'number', default: 20})
+        .option('sessions', {type: 'number', default: 18}),
+    ({fault, seed, seeds, sessions}) => {
+      const rows = Array.from({length: seeds}, (unusedItem, index) =>
+        playStatements({fault, seed: seed + index, sessions}),
+      );
+      print(rows);
+      if (rows.some(({broken}) => broken !== '')) {
+        process.exitCode = EXIT_FAILURE;
+      }
+    },
+  )
   .command(
     '$0',
     'A deployment under load with a fault, in virtual time.',
--- a/packages/scenarios/index.ts
+++ b/packages/scenarios/index.ts
@@ -19,3 +19,7 @@
 export * from './src/fault_scripts';
 export * from './src/seeded_runs';
 export * from './src/differential';
+export * from './src/statements/play_faults';
+export * from './src/statements/random_faults';
+export * from './src/statements/rule_checker';
+export * from './src/statements/statement_world';
