feat(membership): proxies hand the store's tables on to each other

Cause: a proxy that the store refuses kept its old configuration, list and successions, and one that started meanwhile stayed unready.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -2,10 +2,16 @@
  * Wires a proxy of statement sessions: what it follows in the platform's store,
  * the gateway, and the watch over each group's primary.
  */
-import {startStorePresence} from '@kelpstep/membership';
+import {
+  type AskForTables,
+  type RelayedTables,
+  startStorePresence,
+  startTableRelay,
+} from '@kelpstep/membership';
 import type {
   StoreFailure,
   StoredRow,
+  TableFollower,
   TableRows,
   TableStore,
 } from '@kelpstep/platform';
@@ -61,6 +67,8 @@
   onConfiguration(version: number): void;
   /** Something in the store that can't be used. */
   onFinding(place: 'configuration' | 'registration', message: string): void;
+  /** A newer table was taken from another proxy. */
+  onRelayed(table: string, peer: string, version: number): void;
   onFeed(table: string, isFollowing: boolean, failure?: StoreFailure): void;
 }
 
@@ -76,6 +84,18 @@
   readonly orderPromotion: OrderPromotion;
   readonly policies: AdmissionPolicies;
   readonly events: StatementProxyEvents;
+  /** Where other proxies reach this one; empty if they don't. */
+  readonly address: string;
+  /** Addresses of proxies to ask first; they may be out of date. */
+  readonly seeds: readonly string[];
+  readonly askForTables: AskForTables;
+}
+
+/** A running proxy of statement sessions. */
+export interface StatementProxy {
+  readonly gateway: Gateway;
+  /** What it hands on to proxies that the store doesn't answer. */
+  tables(): RelayedTables;
 }
 
 /** Other proxies keep their turn for so long after the row's last step. */
@@ -86,15 +106,19 @@
 }
 
 /** Creates a proxy; its parts run until the runtime is shut down. */
-export function createStatementProxy(options: StatementProxyOptions): Gateway {
+export function createStatementProxy(
+  options: StatementProxyOptions,
+): StatementProxy {
   const {runtime, self, store, layout, events, orderPromotion} = options;
   const {timer} = runtime;
   const rows = new Map<string, SeenRow>();
   const reported = new Set<string>();
+  const followers = new Map<string, TableFollower>();
   const presence = startStorePresence({
     runtime,
     store,
     self,
+    address: options.address,
     table: layout.ownTable,
   });
 
@@ -135,7 +159,7 @@
   });
 
   function follow(table: string, onRows: (rows: TableRows) => void): void {
-    followTable({
+    const follower = followTable({
       runtime,
       store,
       table,
@@ -143,6 +167,7 @@
       onFeed: (isFollowing, failure) =>
         events.onFeed(table, isFollowing, failure),
     });
+    followers.set(table, follower);
   }
 
   function takeConfiguration(tableRows: TableRows): void {
@@ -191,5 +216,16 @@
   follow(layout.configurationTable, takeConfiguration);
   follow(layout.registrationTable, takeRegistrations);
   follow(layout.ownTable, takeOwnRows);
-  return gateway;
+  const relay = startTableRelay({
+    runtime,
+    followers,
+    ask: options.askForTables,
+    peers() {
+      const known = new Set([...options.seeds, ...presence.addresses()]);
+      known.delete(options.address);
+      return [...known];
+    },
+    onTaken: events.onRelayed,
+  });
+  return {gateway, tables: relay.tables};
 }
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -8,3 +8,4 @@
 export * from './src/pace';
 export * from './src/short_exchange';
 export * from './src/store_presence';
+export * from './src/table_relay';
--- a/packages/membership/src/store_presence.ts
+++ b/packages/membership/src/store_presence.ts
@@ -11,6 +11,7 @@
   sleep,
   waitFor,
 } from '@kelpstep/runtime';
+import {z} from 'zod';
 
 /** Start of the rows' keys; the proxy's name follows. */
 export const PRESENCE_PREFIX = 'proxy/';
@@ -23,12 +24,16 @@
   readonly table: string;
   /** Name of this proxy. */
   readonly self: string;
+  /** Where other proxies reach it; empty if they don't. */
+  readonly address: string;
 }
 
 /** Presence of this proxy and of the others. */
 export interface StorePresence {
   /** Takes the table's rows, followed by who made this. */
   onRows(rows: TableRows): void;
+  /** Addresses of the other proxies that run. */
+  addresses(): readonly string[];
   /** Proxies that run, this one included; undefined before any rows. */
   count(): number | undefined;
   stop(): void;
@@ -44,8 +49,11 @@
 const EXPIRY: Milliseconds = 25_000;
 const RETRY_PAUSE: Milliseconds = 400;
 
+const presenceSchema = z.object({address: z.string()});
+
 interface Seen {
   readonly version: number;
+  readonly address: string;
   readonly seenAt: Milliseconds;
 }
 
@@ -62,12 +70,14 @@
 
   function onRows(rows: TableRows): void {
     hasRows = true;
-    for (const [key, {version}] of rows) {
+    for (const [key, {version, value}] of rows) {
       if (!key.startsWith(PRESENCE_PREFIX)) {
         continue;
       }
       if (seen.get(key)?.version !== version) {
-        seen.set(key, {version, seenAt: timer.now()});
+        const parsed = presenceSchema.safeParse(value);
+        const address = parsed.success ? parsed.data.address : '';
+        seen.set(key, {version, address, seenAt: timer.now()});
       }
     }
     for (const key of [...seen.keys()]) {
@@ -81,7 +91,7 @@
   function* announce(): Task<void> {
     for (;;) {
       if (hasRows) {
-        const value = {aliveAt: Math.round(timer.wallClock())};
+        const value = {address: options.address};
         const written = yield* waitFor(
           store.replaceRow(table, self, ownVersion, value),
         );
@@ -101,16 +111,23 @@
     return timer.now() - seenAt < EXPIRY;
   }
 
+  function liveOthers(): Seen[] {
+    return [...seen]
+      .filter(([key, entry]) => key !== self && isLive(entry))
+      .map(([, entry]) => entry);
+  }
+
   return {
     onRows,
+    addresses: () =>
+      liveOthers()
+        .map(({address}) => address)
+        .filter(address => address !== ''),
     count() {
       if (!hasRows) {
         return undefined;
       }
-      const others = [...seen].filter(
-        ([key, entry]) => key !== self && isLive(entry),
-      );
-      return others.length + 1;
+      return liveOthers().length + 1;
     },
     stop: task.cancel,
   };
--- a/packages/platform/src/table_follower.ts
+++ b/packages/platform/src/table_follower.ts
@@ -33,6 +33,10 @@
 export interface TableFollower {
   rows(): TableRows;
   isFollowing(): boolean;
+  /** All rows with their version; undefined before any. */
+  known(): TableChanges | undefined;
+  /** Takes all rows from elsewhere; false if they aren't newer. */
+  offer(changes: TableChanges): boolean;
   /** When the store last answered; -Infinity if never. */
   heardAt(): Milliseconds;
   stop(): void;
@@ -83,6 +87,11 @@
     }
   }
 
+  /** Peers may have given newer rows while the store was asked. */
+  function isOutdated(changes: TableChanges, isWhole: boolean): boolean {
+    return version !== undefined && (isWhole || changes.version < version);
+  }
+
   function* step(): Task<void> {
     const isWhole = version === undefined;
     const reply = yield* waitFor(
@@ -94,7 +103,9 @@
       heardAt = timer.now();
       pause = FIRST_PAUSE;
       setFollowing(true);
-      take(reply.val, isWhole);
+      if (!isOutdated(reply.val, isWhole)) {
+        take(reply.val, isWhole);
+      }
       return;
     }
     if (reply.val === 'history lost') {
@@ -116,6 +127,15 @@
   return {
     rows: () => rows,
     isFollowing: () => isFollowing,
+    known: () =>
+      version === undefined ? undefined : {rows: [...rows.values()], version},
+    offer(changes) {
+      if (version !== undefined && changes.version <= version) {
+        return false;
+      }
+      take(changes, true);
+      return true;
+    },
     heardAt: () => heardAt,
     stop: task.cancel,
   };
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -7,6 +7,7 @@
   type StatementProxyEvents,
   createStatementProxy,
 } from '@kelpstep/gateway';
+import type {AskForTables, RelayedTables} from '@kelpstep/membership';
 import {
   WORTH_PER_SLOT_TIME,
   createAdaptiveLimit,
@@ -68,6 +69,13 @@
   finish(): void;
 }
 
+interface RunningProxy {
+  readonly gateway: Gateway;
+  readonly runtime: Runtime;
+  tables(): RelayedTables;
+}
+
+const PEER_DELAY: Milliseconds = 12;
 const GROUP = 'records';
 const TARGETS = ['target-1', 'target-2', 'target-3'] as const;
 const CONFIGURATION_TABLE = 'configuration';
@@ -125,6 +133,7 @@
   }),
   onConfiguration: () => {},
   onFinding: () => {},
+  onRelayed: () => {},
   onFeed: () => {},
 };
 
@@ -173,7 +182,7 @@
     {length: options.proxies ?? 4},
     (unused, index) => `proxy-${index + 1}`,
   );
-  const running = new Map<string, {gateway: Gateway; runtime: Runtime}>();
+  const running = new Map<string, RunningProxy>();
   const leaving = new Set<string>();
   const stoppedAt = new Map<string, Milliseconds>();
 
@@ -197,9 +206,16 @@
     return result.future;
   };
 
+  /** Proxies reach each other as long as both run. */
+  const askForTables: AskForTables = peer => {
+    const result = createDeferred<RelayedTables | undefined>();
+    timer.after(PEER_DELAY, () => result.settle(running.get(peer)?.tables()));
+    return result.future;
+  };
+
   function startProxy(proxy: string): void {
     const runtime = createRuntime({timer, random: random.split()});
-    const gateway = createStatementProxy({
+    const {gateway, tables} = createStatementProxy({
       runtime,
       self: proxy,
       store: store.clientOf(proxy),
@@ -229,8 +245,11 @@
         retryAfter: spreadRetryAfter,
       },
       events: SILENT_EVENTS,
+      address: proxy,
+      seeds: proxies,
+      askForTables,
     });
-    running.set(proxy, {gateway, runtime});
+    running.set(proxy, {gateway, runtime, tables});
   }
 
   function killProxy(proxy: string): void {
