fix(succession): a proxy that never heard of the primary takes it from the row

It waited for the crashed one, as it might hold the only copy, until its entry had gone (6 s). The row names the last primary; what that acknowledged is at a replica. The stand-in runs a connection's statements in turn (it let a reset overtake a read).

--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -176,8 +176,22 @@
     const ends = closers.get(target.target) ?? new Set();
     const waiting = new Set<(loss: ConnectionLoss) => void>();
     const listeners: Array<() => void> = [];
+    const batches: Array<() => void> = [];
     let isOpen = true;
 
+    /** A connection's statements run one after the other. */
+    function inTurn(start: () => void): void {
+      batches.push(start);
+      if (batches.length === 1) {
+        start();
+      }
+    }
+
+    function nextTurn(): void {
+      batches.shift();
+      batches[0]?.();
+    }
+
     function end(): void {
       if (!isOpen) {
         return;
@@ -218,6 +232,7 @@
             step(answers.length);
             return;
           }
+          nextTurn();
           if (options.losesAnswer()) {
             return;
           }
@@ -235,7 +250,7 @@
             target.handle(session, request, answered);
           }
         }
-        network.deliver(from, target.target, () => step(0));
+        network.deliver(from, target.target, () => inTurn(() => step(0)));
         return result.future;
       },
       isOpen: () => isOpen,
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -46,6 +46,8 @@
   received(): LogPosition;
   applied(): LogPosition;
   isRunning(): boolean;
+  /** True if it was told to receive nothing. */
+  isPaused(): boolean;
   /** Loses its connections; a wiped one starts empty. */
   stop(): void;
   start(wiped: boolean): void;
@@ -378,11 +380,10 @@
     received: log.received,
     applied: log.applied,
     isRunning: () => running,
+    isPaused: () => isPaused,
     stop,
     start(wiped) {
-      running = true;
-      isPaused = false;
-      role = 'replica';
+      [running, isPaused, role] = [true, false, 'replica'];
       log.restart(wiped);
     },
     setDeaf: deaf => void (isDeaf = deaf),
--- a/packages/succession/src/succession.ts
+++ b/packages/succession/src/succession.ts
@@ -4,7 +4,7 @@
  * another proxy can go on from there.
  */
 import type {LogPosition} from '@kelpstep/protocol';
-import type {StoreFailure, TableStore} from '@kelpstep/platform';
+import type {TableStore} from '@kelpstep/platform';
 import {
   type Milliseconds,
   type Runtime,
@@ -19,7 +19,6 @@
   TargetStatus,
 } from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
-import type {Result} from 'ts-results';
 
 import {type StoppedTarget, chooseSuccessor} from './choose_successor';
 import {
@@ -27,6 +26,7 @@
   SUCCESSION_PREFIX,
   type Succession,
 } from './succession_row';
+import {type SuccessionTurn, createTurn} from './succession_turn';
 
 /** Why a primary is replaced. */
 export type SuccessionReason = 'leaving' | 'lost' | 'missing' | 'unfinished';
@@ -167,8 +167,8 @@
     const startedAt = timer.now();
     const before = options.row();
     const epoch = (before?.succession.epoch ?? 0) + 1;
-    const leader = group.leader();
-    const turn = createTurn(before?.version ?? 0, {
+    const leader = group.leader() ?? lastLeader(before?.succession);
+    const turn = createTurn(store, options.table, key, before?.version ?? 0, {
       epoch,
       holder: self,
       phase: 'stopping',
@@ -187,6 +187,18 @@
     }
   }
 
+  /**
+   * The primary as the row has it, for a proxy that never heard of it: every
+   * change of primary goes through the row. What a lost primary acknowledged is
+   * at a replica, so that nobody has to wait for the primary itself.
+   */
+  function lastLeader(row: Succession | undefined): TargetLink | undefined {
+    if (row === undefined || row.phase === 'ordered') {
+      return undefined;
+    }
+    return group.link(row.phase === 'done' ? row.target : row.from);
+  }
+
   /** An order that may still take effect is not followed by another choice. */
   function orderedTarget(row: Succession | undefined): string {
     const isOrdered = row?.phase === 'ordered';
@@ -194,30 +206,8 @@
     return link?.isReached() ? link.target : '';
   }
 
-  /** The row while this proxy holds it. */
-  function createTurn(version: number, first: Succession) {
-    let current = first;
-    let currentVersion = version;
-
-    function* write(change: Partial<Succession>): Task<boolean> {
-      const next = {...current, ...change};
-      const reply: Result<number, StoreFailure> = yield* waitFor(
-        store.replaceRow(options.table, key, currentVersion, next),
-      );
-      if (reply.err) {
-        return false;
-      }
-      current = next;
-      currentVersion = reply.val;
-      return true;
-    }
-
-    return {write, succession: () => current};
-  }
-  type Turn = ReturnType<typeof createTurn>;
-
   function* takeSteps(
-    turn: Turn,
+    turn: SuccessionTurn,
     reason: SuccessionReason,
     leader: TargetLink | undefined,
     ordered: string,
@@ -246,7 +236,10 @@
       : yield* chooseAfterStop(leader, term);
   }
 
-  function* carryOut(turn: Turn, target: string): Task<ChangeOutcome> {
+  function* carryOut(
+    turn: SuccessionTurn,
+    target: string,
+  ): Task<ChangeOutcome> {
     if (!(yield* turn.write({phase: 'ordered', target}))) {
       return 'overtaken';
     }
@@ -261,7 +254,10 @@
    * Writes the end and lets all targets receive again. A proxy that stood still
    * meanwhile must not: another may have stopped them by then.
    */
-  function* finish(turn: Turn, phase: 'done' | 'abandoned'): Task<void> {
+  function* finish(
+    turn: SuccessionTurn,
+    phase: 'done' | 'abandoned',
+  ): Task<void> {
     const startedAt = timer.now();
     const isWritten = yield* turn.write({phase});
     if (isWritten && timer.now() - startedAt < FRESH_TURN) {
@@ -372,7 +368,7 @@
    * an answer may be carried out later: the next one names the same target with
    * a higher epoch, so that whichever takes effect, the same target leads.
    */
-  function* promote(turn: Turn, target: string): Task<boolean> {
+  function* promote(turn: SuccessionTurn, target: string): Task<boolean> {
     for (let orders = 0; orders < MAXIMUM_ORDERS; orders++) {
       const {epoch} = turn.succession();
       const reply = yield* waitFor(
