test(succession): an exhaustive search over a small model of the change of primary

The choice is the product's chooseSuccessor. Each of five guards switched off gives a counterexample.

--- /dev/null
+++ b/packages/succession/__tests__/succession_model.spec.ts
@@ -0,0 +1,21 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {ALL_GUARDS, type Guards, searchSuccession} from './succession_model';
+
+describe('every order of steps of two promoters', () => {
+  test('keeps each acknowledged commit', () => {
+    const {states, counterexample} = searchSuccession(ALL_GUARDS);
+    process.stdout.write(`# succession model: ${states} states\n`);
+    expect(counterexample).toEqual(undefined);
+    expect(states > 1000).toEqual(true);
+  });
+
+  for (const guard of Object.keys(ALL_GUARDS) as Array<keyof Guards>) {
+    test(`loses one without the guard ${guard}`, () => {
+      const guards = {...ALL_GUARDS, [guard]: false};
+      const {counterexample} = searchSuccession(guards);
+      expect(counterexample === undefined).toEqual(false);
+    });
+  }
+});
--- /dev/null
+++ b/packages/succession/__tests__/succession_model.ts
@@ -0,0 +1,414 @@
+/**
+ * A small model of a change of primary, for an exhaustive search: three targets,
+ * two promoters, and messages that are lost or come late. The choice is the
+ * product's own `chooseSuccessor`. A promoter that is never scheduled again has
+ * died or stands still; one that is scheduled late thaws.
+ */
+import {chooseSuccessor} from '../src/choose_successor';
+
+/** What may be switched off, to see that the search then finds a fault. */
+export interface Guards {
+  /** Every replica has to answer before the choice. */
+  readonly needsAllReplicas: boolean;
+  /** Replicas stop receiving before they are compared. */
+  readonly stopsReplicas: boolean;
+  /** The row is written only if nobody else has written it. */
+  readonly comparesVersions: boolean;
+  /** An order of another holder is repeated, not replaced. */
+  readonly repeatsOrders: boolean;
+  /** The platform refuses epochs below the highest it has seen. */
+  readonly checksEpochs: boolean;
+}
+
+/** All guards on, as in the product. */
+export const ALL_GUARDS: Guards = {
+  needsAllReplicas: true,
+  stopsReplicas: true,
+  comparesVersions: true,
+  repeatsOrders: true,
+  checksEpochs: true,
+};
+
+interface Target {
+  /** Commits by name; the term of each stands before it. */
+  readonly log: readonly string[];
+  readonly term: number;
+  readonly pausedAt: number;
+  readonly up: boolean;
+}
+
+interface Row {
+  readonly version: number;
+  readonly epoch: number;
+  readonly phase: 'none' | 'stopping' | 'ordered' | 'done';
+  readonly target: number;
+}
+
+/** A promoter between its steps. */
+interface Promoter {
+  readonly step: 'idle' | 'stopping' | 'ordered' | 'ended';
+  readonly version: number;
+  readonly epoch: number;
+  readonly from: number;
+  readonly target: number;
+  /** Log lengths that stopped replicas answered; -1: no answer yet. */
+  readonly answers: readonly number[];
+  readonly starts: number;
+  /** Orders that it has sent for its choice. */
+  readonly sent: number;
+}
+
+interface Order {
+  readonly epoch: number;
+  readonly target: number;
+}
+
+interface State {
+  readonly targets: readonly Target[];
+  readonly leader: number;
+  readonly row: Row;
+  readonly promoters: readonly Promoter[];
+  readonly orders: readonly Order[];
+  readonly fence: number;
+  readonly acknowledged: readonly string[];
+  readonly commits: number;
+  readonly crashes: number;
+}
+
+/** What a search found. */
+export interface SearchResult {
+  readonly states: number;
+  /** Steps to a promotion that loses a commit; undefined without one. */
+  readonly counterexample: readonly string[] | undefined;
+}
+
+const TARGETS = [0, 1, 2] as const;
+const PROMOTERS = [0, 1] as const;
+const MAXIMUM_COMMITS = 2;
+const MAXIMUM_STARTS = 1;
+const MAXIMUM_ORDERS = 2;
+
+const IDLE: Promoter = {
+  step: 'idle',
+  version: 0,
+  epoch: 0,
+  from: -1,
+  target: -1,
+  answers: [-1, -1, -1],
+  starts: 0,
+  sent: 0,
+};
+
+const START: State = {
+  targets: TARGETS.map(() => ({log: [], term: 1, pausedAt: 0, up: true})),
+  leader: 0,
+  row: {version: 0, epoch: 0, phase: 'none', target: -1},
+  promoters: [IDLE, IDLE],
+  orders: [],
+  fence: 0,
+  acknowledged: [],
+  commits: 0,
+  crashes: 0,
+};
+
+interface Step {
+  readonly name: string;
+  readonly state: State;
+}
+
+function at<T>(items: readonly T[], index: number): T {
+  return items[index] as T;
+}
+
+function replaced<T>(items: readonly T[], index: number, item: T): T[] {
+  return items.map((other, position) => (position === index ? item : other));
+}
+
+function isPrefix(left: readonly string[], right: readonly string[]): boolean {
+  return left.every((commit, index) => right[index] === commit);
+}
+
+/** A commit that one replica, or none, receives. */
+function* commitSteps(state: State): Generator<Step> {
+  const leader = at(state.targets, state.leader);
+  if (!leader.up || state.commits >= MAXIMUM_COMMITS) {
+    return;
+  }
+  const commit = `${leader.term}.${state.commits}`;
+  const log = [...leader.log, commit];
+  const commits = state.commits + 1;
+  const written = replaced(state.targets, state.leader, {...leader, log});
+  yield {
+    name: `${commit} unsent`,
+    state: {...state, targets: written, commits},
+  };
+  for (const replica of TARGETS) {
+    const target = at(state.targets, replica);
+    const mayReceive =
+      replica !== state.leader &&
+      target.up &&
+      target.pausedAt <= target.term &&
+      target.term === leader.term &&
+      isPrefix(target.log, log);
+    if (mayReceive) {
+      const targets = replaced(written, replica, {...target, log});
+      const acknowledged = [...state.acknowledged, commit];
+      const name = `${commit} received by ${replica}`;
+      yield {name, state: {...state, targets, commits, acknowledged}};
+    }
+  }
+}
+
+function* crashSteps(state: State): Generator<Step> {
+  const leader = at(state.targets, state.leader);
+  if (leader.up && state.crashes === 0) {
+    const targets = replaced(state.targets, state.leader, {
+      ...leader,
+      up: false,
+    });
+    yield {name: 'primary dies', state: {...state, targets, crashes: 1}};
+  }
+}
+
+function write(
+  state: State,
+  guards: Guards,
+  version: number,
+  row: Omit<Row, 'version'>,
+): State | undefined {
+  if (guards.comparesVersions && state.row.version !== version) {
+    return undefined;
+  }
+  return {...state, row: {...row, version: state.row.version + 1}};
+}
+
+function withPromoter(
+  state: State,
+  index: number,
+  change: Partial<Promoter>,
+): State {
+  const promoter = {...at(state.promoters, index), ...change};
+  return {...state, promoters: replaced(state.promoters, index, promoter)};
+}
+
+/** Takes the row; a promoter may do so whatever the row says. */
+function* startSteps(
+  state: State,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const promoter = at(state.promoters, index);
+  if (promoter.step !== 'idle' || promoter.starts >= MAXIMUM_STARTS) {
+    return;
+  }
+  const {row} = state;
+  const epoch = row.epoch + 1;
+  const repeats = guards.repeatsOrders && row.phase === 'ordered';
+  const phase = repeats ? 'ordered' : 'stopping';
+  const target = repeats ? row.target : -1;
+  const next = write(state, guards, row.version, {epoch, phase, target});
+  if (next !== undefined) {
+    yield {
+      name: `promoter ${index} takes the row${repeats ? ', repeats' : ''}`,
+      state: withPromoter(next, index, {
+        step: phase,
+        version: next.row.version,
+        epoch,
+        from: state.leader,
+        target,
+        answers: [-1, -1, -1],
+        starts: promoter.starts + 1,
+      }),
+    };
+  }
+}
+
+/** A replica is stopped and its answer arrives; lost ones are not played. */
+function* stopSteps(
+  state: State,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const promoter = at(state.promoters, index);
+  if (promoter.step !== 'stopping') {
+    return;
+  }
+  for (const replica of TARGETS) {
+    const target = at(state.targets, replica);
+    const isAsked =
+      replica !== promoter.from &&
+      target.up &&
+      at(promoter.answers, replica) < 0;
+    if (!isAsked) {
+      continue;
+    }
+    const term = at(state.targets, promoter.from).term + 1;
+    const isStopped = guards.stopsReplicas && term > target.term;
+    const targets = isStopped
+      ? replaced(state.targets, replica, {...target, pausedAt: term})
+      : state.targets;
+    const answers = replaced(promoter.answers, replica, target.log.length);
+    yield {
+      name: `promoter ${index} stops ${replica}`,
+      state: withPromoter({...state, targets}, index, {answers}),
+    };
+  }
+}
+
+function* chooseSteps(
+  state: State,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const promoter = at(state.promoters, index);
+  if (promoter.step !== 'stopping') {
+    return;
+  }
+  const replicas = TARGETS.filter(target => target !== promoter.from);
+  const answered = replicas.filter(target => at(promoter.answers, target) >= 0);
+  const unanswered = replicas.length - answered.length;
+  const successor = chooseSuccessor({
+    stopped: answered.map(target => ({
+      target: String(target),
+      received: {term: 1, position: at(promoter.answers, target)},
+      isLeaving: false,
+      dataCentre: '',
+    })),
+    unanswered: guards.needsAllReplicas ? unanswered : 0,
+    demotedAt: undefined,
+  });
+  if (successor === undefined) {
+    return;
+  }
+  const target = Number(successor.target);
+  const {epoch, version} = promoter;
+  const next = write(state, guards, version, {
+    epoch,
+    phase: 'ordered',
+    target,
+  });
+  yield {
+    name: `promoter ${index} chooses ${target}${next ? '' : ', too late'}`,
+    state:
+      next === undefined
+        ? withPromoter(state, index, {step: 'ended'})
+        : withPromoter(next, index, {
+            step: 'ordered',
+            target,
+            version: next.row.version,
+          }),
+  };
+}
+
+/**
+ * An order leaves; from now on it may be carried out at any time, or never. One
+ * without an answer is followed by another for the same target, at a higher
+ * epoch that is written first.
+ */
+function* orderSteps(
+  state: State,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const {step, epoch, target, version, sent} = at(state.promoters, index);
+  if (step !== 'ordered') {
+    return;
+  }
+  if (sent < MAXIMUM_ORDERS) {
+    const row = {epoch: epoch + 1, phase: 'ordered' as const, target};
+    const written = sent === 0 ? state : write(state, guards, version, row);
+    const used = sent === 0 ? epoch : epoch + 1;
+    if (written !== undefined) {
+      const orders = [...state.orders, {epoch: used, target}];
+      const change = {
+        sent: sent + 1,
+        epoch: used,
+        version: sent === 0 ? version : written.row.version,
+      };
+      yield {
+        name: `promoter ${index} orders ${target} at ${used}`,
+        state: withPromoter({...written, orders}, index, change),
+      };
+    }
+  }
+  const isLed = sent > 0 && state.leader === target;
+  const done = isLed
+    ? write(state, guards, version, {epoch, phase: 'done', target})
+    : undefined;
+  if (done !== undefined) {
+    yield {
+      name: `promoter ${index} is done`,
+      state: withPromoter(done, index, {step: 'ended'}),
+    };
+  }
+}
+
+function* promotionSteps(state: State, guards: Guards): Generator<Step> {
+  for (const order of state.orders) {
+    const orders = state.orders.filter(other => other !== order);
+    const next = at(state.targets, order.target);
+    const isFenced = guards.checksEpochs && order.epoch < state.fence;
+    if (isFenced || !next.up) {
+      continue;
+    }
+    const fence = Math.max(state.fence, order.epoch);
+    const name = `the platform promotes ${order.target} at ${order.epoch}`;
+    if (order.target === state.leader) {
+      yield {name, state: {...state, orders, fence}};
+      continue;
+    }
+    const term = Math.max(...state.targets.map(target => target.term)) + 1;
+    const targets = state.targets.map((target, index) =>
+      index === order.target
+        ? {...target, term, pausedAt: 0}
+        : {...target, term, pausedAt: 0, log: next.log},
+    );
+    const leader = order.target;
+    yield {name, state: {...state, orders, fence, targets, leader}};
+  }
+}
+
+function* stepsFrom(state: State, guards: Guards): Generator<Step> {
+  yield* commitSteps(state);
+  yield* crashSteps(state);
+  for (const index of PROMOTERS) {
+    yield* startSteps(state, guards, index);
+    yield* stopSteps(state, guards, index);
+    yield* chooseSteps(state, guards, index);
+    yield* orderSteps(state, guards, index);
+  }
+  yield* promotionSteps(state, guards);
+}
+
+/** True if whoever leads holds every acknowledged commit. */
+function isSafe({targets, leader, acknowledged}: State): boolean {
+  const {log} = at(targets, leader);
+  return acknowledged.every(commit => log.includes(commit));
+}
+
+/** Searches all states that can be reached, the nearest first. */
+export function searchSuccession(guards: Guards): SearchResult {
+  const seen = new Set([JSON.stringify(START)]);
+  let frontier: Array<{state: State; path: readonly string[]}> = [
+    {state: START, path: []},
+  ];
+  while (frontier.length > 0) {
+    const next: typeof frontier = [];
+    for (const {state, path} of frontier) {
+      for (const step of stepsFrom(state, guards)) {
+        const key = JSON.stringify(step.state);
+        if (seen.has(key)) {
+          continue;
+        }
+        seen.add(key);
+        const steps = [...path, step.name];
+        if (!isSafe(step.state)) {
+          return {states: seen.size, counterexample: steps};
+        }
+        next.push({state: step.state, path: steps});
+      }
+    }
+    frontier = next;
+  }
+  return {states: seen.size, counterexample: undefined};
+}
