--- a/packages/scenarios/src/statements/random_faults.ts
+++ b/packages/scenarios/src/statements/random_faults.ts
@@ -26,6 +26,7 @@
   'answers lost',
   'kill proxy',
   'kill all proxies',
+  'all proxies lose power',
 ] as const;
 export type StatementFault = (typeof STATEMENT_FAULTS)[number];
 
@@ -39,12 +40,14 @@
   random: Random,
 ): void {
   const {timer, group, network, store, proxies} = world;
+  const places = proxies.map(world.placeOf);
   const duration = SHORTEST + (LONGEST - SHORTEST) * random.fraction();
   const primary = group.primary()?.target ?? 'target-1';
   const names = group.targets().map(({target}) => target);
   const replicas = names.filter(name => name !== primary);
   const replica = random.pick(replicas);
   const proxy = random.pick(proxies);
+  const place = world.placeOf(proxy);
 
   function later(heal: () => void): void {
     timer.after(duration, heal);
@@ -80,29 +83,29 @@
       cut(primary, replicas);
       return;
     case 'cut primary from a proxy':
-      cut(primary, [proxy]);
+      cut(primary, [place]);
       return;
     case 'cut a proxy off':
-      cut(proxy, names);
+      cut(place, names);
       return;
     case 'isolate primary':
-      cut(primary, [...replicas, ...proxies.slice(1)]);
+      cut(primary, [...replicas, ...places.slice(1)]);
       return;
     case 'isolate primary and a proxy from the store':
       // Long enough for another target to lead and take writes.
       store.faults.refused = new Set(proxies.slice(0, 1));
       later(() => (store.faults.refused = new Set()));
-      cut(primary, [...replicas, ...proxies.slice(1)]);
+      cut(primary, [...replicas, ...places.slice(1)]);
       return;
     case 'cut primary from most proxies':
-      cut(primary, proxies.slice(1));
+      cut(primary, places.slice(1));
       return;
     case 'only copy silent': {
       const other = replicas.filter(name => name !== replica);
       group.target(replica).setDeaf(true);
       timer.after(duration / 4, () => {
         crash(primary);
-        other.forEach(name => cut(name, proxies));
+        other.forEach(name => cut(name, places));
       });
       later(() => group.target(replica).setDeaf(false));
       return;
@@ -151,5 +154,13 @@
       return;
     case 'kill all proxies':
       proxies.forEach(kill);
+      return;
+    case 'all proxies lose power':
+      proxies.forEach(name => {
+        if (world.gateway(name) !== undefined) {
+          world.cutPower(name);
+          later(() => world.startProxy(name));
+        }
+      });
   }
 }
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -46,6 +46,8 @@
   /** Callers stop after this time. */
   readonly duration: Milliseconds;
   readonly promotionTime?: Milliseconds;
+  /** Connections that a target accepts. */
+  readonly connectionLimit?: number;
 }
 
 /** Everything that a test may act on. */
@@ -60,6 +62,10 @@
   readonly proxies: readonly string[];
   gateway(proxy: string): Gateway | undefined;
   killProxy(proxy: string): void;
+  /** Targets hold its connections for seconds, as nothing ends them. */
+  cutPower(proxy: string): void;
+  /** Where a running proxy stands in the network; each life has its own. */
+  placeOf(proxy: string): string;
   startProxy(proxy: string): void;
   setLeaving(target: string, leaving: boolean): void;
   /** Share of promotions that are carried out late and not answered. */
@@ -76,6 +82,9 @@
 }
 
 const PEER_DELAY: Milliseconds = 12;
+const CONNECTION_LIMIT = 40;
+/** How long a target holds a connection whose other end has no power. */
+const LINGER_TIME: Milliseconds = 3000;
 const GROUP = 'records';
 const TARGETS = ['target-1', 'target-2', 'target-3'] as const;
 const CONFIGURATION_TABLE = 'configuration';
@@ -112,12 +121,14 @@
   };
 }
 
-const CONFIGURATION: GatewayConfiguration = {
-  version: 1,
-  routes: ROUTES,
-  groups: [{group: GROUP, connectionLimit: 40, synchronousReplicas: 1}],
-  transactionIdle: 3000,
-};
+function configurationWith(connectionLimit: number): GatewayConfiguration {
+  return {
+    version: 1,
+    routes: ROUTES,
+    groups: [{group: GROUP, connectionLimit, synchronousReplicas: 1}],
+    transactionIdle: 3000,
+  };
+}
 
 const SILENT_EVENTS: StatementProxyEvents = {
   gateway: {onRequestEnd: () => {}, onSession: () => {}},
@@ -157,6 +168,7 @@
 ): StatementWorld {
   const timer = createVirtualTimer();
   const random = createRandom(options.seed);
+  const connectionLimit = options.connectionLimit ?? CONNECTION_LIMIT;
   const network = createLinkNetwork(timer, delayBetween);
   const store = createStandInStore({
     timer,
@@ -172,7 +184,7 @@
     group: GROUP,
     targets: TARGETS,
     slots: 3,
-    connectionLimit: 40,
+    connectionLimit,
     workTime: 12,
     promotionTime: options.promotionTime ?? 300,
     applyDelay: () => 4 + 20 * faultRandom.fraction(),
@@ -184,6 +196,7 @@
   );
   const running = new Map<string, RunningProxy>();
   const leaving = new Set<string>();
+  const lives = new Map<string, number>();
   const stoppedAt = new Map<string, Milliseconds>();
 
   function delayBetween(from: string, to: string): Milliseconds {
@@ -213,7 +226,13 @@
     return result.future;
   };
 
+  function placeOf(proxy: string): string {
+    return `life ${lives.get(proxy) ?? 0} of ${proxy}`;
+  }
+
   function startProxy(proxy: string): void {
+    lives.set(proxy, (lives.get(proxy) ?? 0) + 1);
+    const place = placeOf(proxy);
     const runtime = createRuntime({timer, random: random.split()});
     const {gateway, tables} = createStatementProxy({
       runtime,
@@ -236,7 +255,7 @@
           findings: [],
         }),
       },
-      open: (address, timeout) => group.open(proxy, address, timeout),
+      open: (address, timeout) => group.open(place, address, timeout),
       readStatus,
       orderPromotion,
       policies: {
@@ -259,6 +278,15 @@
     killed?.gateway.close();
   }
 
+  function cutPower(proxy: string): void {
+    const place = placeOf(proxy);
+    TARGETS.forEach(target => network.cut(place, target));
+    killProxy(proxy);
+    timer.after(LINGER_TIME, () =>
+      TARGETS.forEach(target => network.heal(place, target)),
+    );
+  }
+
   function register(): void {
     for (const target of group.targets()) {
       const name = target.target;
@@ -303,7 +331,7 @@
     return true;
   }
 
-  store.put(CONFIGURATION_TABLE, 'current', CONFIGURATION);
+  store.put(CONFIGURATION_TABLE, 'current', configurationWith(connectionLimit));
   register();
   timer.every(REGISTRATION_PERIOD, register);
   proxies.forEach(startProxy);
@@ -331,6 +359,8 @@
     lostAnswers: 0,
     gateway: proxy => running.get(proxy)?.gateway,
     killProxy,
+    cutPower,
+    placeOf,
     startProxy,
     setLeaving(target, isLeaving) {
       if (isLeaving) {
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -202,8 +202,11 @@
     }
 
     function close(): void {
-      network.deliver(from, target.target, () => target.endSession(session));
-      ends.delete(lose);
+      // The target holds the connection until it hears of its end.
+      network.deliver(from, target.target, () => {
+        target.endSession(session);
+        ends.delete(lose);
+      });
       end();
     }
 
