fix(succession): no change of primary right after another

Now 1.5 s pass between changes, and a leader that shows when asked ends the search for one. Also: the HTTP exchange no longer adds a listener to connections in use.

--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -125,10 +125,12 @@
       },
     });
     call.on('socket', socket => {
-      isConnected ||= !socket.connecting;
-      socket.once('connect', () => {
-        isConnected = true;
-      });
+      isConnected = !socket.connecting;
+      if (socket.connecting) {
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      }
     });
     call.on('response', read);
     call.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/scenarios/__tests__/succession.spec.ts
+++ b/packages/scenarios/__tests__/succession.spec.ts
@@ -60,6 +60,29 @@
     }
   });
 
+  test('is not followed by another while its leader is still unknown', () => {
+    for (let seed = 1; seed <= 8; seed++) {
+      const world = createStatementWorld({
+        seed,
+        duration: 2 * DURATION,
+        promotionTime: 1000,
+      });
+      const {group, timer} = world;
+      const terms = new Set<number>();
+      timer.every(1, () => terms.add(group.primary()?.term() ?? 0));
+      timer.advance(WARM_UP);
+      group.crash(PRIMARY);
+      // Nobody knows who led: all wait for the same change to end.
+      for (const proxy of world.proxies) {
+        const known = world.gateway(proxy)?.group('records');
+        known?.positions.dismissLeader(PRIMARY);
+      }
+      world.finish();
+      expect(world.checker.broken()).toEqual([]);
+      expect({seed, terms: [...terms]}).toEqual({seed, terms: [1, 0, 2]});
+    }
+  });
+
   test('left half done by its holder is taken over', () => {
     const world = createStatementWorld({
       seed: 1,
--- a/packages/succession/src/succession.ts
+++ b/packages/succession/src/succession.ts
@@ -80,8 +80,12 @@
 const MISSING_AFTER: Milliseconds = 1000;
 /** A change by another proxy is left alone for so long after its last step. */
 const OTHERS_STEP_TIME: Milliseconds = 2500;
-/** A change that was given up is followed by another only after this pause. */
-const ABANDONED_PAUSE: Milliseconds = 500;
+/**
+ * A change is followed by another only after this pause: whoever ended it lets
+ * the targets receive again, and that must not undo the next one's stop. Covers
+ * `FRESH_TURN`, the opening of a connection and the way.
+ */
+const PAUSE_BETWEEN_CHANGES: Milliseconds = 1500;
 /** Targets are let go on only right after the row was written. */
 const FRESH_TURN: Milliseconds = 300;
 /** Proxies try one after the other, spread over this time. */
@@ -142,10 +146,7 @@
 
   function isOthersTurn(): boolean {
     const age = timer.now() - options.rowSeenAt();
-    if (options.row()?.succession.phase === 'abandoned') {
-      return age < ABANDONED_PAUSE;
-    }
-    return isUnderWay() && age < OTHERS_STEP_TIME;
+    return age < (isUnderWay() ? OTHERS_STEP_TIME : PAUSE_BETWEEN_CHANGES);
   }
 
   function* watch(): Task<void> {
@@ -231,6 +232,10 @@
       return undefined;
     }
     const term = (yield* newestTerm()) + 1;
+    if (reason === 'missing' && group.leader()?.isReached()) {
+      // Asked for its term, a target has said that it leads.
+      return undefined;
+    }
     return reason === 'leaving' && leader !== undefined
       ? yield* chooseAfterDemotion(leader, term)
       : yield* chooseAfterStop(leader, term);
