refactor(platform): one reader of JSON bodies and addresses, no dead members

The store and peer clients had written again how a body is parsed and checked, and the HTTP exchange how an address is split: they use parseJson and parseAddress now.

--- a/packages/platform/index.ts
+++ b/packages/platform/index.ts
@@ -2,6 +2,7 @@
 export * from './src/circuit_breaker';
 export * from './src/http_exchange';
 export * from './src/http_platform_client';
+export * from './src/parse_json';
 export * from './src/platform_client';
 export * from './src/resilient_platform_client';
 export * from './src/table_follower';
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -1,4 +1,5 @@
 /** One HTTP exchange with the platform, through the HTTP client of Node.js. */
+import {parseAddress} from '@kelpstep/rpc';
 import {
   Future,
   Milliseconds,
@@ -109,13 +110,11 @@
     const cancelTimeout = timer.after(timeout, () =>
       fail(`No answer of ${address} in ${timeout} ms.`, isConnected),
     );
-    const colon = address.lastIndexOf(':');
     const call = request({
       agent,
       method,
       path,
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      ...parseAddress(address),
       headers: {
         ...headers,
         ...(contentType === undefined ? {} : {'content-type': contentType}),
--- a/packages/platform/src/http_platform_calls.ts
+++ b/packages/platform/src/http_platform_calls.ts
@@ -13,6 +13,7 @@
 import {z} from 'zod';
 
 import type {HttpOutcome, HttpRequest} from './http_exchange';
+import {parseJson} from './parse_json';
 
 const HTTP_OK_FIRST = 200;
 const HTTP_OK_LAST = 299;
@@ -43,17 +44,6 @@
   parse(body: string): Result<T, string>;
 }
 
-function parseJson<T>(schema: z.ZodType<T>) {
-  return (body: string): Result<T, string> => {
-    try {
-      const parsed = schema.safeParse(JSON.parse(body));
-      return parsed.success ? Ok(parsed.data) : Err(parsed.error.message);
-    } catch (error) {
-      return Err(String(error));
-    }
-  };
-}
-
 /** An outage; `mayHaveRun` if the request may have had its effect. */
 export function unavailable(message: string, mayHaveRun: boolean): Failure {
   const outcome = mayHaveRun ? 'unknown' : 'not_run';
--- a/packages/platform/src/table_follower.ts
+++ b/packages/platform/src/table_follower.ts
@@ -31,14 +31,11 @@
 
 /** Follows a table until it is cancelled. */
 export interface TableFollower {
-  rows(): TableRows;
   isFollowing(): boolean;
   /** All rows with their version; undefined before any. */
   known(): TableChanges | undefined;
   /** Takes all rows from elsewhere; false if they aren't newer. */
   offer(changes: TableChanges): boolean;
-  /** When the store last answered; -Infinity if never. */
-  heardAt(): Milliseconds;
   stop(): void;
 }
 
@@ -56,11 +53,10 @@
 /** Starts to follow a table. */
 export function followTable(options: TableFollowerOptions): TableFollower {
   const {runtime, store, table} = options;
-  const {timer, random} = runtime;
+  const {random} = runtime;
   const rows = new Map<string, StoredRow>();
   let version: number | undefined;
   let isFollowing = false;
-  let heardAt: Milliseconds = -Infinity;
   let pause = FIRST_PAUSE;
 
   function setFollowing(following: boolean, failure?: StoreFailure): void {
@@ -100,7 +96,6 @@
         : store.awaitChanges(table, version, FEED_WAIT),
     );
     if (reply.ok) {
-      heardAt = timer.now();
       pause = FIRST_PAUSE;
       setFollowing(true);
       if (!isOutdated(reply.val, isWhole)) {
@@ -125,7 +120,6 @@
 
   const task: TaskHandle<void> = runtime.spawn(`follow ${table}`, follow());
   return {
-    rows: () => rows,
     isFollowing: () => isFollowing,
     known: () =>
       version === undefined ? undefined : {rows: [...rows.values()], version},
@@ -136,7 +130,6 @@
       take(changes, true);
       return true;
     },
-    heardAt: () => heardAt,
     stop: task.cancel,
   };
 }
--- a/packages/statements/src/session_statement.ts
+++ b/packages/statements/src/session_statement.ts
@@ -1,6 +1,4 @@
 /** Statements of a caller's session, as decoded from any wire. */
-import type {LogPosition} from '@kelpstep/protocol';
-
 /** Whether a prepared statement reads or writes. */
 export type Access = 'read' | 'write';
 
@@ -67,18 +65,9 @@
   | ExecuteStatement
   | DeallocateStatement;
 
-/** Statements that touch records and are passed on to a target. */
-export type DataStatement = ReadStatement | WriteStatement | ExecuteStatement;
-
 /** A caller's request: a statement under the caller's id for it. */
 export interface CallerRequest {
   readonly id: string;
   /** Undefined for a text that is no statement. */
   readonly statement: SessionStatement | undefined;
 }
-
-/** A statement with the log position that the target's log must hold. */
-export interface PositionedStatement {
-  readonly statement: SessionStatement;
-  readonly after?: LogPosition;
-}
--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -17,7 +17,6 @@
 /** A connection that is opened when it is first needed, again if it was lost. */
 export interface QuestionConnection {
   get(): Future<Result<SharedConnection, OpenFailure>>;
-  isOpen(): boolean;
   /** True while a statement runs on it: its answers may take longer. */
   isLent(): boolean;
   mayLend(): boolean;
@@ -57,7 +56,6 @@
 
   return {
     get,
-    isOpen: () => current?.connection.isOpen() ?? false,
     isLent: () => lent !== undefined && lent === current,
     mayLend,
     lend() {
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -48,7 +48,6 @@
     registrations: readonly TargetRegistration[],
     settings: GroupSettings,
   ): void;
-  settings(): GroupSettings;
   /** Links to all targets that count. */
   links(): readonly TargetLink[];
   link(target: string): TargetLink | undefined;
@@ -301,7 +300,6 @@
   return {
     group: options.group,
     update,
-    settings: () => settings,
     links,
     link: target => members.get(target)?.link,
     leader,
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -87,8 +87,6 @@
   lastAskedAt(): Milliseconds;
   /** Closes what is open beyond need; call it a few times a second. */
   trim(): void;
-  connections(): number;
-  queued(): number;
   close(): void;
 }
 
@@ -400,9 +398,6 @@
     silentSince: () => silentSince,
     lastAskedAt: () => lastAskedAt,
     trim: connections.trim,
-    connections: () =>
-      connections.count() + (questionConnection.isOpen() ? 1 : 0),
-    queued: admission.queued,
     close() {
       isClosed = true;
       for (const entry of admission.takeAll()) {
