--- a/packages/bench/src/slopes/membership_slope.ts
+++ b/packages/bench/src/slopes/membership_slope.ts
@@ -6,8 +6,11 @@
   createShortExchange,
   proportionalPace,
 } from '@kelpstep/membership';
-import {createPeerLinks} from '@kelpstep/proxy';
-import {createHandlerTable, createRpcPeer} from '@kelpstep/rpc';
+import {
+  createHandlerTable,
+  createPeerLinks,
+  createRpcPeer,
+} from '@kelpstep/rpc';
 import {
   createRandom,
   createRuntime,
--- a/packages/gateway/index.ts
+++ b/packages/gateway/index.ts
@@ -3,5 +3,6 @@
 export * from './src/configuration';
 export * from './src/create_gateway';
 export * from './src/dispatch';
+export * from './src/dispatch_types';
 export * from './src/gateway_events';
 export * from './src/create_statement_proxy';
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -41,6 +41,7 @@
 export interface ConfigurationKeeper {
   current(): GatewayConfiguration | undefined;
   route(database: string): CallerRoute | undefined;
+  group(name: string): GroupSettings | undefined;
   /** Settles once there is a configuration. */
   readonly first: Future<undefined>;
   /** Takes a newer one; false for one that isn't. */
@@ -51,12 +52,14 @@
 export function createConfigurationKeeper(): ConfigurationKeeper {
   let current: GatewayConfiguration | undefined;
   let routes = new Map<string, CallerRoute>();
+  let groups = new Map<string, GroupSettings>();
   const first = createDeferred<undefined>();
 
   return {
     first: first.future,
     current: () => current,
     route: database => routes.get(database),
+    group: name => groups.get(name),
     accept(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
@@ -65,6 +68,7 @@
       routes = new Map(
         configuration.routes.map(route => [route.database, route]),
       );
+      groups = new Map(configuration.groups.map(group => [group.group, group]));
       first.settle(undefined);
       return true;
     },
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -11,6 +11,7 @@
   ReadTargetStatus,
 } from '@kelpstep/statements';
 import {
+  type GroupSettings,
   TICK_PERIOD,
   type TargetGroup,
   type TargetGroupEvents,
@@ -24,7 +25,8 @@
   type GatewayConfiguration,
   createConfigurationKeeper,
 } from './configuration';
-import {createDispatcher} from './dispatch';
+import {type LocalDispatcher, createDispatcher} from './dispatch';
+import type {Dispatcher} from './dispatch_types';
 import type {GatewayEvents} from './gateway_events';
 import {serveSession} from './serve_session';
 
@@ -36,11 +38,26 @@
   readonly policies: AdmissionPolicies;
   readonly events: GatewayEvents;
   groupEvents(group: string): TargetGroupEvents;
-  /** Proxies that share the targets; undefined while that isn't known. */
-  liveProxies(): number | undefined;
+  /** True if this proxy holds connections to the group's targets. */
+  holds(settings: GroupSettings): boolean;
+  /** Proxies that hold some; `Infinity` while that isn't known. */
+  holders(settings: GroupSettings): number;
   isChanging(group: string): boolean;
-  /** Called for each new group, to watch its primary. */
-  onGroup(group: TargetGroup): void;
+  /** Called for each new group, to watch its primary until it is let go. */
+  onGroup(group: TargetGroup): GroupWatch;
+  /** Puts what runs statements elsewhere over what runs them here. */
+  createRelay(local: LocalDispatcher, isStopping: () => boolean): GatewayRelay;
+}
+
+/** Runs statements here or through other proxies. */
+export interface GatewayRelay {
+  readonly dispatcher: Dispatcher;
+  close(): void;
+}
+
+/** Watches a group's primary. */
+export interface GroupWatch {
+  stop(): void;
 }
 
 /** Serves callers at the targets of the list. */
@@ -50,6 +67,7 @@
   configure(configuration: GatewayConfiguration): boolean;
   /** Takes the list of targets. */
   register(registrations: readonly TargetRegistration[]): void;
+  /** Undefined if its targets are left to other proxies. */
   group(name: string): TargetGroup | undefined;
   /** Serves a session until it ends. */
   serve(caller: CallerConnection): void;
@@ -68,47 +86,100 @@
 }
 
 const DRAIN_STEP: Milliseconds = 20;
+/**
+ * Connections are kept for so long, beside the time for which a transaction may
+ * stay idle, after this proxy had to hold them.
+ */
+const LET_GO_AFTER: Milliseconds = 1000;
+
+/** How often it is looked which groups are to be held: some times in the time
+ * in which other proxies' rows are seen to stand still. */
+const HOLD_PERIOD: Milliseconds = 500;
+
+interface HeldGroup {
+  readonly group: TargetGroup;
+  readonly watch: GroupWatch;
+  neededAt: Milliseconds;
+}
 
 /** Creates a gateway that knows no targets and no configuration. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {runtime} = options;
   const configuration = createConfigurationKeeper();
-  const groups = new Map<string, TargetGroup>();
+  const groups = new Map<string, HeldGroup>();
   const sessions = new Set<CallerConnection>();
   let registrations: readonly TargetRegistration[] = [];
   let isStopping = false;
-  const dispatcher = createDispatcher({
+  const {timer} = runtime;
+  const local = createDispatcher({
     runtime,
-    group: name => groups.get(name),
+    group: holdIfListed,
     isChanging: options.isChanging,
   });
-  const stopTicks = runtime.timer.every(TICK_PERIOD, () => {
-    groups.forEach(group => group.tick());
+  const relay = options.createRelay(local, () => isStopping);
+  const {dispatcher} = relay;
+  const stopTicks = timer.every(TICK_PERIOD, () => {
+    groups.forEach(({group}) => group.tick());
   });
+  const stopHolding = timer.every(HOLD_PERIOD, holdGroups);
 
-  function groupNamed(name: string): TargetGroup {
-    const known = groups.get(name);
+  function hold(settings: GroupSettings): TargetGroup {
+    const known = groups.get(settings.group);
     if (known !== undefined) {
-      return known;
+      known.neededAt = timer.now();
+      return known.group;
     }
-    const created = createTargetGroup({
+    const name = settings.group;
+    const group = createTargetGroup({
       group: name,
       runtime,
       open: options.open,
       readStatus: options.readStatus,
       policies: options.policies,
       events: options.groupEvents(name),
-      liveProxies: options.liveProxies,
+      holders: () => options.holders(configuration.group(name) ?? settings),
     });
-    groups.set(name, created);
-    options.onGroup(created);
-    return created;
+    const watch = options.onGroup(group);
+    groups.set(name, {group, watch, neededAt: timer.now()});
+    update(group, settings);
+    return group;
+  }
+
+  /** Asked for, a group is held even if that is left to others: for a while. */
+  function holdIfListed(name: string): TargetGroup | undefined {
+    const settings = configuration.group(name);
+    return settings === undefined ? groups.get(name)?.group : hold(settings);
+  }
+
+  function update(group: TargetGroup, settings: GroupSettings): void {
+    const own = registrations.filter(entry => entry.group === settings.group);
+    group.update(own, settings);
   }
 
   function updateGroups(): void {
+    holdGroups();
+    for (const {group} of groups.values()) {
+      const settings = configuration.group(group.group);
+      if (settings !== undefined) {
+        update(group, settings);
+      }
+    }
+  }
+
+  /** Takes up the groups that this proxy is to hold, and lets others go. */
+  function holdGroups(): void {
     for (const settings of configuration.current()?.groups ?? []) {
-      const own = registrations.filter(({group}) => group === settings.group);
-      groupNamed(settings.group).update(own, settings);
+      if (options.holds(settings)) {
+        hold(settings);
+      }
+    }
+    const idle = configuration.current()?.transactionIdle ?? Infinity;
+    for (const [name, {group, watch, neededAt}] of groups) {
+      if (timer.now() - neededAt > idle + LET_GO_AFTER) {
+        watch.stop();
+        group.close();
+        groups.delete(name);
+      }
     }
   }
 
@@ -140,7 +211,7 @@
       registrations = next;
       updateGroups();
     },
-    group: name => groups.get(name),
+    group: name => groups.get(name)?.group,
     serve(caller) {
       sessions.add(caller);
       const {events} = options;
@@ -162,7 +233,9 @@
     sessions: () => sessions.size,
     close() {
       stopTicks();
-      groups.forEach(group => group.close());
+      stopHolding();
+      relay.close();
+      groups.forEach(({group}) => group.close());
     },
   };
 }
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -4,6 +4,7 @@
  */
 import {
   type AskForTables,
+  type PresentProxy,
   type RelayedTables,
   startStorePresence,
   startTableRelay,
@@ -17,7 +18,8 @@
 } from '@kelpstep/platform';
 import {followTable} from '@kelpstep/platform';
 import type {AdmissionPolicies} from '@kelpstep/pool';
-import type {Milliseconds, Runtime} from '@kelpstep/runtime';
+import type {Transport} from '@kelpstep/rpc';
+import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
 import type {
   OpenTargetConnection,
   ReadTargetStatus,
@@ -26,6 +28,7 @@
   type OrderPromotion,
   SUCCESSION_PREFIX,
   type SuccessionEvents,
+  type SuccessionWatch,
   type VersionedSuccession,
   successionSchema,
   watchSuccession,
@@ -33,12 +36,15 @@
 import type {
   TargetGroup,
   TargetGroupEvents,
+  TargetLink,
   TargetRegistration,
 } from '@kelpstep/targets';
 
 import type {GatewayConfiguration} from './configuration';
 import {type Gateway, createGateway} from './create_gateway';
 import type {GatewayEvents} from './gateway_events';
+import {type Relay, createRelay} from './relay/create_relay';
+import {createHolders} from './relay/holders';
 
 /** What was decoded, and what had to be left out. */
 export interface Decoded<T> {
@@ -69,14 +75,17 @@
   onFinding(place: 'configuration' | 'registration', message: string): void;
   /** A newer table was taken from another proxy. */
   onRelayed(table: string, peer: string, version: number): void;
+  /** Other proxies can't send statements to this one. */
+  onListenFailure(message: string): void;
   onFeed(table: string, isFollowing: boolean, failure?: StoreFailure): void;
 }
 
 /** What a proxy is made of. */
 export interface StatementProxyOptions {
   readonly runtime: Runtime;
-  /** Name of this proxy. */
-  readonly self: string;
+  readonly self: PresentProxy;
+  /** Carries statements between proxies; undefined for a proxy by itself. */
+  readonly transport: Transport | undefined;
   readonly store: TableStore;
   readonly layout: StoreLayout;
   readonly open: OpenTargetConnection;
@@ -84,8 +93,6 @@
   readonly orderPromotion: OrderPromotion;
   readonly policies: AdmissionPolicies;
   readonly events: StatementProxyEvents;
-  /** Where other proxies reach this one; empty if they don't. */
-  readonly address: string;
   /** Addresses of proxies to ask first; they may be out of date. */
   readonly seeds: readonly string[];
   readonly askForTables: AskForTables;
@@ -101,6 +108,17 @@
 /** Other proxies keep their turn for so long after the row's last step. */
 const CHANGE_HOLD: Milliseconds = 2500;
 
+/**
+ * A target counts as heard for so long after it answered a question: questions
+ * come every 300 ms, and a round trip between regions is 24 ms.
+ */
+const HEARD_WITHIN: Milliseconds = 450;
+
+/** A proxy by itself has nobody to ask. */
+function* nobodyAsked(): Task<boolean> {
+  return false;
+}
+
 interface SeenRow extends VersionedSuccession {
   readonly seenAt: Milliseconds;
 }
@@ -114,13 +132,19 @@
   const rows = new Map<string, SeenRow>();
   const reported = new Set<string>();
   const followers = new Map<string, TableFollower>();
+  let relay: Relay | undefined;
   const presence = startStorePresence({
     runtime,
     store,
     self,
-    address: options.address,
     table: layout.ownTable,
   });
+  const holders = createHolders({self, live: presence.live});
+
+  function isHeard(link: TargetLink): boolean {
+    const silence = timer.now() - link.lastAskedAt();
+    return link.isReached() && silence < HEARD_WITHIN;
+  }
 
   function isChanging(group: string): boolean {
     const row = rows.get(group);
@@ -131,16 +155,20 @@
     );
   }
 
-  function watch(group: TargetGroup): void {
-    watchSuccession({
+  function watch(group: TargetGroup): SuccessionWatch {
+    return watchSuccession({
       runtime,
       group,
       store,
       orderPromotion,
-      self,
+      self: self.proxy,
       table: layout.ownTable,
       readStatus: options.readStatus,
       events: events.succession(group.group),
+      isLeaderReachedElsewhere: () =>
+        relay === undefined
+          ? nobodyAsked()
+          : relay.isLeaderReached(group.group),
       row: () => rows.get(group.group),
       rowSeenAt: () => rows.get(group.group)?.seenAt ?? -Infinity,
     });
@@ -153,9 +181,31 @@
     policies: options.policies,
     events: events.gateway,
     groupEvents: events.targets,
-    liveProxies: presence.count,
+    holds: holders.holds,
+    holders: holders.count,
     isChanging,
     onGroup: watch,
+    createRelay(local, isStopping) {
+      if (options.transport === undefined) {
+        return {dispatcher: local, close: () => {}};
+      }
+      relay = createRelay({
+        runtime,
+        transport: options.transport,
+        self,
+        local,
+        holders,
+        events: events.gateway,
+        settings: name => gateway.configuration.group(name),
+        reachesLeader(name) {
+          const leader = gateway.group(name)?.leader();
+          return leader !== undefined && isHeard(leader);
+        },
+        isStopping,
+        onListenFailure: events.onListenFailure,
+      });
+      return relay;
+    },
   });
 
   function follow(table: string, onRows: (rows: TableRows) => void): void {
@@ -216,16 +266,16 @@
   follow(layout.configurationTable, takeConfiguration);
   follow(layout.registrationTable, takeRegistrations);
   follow(layout.ownTable, takeOwnRows);
-  const relay = startTableRelay({
+  const tableRelay = startTableRelay({
     runtime,
     followers,
     ask: options.askForTables,
     peers() {
       const known = new Set([...options.seeds, ...presence.addresses()]);
-      known.delete(options.address);
+      known.delete(self.address);
       return [...known];
     },
     onTaken: events.onRelayed,
   });
-  return {gateway, tables: relay.tables};
+  return {gateway, tables: tableRelay.tables};
 }
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -2,19 +2,15 @@
  * Decides where a statement runs, for how long it waits for a target that may
  * run it, what is tried again, and when it is refused.
  */
-import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import type {LogPosition} from '@kelpstep/protocol';
 import {
   type Milliseconds,
   type Runtime,
   type Task,
   sleep,
-  waitAtMost,
   waitFor,
 } from '@kelpstep/runtime';
 import {
-  type PreparedShape,
-  type SessionSettings,
-  type SessionStatement,
   type StatementAnswer,
   type StatementErrorName,
   errorAnswer,
@@ -27,36 +23,13 @@
   TargetLink,
 } from '@kelpstep/targets';
 
-import {chooseReader} from './choose_reader';
-import type {CallerRoute} from './configuration';
-
-/** A statement outside a transaction, or the start of one. */
-export interface Dispatch {
-  readonly id: string;
-  readonly route: CallerRoute;
-  readonly statement: SessionStatement;
-  readonly shape: PreparedShape | undefined;
-  readonly settings: SessionSettings;
-  /** Monotonic time at which the request came. */
-  readonly arrivedAt: Milliseconds;
-  /** End of the session's last commit. */
-  readonly lastCommit: LogPosition | undefined;
-  /** True if it may only run at the primary. */
-  readonly needsPrimary: boolean;
-  /** True if it writes: an answer that is lost leaves it in doubt. */
-  readonly isWrite: boolean;
-  isAbandoned(): boolean;
-}
-
-/** What became of it. */
-export interface DispatchResult {
-  readonly answer: StatementAnswer;
-  readonly target: string;
-  readonly attempts: number;
-  readonly reason: string;
-  /** There if it began a transaction. */
-  readonly pinned: PinnedConnection | undefined;
-}
+import {
+  type Dispatch,
+  type DispatchResult,
+  type Dispatcher,
+  kindOf,
+} from './dispatch_types';
+import {createPlaceFinder} from './find_place';
 
 /** What dispatch is made of. */
 export interface DispatcherOptions {
@@ -66,16 +39,20 @@
   isChanging(group: string): boolean;
 }
 
-/** Runs statements at the targets that may run them. */
-export interface Dispatcher {
-  dispatch(work: Dispatch): Task<DispatchResult>;
+/** Runs statements at targets that this proxy reaches itself. */
+export interface LocalDispatcher extends Dispatcher {
+  /**
+   * The same, but undefined if the statement has certainly not run and another
+   * proxy may know a place; `mayAskElsewhere` says whether one may be asked.
+   */
+  dispatchUnless(
+    work: Dispatch,
+    mayAskElsewhere: () => boolean,
+  ): Task<DispatchResult | undefined>;
+  /** True if a place is expected to be found without waiting. */
+  reaches(work: Dispatch): boolean;
 }
 
-/**
- * Part of a route's staleness that isn't used up: it covers the caller's way
- * here and the way to the target.
- */
-const STALENESS_MARGIN: Milliseconds = 150;
 /** Share of the timeout for which a statement may wait for a target. */
 const HOLD_SHARE = 0.85;
 /** Targets that a statement is tried at. */
@@ -105,43 +82,10 @@
 }
 
 /** Creates a dispatcher. */
-export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const {runtime} = options;
+export function createDispatcher(options: DispatcherOptions): LocalDispatcher {
+  const {runtime, isChanging} = options;
   const {timer} = runtime;
-
-  function requiredTime({route, arrivedAt}: Dispatch): Milliseconds {
-    if (route.freshness === 'primary') {
-      return arrivedAt;
-    }
-    const usable = Math.max(0, route.maximumStaleness - STALENESS_MARGIN);
-    return arrivedAt - usable;
-  }
-
-  /** The position that the target's log must hold; undefined if unknown. */
-  function* requiredPosition(
-    group: TargetGroup,
-    work: Dispatch,
-    until: Milliseconds,
-  ): Task<LogPosition | undefined> {
-    const covering = yield* group.awaitCovering(requiredTime(work), until);
-    const {lastCommit} = work;
-    if (covering === undefined || lastCommit === undefined) {
-      return covering;
-    }
-    return compareLogPositions(covering, lastCommit) < 0
-      ? lastCommit
-      : covering;
-  }
-
-  function usablePrimary(group: TargetGroup): TargetLink | undefined {
-    const leader = group.leader();
-    const isUsable =
-      leader !== undefined &&
-      leader.isReached() &&
-      !leader.registration().isLeaving &&
-      !options.isChanging(group.group);
-    return isUsable ? leader : undefined;
-  }
+  const places = createPlaceFinder({runtime, isChanging});
 
   function workFor(
     work: Dispatch,
@@ -177,65 +121,10 @@
     return {outcome, pinned: undefined};
   }
 
-  /** The primary, and the position that a read at it must find. */
-  function* findPrimary(
-    group: TargetGroup,
+  function* dispatchUnless(
     work: Dispatch,
-    until: Milliseconds,
-  ): Task<Place | undefined> {
-    for (;;) {
-      const link = usablePrimary(group);
-      const remaining = until - timer.now();
-      if (remaining <= 0) {
-        return undefined;
-      }
-      if (link === undefined) {
-        yield* waitAtMost(group.changes.next(), remaining);
-        continue;
-      }
-      if (work.isWrite) {
-        return {link, after: undefined};
-      }
-      const after = yield* requiredPosition(group, work, until);
-      if (after === undefined) {
-        return undefined;
-      }
-      if (usablePrimary(group) === link) {
-        return {link, after};
-      }
-    }
-  }
-
-  function* findReader(
-    group: TargetGroup,
-    work: Dispatch,
-    until: Milliseconds,
-    progress: Progress,
-  ): Task<Place | undefined> {
-    for (;;) {
-      const after = yield* requiredPosition(group, work, until);
-      if (after === undefined) {
-        return undefined;
-      }
-      const link = chooseReader({
-        group,
-        kind: kindOf(work),
-        position: after,
-        triedAt: progress.tried,
-        now: timer.now(),
-      });
-      if (link !== undefined) {
-        return {link, after};
-      }
-      const remaining = until - timer.now();
-      if (remaining <= 0) {
-        return undefined;
-      }
-      yield* waitAtMost(group.changes.next(), Math.min(remaining, RETRY_PAUSE));
-    }
-  }
-
-  function* dispatch(work: Dispatch): Task<DispatchResult> {
+    mayAskElsewhere: () => boolean,
+  ): Task<DispatchResult | undefined> {
     const progress: Progress = {
       attempts: 0,
       target: '',
@@ -253,9 +142,16 @@
       if (timer.now() >= until && progress.attempts === 0) {
         return refuse(progress, progress.reason || 'no target may run it');
       }
-      const place = work.needsPrimary
-        ? yield* findPrimary(group, work, until)
-        : yield* findReader(group, work, until, progress);
+      const place = yield* places.find({
+        group,
+        work,
+        until,
+        triedAt: progress.tried,
+        mayAskElsewhere,
+      });
+      if (place === 'elsewhere') {
+        return undefined;
+      }
       if (place === undefined) {
         return refuse(progress, progress.reason || 'no target may run it');
       }
@@ -352,7 +248,7 @@
 
   function end(progress: Progress, answer: StatementAnswer): DispatchResult {
     const {attempts, target, reason} = progress;
-    return {answer, target, attempts, reason, pinned: undefined};
+    return {answer, target, attempts, reason, via: '', pinned: undefined};
   }
 
   function refuse(progress: Progress, reason: string): DispatchResult {
@@ -362,20 +258,18 @@
     return end(progress, errorAnswer('busy', 'idle', text));
   }
 
-  return {dispatch};
-}
-
-interface Place {
-  readonly link: TargetLink;
-  readonly after: LogPosition | undefined;
-}
+  function* dispatch(work: Dispatch): Task<DispatchResult> {
+    const result = yield* dispatchUnless(work, () => false);
+    // Without leave to ask elsewhere there always is a result.
+    return result as DispatchResult;
+  }
 
-/** Statements of one database name and sort take about the same time. */
-function kindOf({route, statement, isWrite}: Dispatch): string {
-  const sort = isWrite
-    ? 'write'
-    : statement.kind === 'begin'
-      ? 'begin'
-      : 'read';
-  return `${route.database} ${sort}`;
+  return {
+    dispatch,
+    dispatchUnless,
+    reaches(work) {
+      const group = options.group(work.route.group);
+      return group !== undefined && places.isExpected(group, work);
+    },
+  };
 }
--- /dev/null
+++ b/packages/gateway/src/find_place.ts
@@ -0,0 +1,189 @@
+/** Finds the target at which a statement may run now, or waits for one. */
+import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  waitAtMost,
+} from '@kelpstep/runtime';
+import type {TargetGroup, TargetLink} from '@kelpstep/targets';
+
+import {chooseReader} from './choose_reader';
+import {type Dispatch, kindOf} from './dispatch_types';
+
+/** A target, and the position that its log must hold. */
+export interface Place {
+  readonly link: TargetLink;
+  readonly after: LogPosition | undefined;
+}
+
+/** Where a statement may run; `elsewhere`: another proxy may know a place. */
+export type Placement = Place | 'elsewhere' | undefined;
+
+/** What a search for a place is told. */
+export interface PlaceSearch {
+  readonly group: TargetGroup;
+  readonly work: Dispatch;
+  /** Monotonic time at which it is given up. */
+  readonly until: Milliseconds;
+  /** When targets were tried for this statement. */
+  readonly triedAt: ReadonlyMap<string, Milliseconds>;
+  /** True if another proxy may be asked while none is found here. */
+  mayAskElsewhere(): boolean;
+}
+
+/** What finding places is made of. */
+export interface PlaceFinderOptions {
+  readonly runtime: Runtime;
+  /** True while the group's primary is being replaced. */
+  isChanging(group: string): boolean;
+}
+
+/** Finds places. */
+export interface PlaceFinder {
+  find(search: PlaceSearch): Task<Placement>;
+  /** True if a place is expected to be found without waiting. */
+  isExpected(group: TargetGroup, work: Dispatch): boolean;
+}
+
+/**
+ * Part of a route's staleness that isn't used up: it covers the caller's way
+ * here and the way to the target.
+ */
+const STALENESS_MARGIN: Milliseconds = 150;
+/** Pause between looks at the targets that may serve a read. */
+const LOOK_PERIOD: Milliseconds = 15;
+/**
+ * How long a proof of freshness is waited for before another proxy is asked:
+ * two round trips between regions, 24 ms each, and time to answer.
+ */
+const PROOF_PATIENCE: Milliseconds = 120;
+/** Traffic and questions, every 300 ms, keep the proof younger than this. */
+const PROOF_AGE: Milliseconds = 1000;
+
+/** Creates a finder. */
+export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
+  const {timer} = options.runtime;
+
+  function requiredTime({route, arrivedAt}: Dispatch): Milliseconds {
+    if (route.freshness === 'primary') {
+      return arrivedAt;
+    }
+    const usable = Math.max(0, route.maximumStaleness - STALENESS_MARGIN);
+    return arrivedAt - usable;
+  }
+
+  /** The position that the target's log must hold; undefined if unknown. */
+  function* requiredPosition(
+    {group, work, mayAskElsewhere}: PlaceSearch,
+    until: Milliseconds,
+  ): Task<LogPosition | undefined> {
+    const patience = mayAskElsewhere() ? PROOF_PATIENCE : Infinity;
+    const covering = yield* group.awaitCovering(
+      requiredTime(work),
+      Math.min(until, timer.now() + patience),
+    );
+    const {lastCommit} = work;
+    if (covering === undefined || lastCommit === undefined) {
+      return covering;
+    }
+    return compareLogPositions(covering, lastCommit) < 0
+      ? lastCommit
+      : covering;
+  }
+
+  function usablePrimary(group: TargetGroup): TargetLink | undefined {
+    const leader = group.leader();
+    const isUsable =
+      leader !== undefined &&
+      leader.isReached() &&
+      !leader.registration().isLeaving &&
+      !options.isChanging(group.group);
+    return isUsable ? leader : undefined;
+  }
+
+  /** While the primary is replaced every proxy waits for the same. */
+  function isElsewhere({group, mayAskElsewhere}: PlaceSearch): boolean {
+    return !options.isChanging(group.group) && mayAskElsewhere();
+  }
+
+  function* findPrimary(search: PlaceSearch): Task<Placement> {
+    const {group, work, until} = search;
+    for (;;) {
+      const link = usablePrimary(group);
+      const remaining = until - timer.now();
+      if (remaining <= 0) {
+        return undefined;
+      }
+      if (link === undefined) {
+        if (isElsewhere(search)) {
+          return 'elsewhere';
+        }
+        yield* waitAtMost(
+          group.changes.next(),
+          Math.min(remaining, PROOF_PATIENCE),
+        );
+        continue;
+      }
+      if (work.isWrite) {
+        return {link, after: undefined};
+      }
+      const after = yield* requiredPosition(search, until);
+      if (after === undefined && isElsewhere(search)) {
+        return 'elsewhere';
+      }
+      if (after === undefined) {
+        if (timer.now() >= until) {
+          return undefined;
+        }
+        continue;
+      }
+      if (usablePrimary(group) === link) {
+        return {link, after};
+      }
+    }
+  }
+
+  function* findReader(search: PlaceSearch): Task<Placement> {
+    const {group, work, until, triedAt} = search;
+    for (;;) {
+      const after = yield* requiredPosition(search, until);
+      if (after === undefined && isElsewhere(search)) {
+        return 'elsewhere';
+      }
+      if (after === undefined) {
+        if (timer.now() >= until) {
+          return undefined;
+        }
+        continue;
+      }
+      const link = chooseReader({
+        group,
+        kind: kindOf(work),
+        position: after,
+        triedAt,
+        now: timer.now(),
+      });
+      if (link !== undefined) {
+        return {link, after};
+      }
+      const remaining = until - timer.now();
+      if (remaining <= 0) {
+        return undefined;
+      }
+      yield* waitAtMost(group.changes.next(), Math.min(remaining, LOOK_PERIOD));
+    }
+  }
+
+  return {
+    find: search =>
+      search.work.needsPrimary ? findPrimary(search) : findReader(search),
+    isExpected(group, work) {
+      if (work.needsPrimary && usablePrimary(group) === undefined) {
+        return false;
+      }
+      const proofAge = timer.now() - group.positions.coveredAt();
+      return work.isWrite || proofAge < PROOF_AGE;
+    },
+  };
+}
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -12,6 +12,11 @@
   /** Target that answered last; empty if none did. */
   readonly target: string;
   readonly attempts: number;
+  /**
+   * Proxy that ran it for this one, or, for a kind that starts with `relayed`,
+   * the one that sent it; empty if neither.
+   */
+  readonly via: string;
   readonly duration: Milliseconds;
   /** What decided it: the last step that went wrong, or empty. */
   readonly reason: string;
--- /dev/null
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -0,0 +1,85 @@
+/** Wires what sends statements through other proxies, and serves theirs. */
+import type {PresentProxy} from '@kelpstep/membership';
+import type {Transport} from '@kelpstep/rpc';
+import type {Runtime} from '@kelpstep/runtime';
+import type {GroupSettings} from '@kelpstep/targets';
+
+import type {GatewayRelay} from '../create_gateway';
+import type {LocalDispatcher} from '../dispatch';
+import type {GatewayEvents} from '../gateway_events';
+import type {Holders} from './holders';
+import {type LeaderCheck, createLeaderCheck} from './leader_check';
+import {createRelayClient} from './relay_client';
+import {createRelayServer} from './relay_server';
+import {createRelayingDispatcher} from './relaying_dispatcher';
+
+/** What a relay is made of. */
+export interface RelayOptions {
+  readonly runtime: Runtime;
+  readonly transport: Transport;
+  readonly self: PresentProxy;
+  readonly local: LocalDispatcher;
+  readonly holders: Holders;
+  readonly events: GatewayEvents;
+  settings(group: string): GroupSettings | undefined;
+  /** True if the group's primary answered this proxy a moment ago. */
+  reachesLeader(group: string): boolean;
+  isStopping(): boolean;
+  /** The relay address could not be listened on. */
+  onListenFailure(message: string): void;
+}
+
+/** A running relay. */
+export interface Relay extends GatewayRelay {
+  /** Whether another proxy reaches the group's primary. */
+  readonly isLeaderReached: LeaderCheck;
+}
+
+/** Starts to listen for other proxies. */
+export function createRelay(options: RelayOptions): Relay {
+  const {runtime, transport, self, local, holders, events} = options;
+  const client = createRelayClient({runtime, transport, self: self.proxy});
+  const server = createRelayServer({
+    runtime,
+    local,
+    events,
+    reachesLeader: options.reachesLeader,
+    isStopping: options.isStopping,
+  });
+
+  function peers(group: string): readonly PresentProxy[] {
+    const settings = options.settings(group);
+    return settings === undefined ? [] : holders.others(settings);
+  }
+
+  const dispatcher = createRelayingDispatcher({
+    runtime,
+    local,
+    client,
+    dataCentre: self.dataCentre,
+    holds(group) {
+      const settings = options.settings(group);
+      const isLeft = holders.areKnown() && settings !== undefined;
+      return !isLeft || holders.holds(settings);
+    },
+    peers,
+  });
+  const listening = transport.listen(self.relayAddress, server.accept);
+  listening.onSettled(result => {
+    if (result.err) {
+      options.onListenFailure(result.val.message);
+    }
+  });
+
+  function close(): void {
+    client.close();
+    listening.onSettled(result => {
+      if (result.ok) {
+        result.val.close();
+      }
+    });
+  }
+
+  const isLeaderReached = createLeaderCheck({runtime, client, peers});
+  return {dispatcher, isLeaderReached, close};
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -0,0 +1,325 @@
+/** Has statements run by other proxies. */
+import {
+  type PeerLinks,
+  type RequestFailure,
+  type RpcPeer,
+  createPeerLinks,
+} from '@kelpstep/rpc';
+import type {Transport} from '@kelpstep/rpc';
+import {
+  type Future,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  mapFuture,
+  sleep,
+  waitAtMost,
+  waitFor,
+} from '@kelpstep/runtime';
+import type {SessionStatement, TargetRequest} from '@kelpstep/statements';
+import type {PinnedConnection} from '@kelpstep/targets';
+import {Err, Ok, type Result} from 'ts-results';
+
+import type {Dispatch, DispatchResult} from '../dispatch_types';
+import {
+  type PinnedResult,
+  RELAY_END,
+  type RelayResult,
+  type RelayedStatement,
+  readAnswer,
+  relayLeader,
+  relayPing,
+  relayPinned,
+  relayStatement,
+} from './relay_messages';
+
+/** What became of a statement that was handed to another proxy. */
+export type RelayOutcome =
+  | {readonly kind: 'ended'; readonly result: DispatchResult}
+  /** Certainly not run. */
+  | {readonly kind: 'notRun'; readonly reason: string}
+  /** Handed over, and no answer came. */
+  | {readonly kind: 'lost'};
+
+/** Another proxy that may run statements. */
+export interface RelayTarget {
+  readonly proxy: string;
+  readonly relayAddress: string;
+}
+
+/** What a relay client is made of. */
+export interface RelayClientOptions {
+  readonly runtime: Runtime;
+  readonly transport: Transport;
+  /** Name of this proxy. */
+  readonly self: string;
+}
+
+/** Hands statements to other proxies. */
+export interface RelayClient {
+  dispatch(
+    to: RelayTarget,
+    work: Dispatch,
+    mayWait: boolean,
+  ): Task<RelayOutcome>;
+  /** Whether the other proxy reaches the group's primary; false in doubt. */
+  reachesLeader(address: string, group: string): Future<boolean>;
+  /** False for a while after it could not be reached. */
+  isUsable(address: string): boolean;
+  close(): void;
+}
+
+/** Time for a connection to another proxy: some round trips between regions. */
+const CONNECT_TIMEOUT: Milliseconds = 300;
+/** A proxy that could not be reached is left alone for so long. */
+const PAUSE_AFTER_FAILURE: Milliseconds = 700;
+/** Added to the statement's time, for the way back. */
+const ANSWER_ALLOWANCE: Milliseconds = 60;
+/** How often it is looked whether the caller still waits. */
+const ABANDON_CHECK: Milliseconds = 100;
+/** While something is handed over, the other proxy is asked this often. */
+const PING_PERIOD: Milliseconds = 250;
+/**
+ * Time for a sign of life. With `PING_PERIOD` a connection that went silent is
+ * found within a second.
+ */
+const PING_TIMEOUT: Milliseconds = 600;
+
+/** A round trip between regions, 24 ms, one more to connect, and a busy peer. */
+const LEADER_TIMEOUT: Milliseconds = 150;
+
+/** A peer's connection with how much is handed over on it. */
+interface Use {
+  readonly peer: RpcPeer;
+  count: number;
+}
+
+/** Creates a client without connections. */
+export function createRelayClient(options: RelayClientOptions): RelayClient {
+  const {runtime, transport, self} = options;
+  const {timer} = runtime;
+  const links: PeerLinks = createPeerLinks({transport, timer});
+  const pausedUntil = new Map<string, Milliseconds>();
+  const uses = new Map<RpcPeer, Use>();
+  let nextWork = 1;
+
+  function isUsable(address: string): boolean {
+    return timer.now() >= (pausedUntil.get(address) ?? -Infinity);
+  }
+
+  function pause(address: string): void {
+    pausedUntil.set(address, timer.now() + PAUSE_AFTER_FAILURE);
+  }
+
+  function use(address: string, peer: RpcPeer): void {
+    const known = uses.get(peer);
+    if (known !== undefined) {
+      known.count += 1;
+      return;
+    }
+    const added: Use = {peer, count: 1};
+    uses.set(peer, added);
+    const pinging = runtime.spawn('ping', keepAsking(added));
+    peer.closed.onSettled(() => {
+      uses.delete(peer);
+      pinging.cancel();
+      pause(address);
+    });
+  }
+
+  function release(peer: RpcPeer): void {
+    const known = uses.get(peer);
+    if (known !== undefined) {
+      known.count -= 1;
+    }
+  }
+
+  /** A connection that tells nothing while something is on it is given up. */
+  function* keepAsking({peer, count: unusedCount}: Use): Task<void> {
+    for (;;) {
+      yield* sleep(PING_PERIOD);
+      if ((uses.get(peer)?.count ?? 0) === 0) {
+        continue;
+      }
+      const askedAt = timer.now();
+      const reply = yield* waitFor(peer.request(relayPing, {}, PING_TIMEOUT));
+      if (reply.err && peer.lastHeardAt() < askedAt) {
+        peer.close('silent');
+        return;
+      }
+    }
+  }
+
+  function messageFor(
+    work: Dispatch,
+    number: number,
+    mayWait: boolean,
+    remaining: Milliseconds,
+  ): RelayedStatement {
+    const {id, route, statement, shape, settings, lastCommit} = work;
+    const {needsPrimary, isWrite} = work;
+    return {
+      work: number,
+      sender: self,
+      id,
+      route: {...route, timeout: remaining},
+      statement: asRelayed(statement),
+      ...(shape === undefined ? {} : {shape}),
+      values: [...settings.values],
+      ...(lastCommit === undefined ? {} : {lastCommit}),
+      needsPrimary,
+      isWrite,
+      mayWait,
+    };
+  }
+
+  function pin(
+    peer: RpcPeer,
+    number: number,
+    target: string,
+    {settings}: Dispatch,
+  ): PinnedConnection {
+    let isEnded = false;
+
+    function send(
+      {id = '', body}: TargetRequest,
+      shape: Dispatch['shape'],
+      timeout: Milliseconds,
+    ) {
+      const message = {
+        work: number,
+        id,
+        statement: asRelayed(body as SessionStatement),
+        ...(shape === undefined ? {} : {shape}),
+        values: [...settings.values],
+        timeout,
+      };
+      return mapFuture(
+        peer.request(relayPinned, message, timeout + ANSWER_ALLOWANCE),
+        readPinned,
+      );
+    }
+
+    return {
+      target,
+      send,
+      end() {
+        if (!isEnded) {
+          isEnded = true;
+          peer.notify(RELAY_END, {work: number});
+          release(peer);
+        }
+      },
+    };
+  }
+
+  /** Waits for the answer, and tells when nobody does any more. */
+  function* awaitReply(
+    reply: Future<Result<RelayResult, RequestFailure>>,
+    work: Dispatch,
+    leave: () => void,
+  ): Task<Result<RelayResult, RequestFailure>> {
+    let hasLeft = false;
+    for (;;) {
+      const result = yield* waitAtMost(reply, ABANDON_CHECK);
+      if (result !== undefined) {
+        return result;
+      }
+      if (!hasLeft && work.isAbandoned()) {
+        hasLeft = true;
+        leave();
+      }
+    }
+  }
+
+  function conclude(
+    to: RelayTarget,
+    peer: RpcPeer,
+    number: number,
+    work: Dispatch,
+    reply: RelayResult,
+  ): RelayOutcome {
+    if (reply.kind === 'notRun') {
+      release(peer);
+      return reply;
+    }
+    const {target, attempts, reason, isPinned} = reply;
+    if (!isPinned) {
+      release(peer);
+    }
+    const result: DispatchResult = {
+      answer: readAnswer(reply.answer),
+      target,
+      attempts,
+      reason,
+      via: to.proxy,
+      pinned: isPinned ? pin(peer, number, target, work) : undefined,
+    };
+    return {kind: 'ended', result};
+  }
+
+  function* dispatch(
+    to: RelayTarget,
+    work: Dispatch,
+    mayWait: boolean,
+  ): Task<RelayOutcome> {
+    const address = to.relayAddress;
+    const opened = yield* waitFor(links.connect(address, CONNECT_TIMEOUT));
+    if (opened.err) {
+      pause(address);
+      return {kind: 'notRun', reason: `${to.proxy} not reached`};
+    }
+    const peer = opened.val;
+    const remaining = work.arrivedAt + work.route.timeout - timer.now();
+    if (remaining <= 0) {
+      return {kind: 'notRun', reason: 'too late'};
+    }
+    const number = nextWork++;
+    const leave = () => peer.notify(RELAY_END, {work: number});
+    const message = messageFor(work, number, mayWait, remaining);
+    use(address, peer);
+    const sent = peer.request(
+      relayStatement,
+      message,
+      remaining + ANSWER_ALLOWANCE,
+    );
+    const reply = yield* awaitReply(sent, work, leave);
+    if (reply.ok) {
+      return conclude(to, peer, number, work, reply.val);
+    }
+    release(peer);
+    const {kind, sent: isSent} = reply.val;
+    if (!isSent || kind === 'refused') {
+      return {kind: 'notRun', reason: `refused by ${to.proxy}`};
+    }
+    leave();
+    return {kind: 'lost'};
+  }
+
+  function reachesLeader(address: string, group: string): Future<boolean> {
+    return mapFuture(
+      links.request(address, relayLeader, {group}, LEADER_TIMEOUT),
+      reply => reply.ok && reply.val.isReached,
+    );
+  }
+
+  return {dispatch, reachesLeader, isUsable, close: links.close};
+}
+
+function readPinned(reply: Result<PinnedResult, RequestFailure>) {
+  return reply.ok && reply.val.kind === 'answered'
+    ? Ok(readAnswer(reply.val.answer))
+    : Err('closed' as const);
+}
+
+/** Statements that only change the session are never handed over. */
+function asRelayed(statement: SessionStatement): RelayedStatement['statement'] {
+  switch (statement.kind) {
+    case 'set':
+    case 'prepare':
+    case 'deallocate':
+      throw new Error(`A ${statement.kind} is the session's own.`);
+    default:
+      return statement;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -0,0 +1,146 @@
+/**
+ * Runs statements here or through another proxy: here if this one holds
+ * connections to the group's targets, through a holder otherwise, and through
+ * any that reaches a place while this one doesn't.
+ */
+import type {PresentProxy} from '@kelpstep/membership';
+import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
+import {errorAnswer} from '@kelpstep/statements';
+
+import type {LocalDispatcher} from '../dispatch';
+import type {Dispatch, DispatchResult, Dispatcher} from '../dispatch_types';
+import type {RelayClient} from './relay_client';
+
+/** What a relaying dispatcher is made of. */
+export interface RelayingDispatcherOptions {
+  readonly runtime: Runtime;
+  readonly local: LocalDispatcher;
+  readonly client: RelayClient;
+  /** Data centre of this proxy: a peer in it is preferred. */
+  readonly dataCentre: string;
+  /** True if this proxy holds connections to the group's targets. */
+  holds(group: string): boolean;
+  /** Other proxies that hold some. */
+  peers(group: string): readonly PresentProxy[];
+}
+
+/**
+ * A peer that reaches no place is not asked again for so long: at most four
+ * questions a second and group to each.
+ */
+const PAUSE_AFTER_REFUSAL: Milliseconds = 250;
+
+/** Creates a dispatcher over the local one. */
+export function createRelayingDispatcher(
+  options: RelayingDispatcherOptions,
+): Dispatcher {
+  const {runtime, local, client, dataCentre} = options;
+  const {timer, random} = runtime;
+  const refusedAt = new Map<string, Milliseconds>();
+
+  /** Reads and writes may find different places. */
+  function keyOf(peer: PresentProxy, work: Dispatch): string {
+    const kind = work.needsPrimary ? 'primary' : 'any';
+    return `${work.route.group} ${kind} ${peer.proxy}`;
+  }
+
+  function hasRefused(peer: PresentProxy, work: Dispatch): boolean {
+    const at = refusedAt.get(keyOf(peer, work)) ?? -Infinity;
+    return timer.now() - at < PAUSE_AFTER_REFUSAL;
+  }
+
+  function isUsable({relayAddress}: PresentProxy): boolean {
+    return client.isUsable(relayAddress);
+  }
+
+  /** In random order, so that load spreads; those near first. */
+  function usablePeers(work: Dispatch): PresentProxy[] {
+    return options
+      .peers(work.route.group)
+      .filter(isUsable)
+      .map(peer => {
+        const isNear = peer.dataCentre === dataCentre;
+        return {peer, rank: random.fraction() + (isNear ? 0 : 1)};
+      })
+      .sort((left, right) => left.rank - right.rank)
+      .map(({peer}) => peer);
+  }
+
+  function peersToAsk(work: Dispatch): PresentProxy[] {
+    return usablePeers(work).filter(peer => !hasRefused(peer, work));
+  }
+
+  function isLate({arrivedAt, route}: Dispatch): boolean {
+    return timer.now() >= arrivedAt + route.timeout;
+  }
+
+  /** The result of the first peer that took it; undefined if it has not run. */
+  function* tryPeers(
+    work: Dispatch,
+    peers: readonly PresentProxy[],
+    mayWait: boolean,
+  ): Task<DispatchResult | undefined> {
+    for (const peer of peers) {
+      if (isLate(work)) {
+        return undefined;
+      }
+      const outcome = yield* client.dispatch(peer, work, mayWait);
+      if (outcome.kind === 'ended') {
+        return outcome.result;
+      }
+      refusedAt.set(keyOf(peer, work), timer.now());
+      if (outcome.kind === 'lost' && work.isWrite) {
+        return endUnanswered(peer, 'inDoubt');
+      }
+      if (outcome.kind === 'lost' && isLate(work)) {
+        return endUnanswered(peer, 'timedOut');
+      }
+    }
+    return undefined;
+  }
+
+  function endUnanswered(
+    {proxy}: PresentProxy,
+    name: 'inDoubt' | 'timedOut',
+  ): DispatchResult {
+    const answer = errorAnswer(name, 'idle');
+    const reason = 'answer lost';
+    const via = proxy;
+    return {answer, target: '', attempts: 1, reason, via, pinned: undefined};
+  }
+
+  function* dispatchHere(work: Dispatch): Task<DispatchResult> {
+    const mayAskElsewhere = () =>
+      options
+        .peers(work.route.group)
+        .some(peer => isUsable(peer) && !hasRefused(peer, work));
+    for (;;) {
+      const result = yield* local.dispatchUnless(work, mayAskElsewhere);
+      if (result !== undefined) {
+        return result;
+      }
+      const relayed = yield* tryPeers(work, peersToAsk(work), false);
+      if (relayed !== undefined) {
+        return relayed;
+      }
+    }
+  }
+
+  /**
+   * First to a holder that expects to run it at once; then one that waits, as
+   * the others do while there is no primary; at last by connections of its own.
+   */
+  function* dispatchThrough(work: Dispatch): Task<DispatchResult> {
+    const result =
+      (yield* tryPeers(work, peersToAsk(work), false)) ??
+      (yield* tryPeers(work, usablePeers(work), true));
+    return result ?? (yield* local.dispatch(work));
+  }
+
+  return {
+    dispatch: work =>
+      options.holds(work.route.group)
+        ? dispatchHere(work)
+        : dispatchThrough(work),
+  };
+}
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -27,7 +27,7 @@
 
 import type {CallerConnection, CallerMessage} from './caller_connection';
 import type {CallerRoute, ConfigurationKeeper} from './configuration';
-import type {DispatchResult, Dispatcher} from './dispatch';
+import type {DispatchResult, Dispatcher} from './dispatch_types';
 import type {GatewayEvents, RequestEnd} from './gateway_events';
 
 /** What a session is served with. */
@@ -43,6 +43,8 @@
 
 interface Transaction {
   readonly pinned: PinnedConnection;
+  /** Proxy that holds it; empty if this one does. */
+  readonly via: string;
   readonly route: CallerRoute;
   hasWritten: boolean;
 }
@@ -56,7 +58,7 @@
 
 type RequestFacts = Pick<
   RequestEnd,
-  'group' | 'kind' | 'target' | 'attempts' | 'reason'
+  'group' | 'kind' | 'target' | 'attempts' | 'reason' | 'via'
 >;
 
 const LOCAL: RequestFacts = {
@@ -65,6 +67,7 @@
   target: '',
   attempts: 0,
   reason: '',
+  via: '',
 };
 
 /**
@@ -111,9 +114,9 @@
   }
 
   function factsOf(route: CallerRoute, result: DispatchResult, kind: string) {
-    const {target, attempts, reason} = result;
+    const {target, attempts, reason, via} = result;
     const name = `${route.freshness} ${kind}`;
-    return {group: route.group, kind: name, target, attempts, reason};
+    return {group: route.group, kind: name, target, attempts, reason, via};
   }
 
   function* serveOutside(
@@ -147,7 +150,7 @@
     });
     const {answer, pinned} = result;
     if (pinned !== undefined) {
-      transaction = {pinned, route, hasWritten: false};
+      transaction = {pinned, via: result.via, route, hasWritten: false};
       state = 'open';
     } else if (resolved.isWrite && answer.error === undefined) {
       lastCommit = answer.position ?? lastCommit;
@@ -185,10 +188,15 @@
     request: CallerRequest,
     statement: SessionStatement,
   ): Task<[StatementAnswer, RequestFacts]> {
-    const {pinned, route} = held;
-    const kind = `${route.freshness} ${statement.kind}`;
-    const {target} = pinned;
-    const facts = {group: route.group, kind, target, attempts: 1, reason: ''};
+    const {pinned, route, via} = held;
+    const facts = {
+      group: route.group,
+      kind: `${route.freshness} ${statement.kind}`,
+      target: pinned.target,
+      attempts: 1,
+      reason: '',
+      via,
+    };
     const resolved = resolve(statement);
     if (resolved === undefined || statement.kind === 'begin') {
       endTransaction();
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -6,6 +6,11 @@
 export * from './src/knowledge';
 export * from './src/membership';
 export * from './src/pace';
+export {
+  type PlacedProxy,
+  createCandidateSet,
+  pickResponsible,
+} from './src/rendezvous';
 export * from './src/short_exchange';
 export * from './src/store_presence';
 export * from './src/table_relay';
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -3,32 +3,38 @@
 
 import {hashText, mixHashes} from './hash';
 
+/** What picking goes by. */
+export type PlacedProxy = Pick<ProxyIdentity, 'proxy' | 'dataCentre'>;
+
 /** The proxies of one data centre. */
-interface Centre {
-  readonly identities: readonly ProxyIdentity[];
+interface Centre<P extends PlacedProxy> {
+  readonly identities: readonly P[];
   /** Hashes of their ids: a new process with an id takes the old one's place. */
   readonly hashes: Uint32Array;
 }
 
 /** Proxies that may be picked, by data centre. */
-export type CandidateSet = ReadonlyMap<string, Centre>;
+export type CandidateSet<P extends PlacedProxy = ProxyIdentity> = ReadonlyMap<
+  string,
+  Centre<P>
+>;
 
-interface Scored {
-  readonly identity: ProxyIdentity;
+interface Scored<P extends PlacedProxy> {
+  readonly identity: P;
   readonly score: number;
 }
 
 /** Prepares proxies for picking. */
-export function createCandidateSet(
-  identities: readonly ProxyIdentity[],
-): CandidateSet {
-  const byCentre = new Map<string, ProxyIdentity[]>();
+export function createCandidateSet<P extends PlacedProxy>(
+  identities: readonly P[],
+): CandidateSet<P> {
+  const byCentre = new Map<string, P[]>();
   for (const identity of identities) {
     const centre = byCentre.get(identity.dataCentre) ?? [];
     centre.push(identity);
     byCentre.set(identity.dataCentre, centre);
   }
-  const set = new Map<string, Centre>();
+  const set = new Map<string, Centre<P>>();
   for (const [dataCentre, members] of byCentre) {
     const hashes = Uint32Array.from(members, ({proxy}) => hashText(proxy));
     set.set(dataCentre, {identities: members, hashes});
@@ -43,18 +49,21 @@
 }
 
 /** Equal scores are ordered by id, so that all proxies pick the same. */
-function compareScored(left: Scored, right: Scored): number {
+function compareScored(
+  left: Scored<PlacedProxy>,
+  right: Scored<PlacedProxy>,
+): number {
   const byId = left.identity.proxy < right.identity.proxy ? -1 : 1;
   return right.score - left.score || byId;
 }
 
 /** The best of one data centre; runs over all proxies, so it makes no garbage. */
-function bestOf(
+function bestOf<P extends PlacedProxy>(
   nameHash: number,
-  {identities, hashes}: Centre,
-  taken: ReadonlySet<ProxyIdentity>,
-): Scored | undefined {
-  let best: ProxyIdentity | undefined;
+  {identities, hashes}: Centre<P>,
+  taken: ReadonlySet<P>,
+): Scored<P> | undefined {
+  let best: P | undefined;
   let bestScore = 0;
   for (let index = 0; index < hashes.length; index++) {
     const score = mixHashes(nameHash, hashes[index] ?? 0);
@@ -79,13 +88,13 @@
  * data centre, so that no centre gets a second before all have one. Linear in
  * the candidates, without a sort of all of them.
  */
-export function pickResponsible(
+export function pickResponsible<P extends PlacedProxy>(
   name: string,
-  candidates: CandidateSet,
+  candidates: CandidateSet<P>,
   count: number,
-): ProxyIdentity[] {
+): P[] {
   const nameHash = hashText(name);
-  const taken = new Set<ProxyIdentity>();
+  const taken = new Set<P>();
   while (taken.size < count) {
     const round = [...candidates.values()]
       .map(centre => bestOf(nameHash, centre, taken))
--- a/packages/membership/src/store_presence.ts
+++ b/packages/membership/src/store_presence.ts
@@ -1,6 +1,7 @@
 /**
  * Tells other proxies through the platform's store that this one runs, and
- * counts them. The count sets each proxy's share of a target's connections.
+ * knows who else does: their number sets each proxy's share of a target's
+ * connections, and statements may be sent through them.
  */
 import type {TableRows, TableStore} from '@kelpstep/platform';
 import {
@@ -13,19 +14,26 @@
 } from '@kelpstep/runtime';
 import {z} from 'zod';
 
+import type {PlacedProxy} from './rendezvous';
+
 /** Start of the rows' keys; the proxy's name follows. */
 export const PRESENCE_PREFIX = 'proxy/';
 
+/** A proxy as it tells of itself. */
+export interface PresentProxy extends PlacedProxy {
+  /** Where others ask it for the store's tables; empty if they can't. */
+  readonly address: string;
+  /** Where others send it statements; empty if they can't. */
+  readonly relayAddress: string;
+}
+
 /** What presence is made of. */
 export interface StorePresenceOptions {
   readonly runtime: Runtime;
   readonly store: TableStore;
   /** Table that the proxies share for their own rows. */
   readonly table: string;
-  /** Name of this proxy. */
-  readonly self: string;
-  /** Where other proxies reach it; empty if they don't. */
-  readonly address: string;
+  readonly self: PresentProxy;
 }
 
 /** Presence of this proxy and of the others. */
@@ -34,8 +42,12 @@
   onRows(rows: TableRows): void;
   /** Addresses of the other proxies that run. */
   addresses(): readonly string[];
-  /** Proxies that run, this one included; undefined before any rows. */
-  count(): number | undefined;
+  /**
+   * Proxies that run, this one included. The same array as long as they are the
+   * same. Undefined before this proxy's own row is there: then those of all that
+   * start with it are too, or on their way.
+   */
+  live(): readonly PresentProxy[] | undefined;
   stop(): void;
 }
 
@@ -49,35 +61,60 @@
 const EXPIRY: Milliseconds = 25_000;
 const RETRY_PAUSE: Milliseconds = 400;
 
-const presenceSchema = z.object({address: z.string()});
+/** Period of the search for rows that stand still. */
+const EXPIRY_CHECK: Milliseconds = 1000;
+
+const presenceSchema = z.object({
+  address: z.string(),
+  dataCentre: z.string().default(''),
+  relayAddress: z.string().default(''),
+});
 
 interface Seen {
   readonly version: number;
-  readonly address: string;
+  readonly present: PresentProxy;
   readonly seenAt: Milliseconds;
 }
 
+function isSame(left: PresentProxy, right: PresentProxy | undefined): boolean {
+  return (
+    left.proxy === right?.proxy &&
+    left.address === right.address &&
+    left.relayAddress === right.relayAddress &&
+    left.dataCentre === right.dataCentre
+  );
+}
+
+/** A row that can't be read still counts: its proxy has connections. */
+function readPresence(proxy: string, value: unknown): PresentProxy {
+  const parsed = presenceSchema.safeParse(value);
+  return parsed.success
+    ? {proxy, ...parsed.data}
+    : {proxy, address: '', dataCentre: '', relayAddress: ''};
+}
+
 /** Starts to write this proxy's row and to follow the others'. */
 export function startStorePresence(
   options: StorePresenceOptions,
 ): StorePresence {
   const {runtime, store, table} = options;
-  const self = PRESENCE_PREFIX + options.self;
+  const {proxy: unusedName, ...ownValue} = options.self;
+  const self = PRESENCE_PREFIX + options.self.proxy;
   const {timer, random} = runtime;
   const seen = new Map<string, Seen>();
+  let live: readonly PresentProxy[] | undefined;
   let ownVersion = 0;
   let hasRows = false;
 
   function onRows(rows: TableRows): void {
-    hasRows = true;
     for (const [key, {version, value}] of rows) {
       if (!key.startsWith(PRESENCE_PREFIX)) {
         continue;
       }
       if (seen.get(key)?.version !== version) {
-        const parsed = presenceSchema.safeParse(value);
-        const address = parsed.success ? parsed.data.address : '';
-        seen.set(key, {version, address, seenAt: timer.now()});
+        const name = key.slice(PRESENCE_PREFIX.length);
+        const present = readPresence(name, value);
+        seen.set(key, {version, present, seenAt: timer.now()});
       }
     }
     for (const key of [...seen.keys()]) {
@@ -86,14 +123,28 @@
       }
     }
     ownVersion = rows.get(self)?.version ?? 0;
+    hasRows = true;
+    if (ownVersion > 0) {
+      updateLive();
+    }
+  }
+
+  function updateLive(): void {
+    const others = [...seen]
+      .filter(([key, entry]) => key !== self && isLive(entry))
+      .map(([, {present}]) => present);
+    const next = [options.self, ...others];
+    const isUnchanged =
+      next.length === live?.length &&
+      next.every((present, index) => isSame(present, live?.[index]));
+    live = isUnchanged ? live : next;
   }
 
   function* announce(): Task<void> {
     for (;;) {
       if (hasRows) {
-        const value = {address: options.address};
         const written = yield* waitFor(
-          store.replaceRow(table, self, ownVersion, value),
+          store.replaceRow(table, self, ownVersion, ownValue),
         );
         if (written.ok) {
           ownVersion = written.val;
@@ -105,30 +156,32 @@
     }
   }
 
-  const task: TaskHandle<void> = runtime.spawn('presence', announce());
-
   function isLive({seenAt}: Seen): boolean {
     return timer.now() - seenAt < EXPIRY;
   }
 
-  function liveOthers(): Seen[] {
-    return [...seen]
-      .filter(([key, entry]) => key !== self && isLive(entry))
-      .map(([, entry]) => entry);
+  function* checkExpiry(): Task<void> {
+    for (;;) {
+      yield* sleep(EXPIRY_CHECK);
+      if (live !== undefined) {
+        updateLive();
+      }
+    }
   }
 
+  const task: TaskHandle<void> = runtime.spawn('presence', announce());
+  const checks: TaskHandle<void> = runtime.spawn('expiry', checkExpiry());
+
   return {
     onRows,
     addresses: () =>
-      liveOthers()
+      (live ?? [])
         .map(({address}) => address)
-        .filter(address => address !== ''),
-    count() {
-      if (!hasRows) {
-        return undefined;
-      }
-      return liveOthers().length + 1;
+        .filter(address => address !== '' && address !== options.self.address),
+    live: () => live,
+    stop() {
+      task.cancel();
+      checks.cancel();
     },
-    stop: task.cancel,
   };
 }
--- a/packages/proxy/index.ts
+++ b/packages/proxy/index.ts
@@ -6,6 +6,5 @@
 export * from './src/json_rpc_dispatcher';
 export * from './src/operator_edge';
 export * from './src/operator_methods';
-export * from './src/peer_links';
 export * from './src/proxy_context';
 export * from './src/responsibilities';
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -28,7 +28,7 @@
   peerForward,
   peerManifest,
 } from '@kelpstep/protocol';
-import {createHandlerTable} from '@kelpstep/rpc';
+import {createHandlerTable, createPeerLinks} from '@kelpstep/rpc';
 import {createRequestService} from '@kelpstep/routing';
 import {
   Future,
@@ -44,7 +44,6 @@
 import {createAnswerObserver} from './answer_observer';
 import {createChangeRecorder} from './change_recorder';
 import {createOperatorHandlers} from './operator_handlers';
-import {createPeerLinks} from './peer_links';
 import {createPeerPort} from './peer_port';
 import type {Proxy, ProxyContext} from './proxy_context';
 import {createRequestRecorder, registerLoadGauges} from './request_metrics';
--- a/packages/rpc/index.ts
+++ b/packages/rpc/index.ts
@@ -2,5 +2,6 @@
 export * from './src/failure_codec';
 export * from './src/handlers';
 export * from './src/peer';
+export * from './src/peer_links';
 export * from './src/tcp_transport';
 export * from './src/transport';
--- a/packages/proxy/src/peer_links.ts
+++ b/packages/rpc/src/peer_links.ts
@@ -6,18 +6,18 @@
   TimerService,
   createDeferred,
 } from '@kelpstep/runtime';
-import {
-  Address,
-  RequestFailure,
-  RpcPeer,
-  Transport,
-  TransportError,
-  createRpcPeer,
-} from '@kelpstep/rpc';
 import {Err, Result} from 'ts-results';
 
+import {RequestFailure, RpcPeer, createRpcPeer} from './peer';
+import {Address, Transport, TransportError} from './transport';
+
 /** Sends requests to other proxies by their address. */
 export interface PeerLinks {
+  /** The connection to a proxy; opened if there is none. */
+  connect(
+    address: Address,
+    timeout: Milliseconds,
+  ): Future<Result<RpcPeer, TransportError>>;
   request<P, R>(
     address: Address,
     method: Method<P, R>,
@@ -93,6 +93,15 @@
     }
   }
 
+  function connect(
+    address: Address,
+    timeout: Milliseconds,
+  ): Future<Result<RpcPeer, TransportError>> {
+    const link = links.get(address) ?? open(address, timeout);
+    link.lastUsed = timer.now();
+    return link.opened;
+  }
+
   function request<P, R>(
     address: Address,
     method: Method<P, R>,
@@ -101,9 +110,7 @@
   ): Future<Result<R, RequestFailure>> {
     const reply = createDeferred<Result<R, RequestFailure>>();
     const startedAt = timer.now();
-    const link = links.get(address) ?? open(address, timeout);
-    link.lastUsed = startedAt;
-    link.opened.onSettled(opened => {
+    connect(address, timeout).onSettled(opened => {
       if (opened.err) {
         reply.settle(Err(notSent(opened.val)));
         return;
@@ -140,6 +147,7 @@
 
   const stopClosing = timer.every(idleTime, closeUnused);
   return {
+    connect,
     request,
     size: () => links.size,
     close() {
--- a/packages/scenarios/src/statements/random_faults.ts
+++ b/packages/scenarios/src/statements/random_faults.ts
@@ -23,6 +23,7 @@
   'store writes late',
   'store compacts',
   'orders late',
+  'orders to targets late',
   'answers lost',
   'kill proxy',
   'kill all proxies',
@@ -145,6 +146,10 @@
       world.lateOrders = 0.6;
       later(() => (world.lateOrders = 0));
       return;
+    case 'orders to targets late':
+      world.lateTargetOrders = 0.5;
+      later(() => (world.lateTargetOrders = 0));
+      return;
     case 'answers lost':
       world.lostAnswers = 0.03;
       later(() => (world.lostAnswers = 0));
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -1,7 +1,6 @@
 /** Proxies, a group, a store and callers together, in virtual time. */
 import {
   type CallerConnection,
-  type CallerRoute,
   type Gateway,
   type GatewayConfiguration,
   type StatementProxyEvents,
@@ -24,9 +23,11 @@
   createVirtualTimer,
 } from '@kelpstep/runtime';
 import {
+  type FakeNetwork,
   type LinkNetwork,
   type StandInGroup,
   type StandInStore,
+  createFakeNetwork,
   createLinkNetwork,
   createStandInGroup,
   createStandInStore,
@@ -36,6 +37,7 @@
 import type {TargetRegistration} from '@kelpstep/targets';
 
 import {type RuleChecker, createRuleChecker} from './rule_checker';
+import {GROUP, ROUTES, configurationWith} from './statement_routes';
 import {type OperationCounts, startSessionCallers} from './session_callers';
 
 /** Size and pace of a world; the figures are those of a small deployment. */
@@ -48,13 +50,18 @@
   readonly promotionTime?: Milliseconds;
   /** Connections that a target accepts. */
   readonly connectionLimit?: number;
+  /** False: proxies send no statements through each other. */
+  readonly relays?: boolean;
 }
 
 /** Everything that a test may act on. */
 export interface StatementWorld {
   readonly timer: VirtualTimer;
   readonly random: Random;
+  /** Between proxies and targets, and among targets. */
   readonly network: LinkNetwork;
+  /** Among proxies. */
+  readonly relays: FakeNetwork;
   readonly group: StandInGroup;
   readonly store: StandInStore;
   readonly checker: RuleChecker;
@@ -67,9 +74,13 @@
   /** Where a running proxy stands in the network; each life has its own. */
   placeOf(proxy: string): string;
   startProxy(proxy: string): void;
+  /** A proxy's host in the network among proxies. */
+  hostOf(proxy: string): string;
   setLeaving(target: string, leaving: boolean): void;
   /** Share of promotions that are carried out late and not answered. */
   lateOrders: number;
+  /** The same for orders to targets. */
+  lateTargetOrders: number;
   lostAnswers: number;
   /** Runs until the callers have stopped and all is quiet, then judges. */
   finish(): void;
@@ -82,10 +93,15 @@
 }
 
 const PEER_DELAY: Milliseconds = 12;
+/** One way, within a region and between two. */
+const NEAR_DELAY: Milliseconds = 0.5;
+const FAR_DELAY: Milliseconds = 6;
+const RELAY_PORT = 7000;
+/** Keeps the network's chance apart from the seeds of worlds. */
+const RELAY_SEED = 2_000_000;
 const CONNECTION_LIMIT = 40;
 /** How long a target holds a connection whose other end has no power. */
 const LINGER_TIME: Milliseconds = 3000;
-const GROUP = 'records';
 const TARGETS = ['target-1', 'target-2', 'target-3'] as const;
 const CONFIGURATION_TABLE = 'configuration';
 const REGISTRATION_TABLE = 'registrations';
@@ -94,42 +110,10 @@
 const ENTRY_LIFETIME: Milliseconds = 3600;
 const REGISTRATION_PERIOD: Milliseconds = 100;
 const QUIET_TIME: Milliseconds = 4000;
+const EARLIEST_LATE_ORDER: Milliseconds = 1000;
 const LATEST_ORDER: Milliseconds = 5000;
 const ORDER_TIMEOUT: Milliseconds = 2500;
 
-/** Routes of all three kinds of freshness. */
-const ROUTES: readonly CallerRoute[] = [
-  route('entries', 'primary', 0, 800),
-  route('histories', 'bounded', 1500, 2000),
-  route('reports', 'readYourWrites', 2500, 800),
-];
-
-function route(
-  database: string,
-  freshness: CallerRoute['freshness'],
-  maximumStaleness: Milliseconds,
-  timeout: Milliseconds,
-): CallerRoute {
-  return {
-    database,
-    freshness,
-    group: GROUP,
-    timeout,
-    targetLatency: timeout,
-    priority: 1,
-    maximumStaleness,
-  };
-}
-
-function configurationWith(connectionLimit: number): GatewayConfiguration {
-  return {
-    version: 1,
-    routes: ROUTES,
-    groups: [{group: GROUP, connectionLimit, synchronousReplicas: 1}],
-    transactionIdle: 3000,
-  };
-}
-
 const SILENT_EVENTS: StatementProxyEvents = {
   gateway: {onRequestEnd: () => {}, onSession: () => {}},
   targets: () => ({
@@ -145,6 +129,7 @@
   onConfiguration: () => {},
   onFinding: () => {},
   onRelayed: () => {},
+  onListenFailure: () => {},
   onFeed: () => {},
 };
 
@@ -170,6 +155,12 @@
   const random = createRandom(options.seed);
   const connectionLimit = options.connectionLimit ?? CONNECTION_LIMIT;
   const network = createLinkNetwork(timer, delayBetween);
+  /** Carries what proxies send each other. */
+  const relays = createFakeNetwork({
+    timer,
+    random: createRandom(options.seed + RELAY_SEED),
+    latency: delayBetween,
+  });
   const store = createStandInStore({
     timer,
     random: random.split(),
@@ -188,6 +179,11 @@
     workTime: 12,
     promotionTime: options.promotionTime ?? 300,
     applyDelay: () => 4 + 20 * faultRandom.fraction(),
+    orderDelay: () =>
+      world.lateTargetOrders > 0 &&
+      faultRandom.fraction() < world.lateTargetOrders
+        ? EARLIEST_LATE_ORDER + LATEST_ORDER * faultRandom.fraction()
+        : 0,
     losesAnswer: () => faultRandom.fraction() < world.lostAnswers,
   });
   const proxies = Array.from(
@@ -199,9 +195,16 @@
   const lives = new Map<string, number>();
   const stoppedAt = new Map<string, Milliseconds>();
 
+  const placeNumber = (name: string) => Number(/\d+$/.exec(name)?.[0]);
+  const dataCentreOf = (proxy: string) =>
+    `centre-${placeNumber(proxy) % TARGETS.length}`;
+  const hostOf = (proxy: string) => `10.0.0.${placeNumber(proxy)}`;
+  const relayAddressOf = (proxy: string) => `${hostOf(proxy)}:${RELAY_PORT}`;
+
   function delayBetween(from: string, to: string): Milliseconds {
-    const place = (name: string) => Number(name.slice(-1)) % TARGETS.length;
-    return place(from) === place(to) ? 0.5 : 6;
+    const isNear =
+      placeNumber(from) % TARGETS.length === placeNumber(to) % TARGETS.length;
+    return isNear ? NEAR_DELAY : FAR_DELAY;
   }
 
   const orderPromotion: OrderPromotion = ({target, epoch, holder}) => {
@@ -236,7 +239,16 @@
     const runtime = createRuntime({timer, random: random.split()});
     const {gateway, tables} = createStatementProxy({
       runtime,
-      self: proxy,
+      self: {
+        proxy,
+        dataCentre: dataCentreOf(proxy),
+        address: proxy,
+        relayAddress: relayAddressOf(proxy),
+      },
+      transport:
+        options.relays === false
+          ? undefined
+          : relays.transportFor(hostOf(proxy)),
       store: store.clientOf(proxy),
       layout: {
         configurationTable: CONFIGURATION_TABLE,
@@ -264,7 +276,6 @@
         retryAfter: spreadRetryAfter,
       },
       events: SILENT_EVENTS,
-      address: proxy,
       seeds: proxies,
       askForTables,
     });
@@ -274,6 +285,7 @@
   function killProxy(proxy: string): void {
     const killed = running.get(proxy);
     running.delete(proxy);
+    relays.killHost(hostOf(proxy));
     killed?.runtime.shutdown();
     killed?.gateway.close();
   }
@@ -350,18 +362,21 @@
     timer,
     random,
     network,
+    relays,
     group,
     store,
     checker,
     counts,
     proxies,
     lateOrders: 0,
+    lateTargetOrders: 0,
     lostAnswers: 0,
     gateway: proxy => running.get(proxy)?.gateway,
     killProxy,
     cutPower,
     placeOf,
     startProxy,
+    hostOf,
     setLeaving(target, isLeaving) {
       if (isLeaving) {
         leaving.add(target);
--- a/packages/stand-ins/src/statement_group/link_network.ts
+++ b/packages/stand-ins/src/statement_group/link_network.ts
@@ -6,7 +6,16 @@
 
 /** Delivers messages with a delay, in order for each pair of places. */
 export interface LinkNetwork {
-  deliver(from: string, to: string, receive: () => void): void;
+  /**
+   * What a cut holds back is lost if `isReset` is true once it heals: the sender
+   * has reset the connection.
+   */
+  deliver(
+    from: string,
+    to: string,
+    receive: () => void,
+    isReset?: () => boolean,
+  ): void;
   cut(left: string, right: string): void;
   heal(left: string, right: string): void;
   healAll(): void;
@@ -24,22 +33,33 @@
 ): LinkNetwork {
   const held = new Map<string, Array<() => void>>();
 
-  function deliver(from: string, to: string, receive: () => void): void {
-    const waiting = held.get(pairOf(from, to));
-    if (waiting !== undefined) {
-      waiting.push(() => deliver(from, to, receive));
-      return;
+  function deliver(
+    from: string,
+    to: string,
+    receive: () => void,
+    isReset: () => boolean = () => false,
+  ): void {
+    function sendAgain(): void {
+      if (!isReset()) {
+        deliver(from, to, receive, isReset);
+      }
+    }
+
+    /** A cut that began on the way holds the message too. */
+    function arrive(): void {
+      const waiting = held.get(pairOf(from, to));
+      if (waiting === undefined) {
+        receive();
+      } else {
+        waiting.push(sendAgain);
+      }
     }
-    timer.after(delay(from, to), () => arrive(from, to, receive));
-  }
 
-  /** A cut that began on the way holds the message too. */
-  function arrive(from: string, to: string, receive: () => void): void {
     const waiting = held.get(pairOf(from, to));
     if (waiting === undefined) {
-      receive();
+      timer.after(delay(from, to), arrive);
     } else {
-      waiting.push(() => deliver(from, to, receive));
+      waiting.push(sendAgain);
     }
   }
 
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -35,6 +35,8 @@
   readonly workTime: Milliseconds;
   readonly promotionTime: Milliseconds;
   applyDelay(): Milliseconds;
+  /** How late an order to a target is carried out; 0: at once. */
+  orderDelay(): Milliseconds;
   /** True if the answer to this statement is to be lost. */
   losesAnswer(): boolean;
 }
@@ -97,6 +99,7 @@
       workTime: options.workTime,
       recorder,
       applyDelay: options.applyDelay,
+      orderDelay: options.orderDelay,
       onAppended: (previous, record) => replicate(created, previous, record),
     });
     targets.set(name, created);
@@ -253,7 +256,12 @@
             target.handle(session, request, answered);
           }
         }
-        network.deliver(from, target.target, () => inTurn(() => step(0)));
+        network.deliver(
+          from,
+          target.target,
+          () => inTurn(() => step(0)),
+          () => !isOpen,
+        );
         return result.future;
       },
       isOpen: () => isOpen,
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -14,10 +14,13 @@
   localAnswer,
 } from '@kelpstep/statements';
 
+import {createCommitWaits} from './commit_waits';
 import type {LogRecord, RunRecorder} from './run_record';
 import {createTargetLog} from './target_log';
 import {
   type TargetSession,
+  changeSession,
+  clearSession,
   createTargetSession,
   stateOf,
 } from './target_session';
@@ -33,6 +36,8 @@
   readonly recorder: RunRecorder;
   /** Time between a record's arrival and its application. */
   applyDelay(): Milliseconds;
+  /** How late an order is carried out, without an answer; 0: at once. */
+  orderDelay(): Milliseconds;
   /** A primary's record is on its way to the replicas. */
   onAppended(previous: LogPosition, record: LogRecord): void;
 }
@@ -64,6 +69,8 @@
   /** A replica has received up to here. */
   acknowledge(position: LogPosition): void;
   open(): number;
+  /** Connections that are open. */
+  connections(): number;
   endSession(session: number): void;
   handle(
     session: number,
@@ -87,10 +94,7 @@
   let running = true;
   let nextNumber = 1;
   const slots = createTargetSlots(timer, options.slots, options.workTime);
-  let waitingCommits: Array<{
-    readonly position: LogPosition;
-    readonly done: () => void;
-  }> = [];
+  const waitingCommits = createCommitWaits();
 
   function receive(
     senderTerm: number,
@@ -106,7 +110,7 @@
     const position = {term, position: previous.position + 1};
     const record = {position, writes: [...writes]};
     log.append(record);
-    waitingCommits.push({position, done});
+    waitingCommits.add(position, done);
     options.onAppended(previous, record);
   }
 
@@ -114,9 +118,10 @@
     session: TargetSession,
     answer: (answer: StatementAnswer) => void,
     receipt: string,
+    rows: readonly string[] = [],
   ): void {
     const state = stateOf(session);
-    answer({...localAnswer(state), receipt, position: log.applied()});
+    answer({...localAnswer(state), rows, receipt, position: log.applied()});
   }
 
   function fail(
@@ -250,12 +255,8 @@
     } else if (lacks(after)) {
       fail(session, answer, 'lagging');
     } else {
-      session.transaction = {
-        number: nextNumber++,
-        isReadOnly,
-        term,
-        writes: [],
-      };
+      const number = nextNumber++;
+      session.transaction = {number, isReadOnly, term, writes: []};
       finish(session, answer, '');
     }
   }
@@ -266,8 +267,7 @@
   ): void {
     const {term: receivedTerm, position} = log.received();
     const row = `${role} ${term} ${receivedTerm}.${position} ${termHeld} 0 ${slots.busy()} ${sessions.size}`;
-    const state = stateOf(session);
-    answer({...localAnswer(state), rows: [row], position: log.applied()});
+    finish(session, answer, '', [row]);
   }
 
   function runStatement(
@@ -295,18 +295,9 @@
         runWrite(session, request, undefined, answer);
         return;
       case 'set':
-        session.values.set(statement.name, statement.value);
-        finish(session, answer, '');
-        return;
       case 'prepare':
-        session.prepared.set(
-          statement.name,
-          `${statement.access} ${statement.shape}`,
-        );
-        finish(session, answer, '');
-        return;
       case 'deallocate':
-        session.prepared.delete(statement.name);
+        changeSession(session, statement);
         finish(session, answer, '');
         return;
       case 'execute': {
@@ -322,20 +313,35 @@
     }
   }
 
+  /** An order that comes late is carried out, and not answered. */
   function handle(
     number: number,
     request: TargetRequest,
     answer: (answer: StatementAnswer) => void,
   ): void {
-    const session = sessions.get(number);
+    const {kind} = request.body;
+    const isOrder = kind === 'pause' || kind === 'resume' || kind === 'demote';
+    const delay = isOrder ? options.orderDelay() : 0;
+    if (delay > 0) {
+      const session = sessions.get(number);
+      timer.after(delay, () => carryOut(session, request, () => {}));
+    } else {
+      carryOut(sessions.get(number), request, answer);
+    }
+  }
+
+  function carryOut(
+    session: TargetSession | undefined,
+    request: TargetRequest,
+    answer: (answer: StatementAnswer) => void,
+  ): void {
     const {body} = request;
     if (!running || session === undefined) {
       return;
     }
     switch (body.kind) {
       case 'reset':
-        session.values.clear();
-        session.prepared.clear();
+        clearSession(session);
         finish(session, answer, '');
         return;
       case 'status':
@@ -356,7 +362,7 @@
         if (body.term > term && role === 'primary') {
           role = 'replica';
           termHeld = Math.max(termHeld, body.term);
-          waitingCommits = [];
+          waitingCommits.clear();
         }
         answerStatus(session, answer);
         return;
@@ -368,7 +374,7 @@
   function stop(): void {
     running = false;
     slots.clear();
-    waitingCommits = [];
+    waitingCommits.clear();
     sessions.clear();
   }
 
@@ -392,7 +398,7 @@
       role = 'replica';
       term = nextTerm;
       isPaused = false;
-      waitingCommits = [];
+      waitingCommits.clear();
       log.rollBackTo(leaderLog);
       receive(nextTerm, EMPTY_LOG_END, leaderLog);
     },
@@ -402,18 +408,13 @@
       isPaused = false;
       log.applyAll();
     },
-    acknowledge(position) {
-      const done = waitingCommits.filter(
-        commit => compareLogPositions(commit.position, position) <= 0,
-      );
-      waitingCommits = waitingCommits.filter(commit => !done.includes(commit));
-      done.forEach(commit => commit.done());
-    },
+    acknowledge: waitingCommits.acknowledge,
     open() {
       const number = nextNumber++;
       sessions.set(number, createTargetSession(number));
       return number;
     },
+    connections: () => sessions.size,
     endSession: session => void sessions.delete(session),
     handle,
   };
--- a/packages/stand-ins/src/statement_group/target_session.ts
+++ b/packages/stand-ins/src/statement_group/target_session.ts
@@ -1,5 +1,10 @@
 /** Sessions as a stand-in target keeps them. */
-import type {TransactionState} from '@kelpstep/statements';
+import type {
+  DeallocateStatement,
+  PrepareStatement,
+  SetStatement,
+  TransactionState,
+} from '@kelpstep/statements';
 
 /** A caller's connection as the target keeps it. */
 export interface TargetSession {
@@ -36,3 +41,26 @@
   }
   return session.transaction === undefined ? 'idle' : 'open';
 }
+
+/** Carries out a statement that changes the session alone. */
+export function changeSession(
+  {values, prepared}: TargetSession,
+  statement: SetStatement | PrepareStatement | DeallocateStatement,
+): void {
+  switch (statement.kind) {
+    case 'set':
+      values.set(statement.name, statement.value);
+      return;
+    case 'prepare':
+      prepared.set(statement.name, `${statement.access} ${statement.shape}`);
+      return;
+    case 'deallocate':
+      prepared.delete(statement.name);
+  }
+}
+
+/** Clears all that was set and prepared. */
+export function clearSession({values, prepared}: TargetSession): void {
+  values.clear();
+  prepared.clear();
+}
--- a/packages/succession/__tests__/succession_model.spec.ts
+++ b/packages/succession/__tests__/succession_model.spec.ts
@@ -1,7 +1,8 @@
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
-import {ALL_GUARDS, type Guards, searchSuccession} from './succession_model';
+import {searchSuccession} from './succession_model';
+import {ALL_GUARDS, type Guards} from './succession_model_state';
 
 describe('every order of steps of two promoters', () => {
   test('keeps each acknowledged commit', () => {
--- a/packages/succession/__tests__/succession_model.ts
+++ b/packages/succession/__tests__/succession_model.ts
@@ -6,74 +6,18 @@
  */
 import {chooseSuccessor} from '../src/choose_successor';
 
-/** What may be switched off, to see that the search then finds a fault. */
-export interface Guards {
-  /** Every replica has to answer before the choice. */
-  readonly needsAllReplicas: boolean;
-  /** Replicas stop receiving before they are compared. */
-  readonly stopsReplicas: boolean;
-  /** The row is written only if nobody else has written it. */
-  readonly comparesVersions: boolean;
-  /** An order of another holder is repeated, not replaced. */
-  readonly repeatsOrders: boolean;
-  /** The platform refuses epochs below the highest it has seen. */
-  readonly checksEpochs: boolean;
-}
-
-/** All guards on, as in the product. */
-export const ALL_GUARDS: Guards = {
-  needsAllReplicas: true,
-  stopsReplicas: true,
-  comparesVersions: true,
-  repeatsOrders: true,
-  checksEpochs: true,
-};
-
-interface Target {
-  /** Commits by name; the term of each stands before it. */
-  readonly log: readonly string[];
-  readonly term: number;
-  readonly pausedAt: number;
-  readonly up: boolean;
-}
-
-interface Row {
-  readonly version: number;
-  readonly epoch: number;
-  readonly phase: 'none' | 'stopping' | 'ordered' | 'done';
-  readonly target: number;
-}
-
-/** A promoter between its steps. */
-interface Promoter {
-  readonly step: 'idle' | 'stopping' | 'ordered' | 'ended';
-  readonly version: number;
-  readonly epoch: number;
-  readonly from: number;
-  readonly target: number;
-  /** Log lengths that stopped replicas answered; -1: no answer yet. */
-  readonly answers: readonly number[];
-  readonly starts: number;
-  /** Orders that it has sent for its choice. */
-  readonly sent: number;
-}
-
-interface Order {
-  readonly epoch: number;
-  readonly target: number;
-}
-
-interface State {
-  readonly targets: readonly Target[];
-  readonly leader: number;
-  readonly row: Row;
-  readonly promoters: readonly Promoter[];
-  readonly orders: readonly Order[];
-  readonly fence: number;
-  readonly acknowledged: readonly string[];
-  readonly commits: number;
-  readonly crashes: number;
-}
+import {
+  type Guards,
+  MAXIMUM_COMMITS,
+  MAXIMUM_ORDERS,
+  MAXIMUM_STARTS,
+  type ModelPromoter,
+  type ModelRow,
+  type ModelState,
+  PROMOTERS,
+  START,
+  TARGETS,
+} from './succession_model_state';
 
 /** What a search found. */
 export interface SearchResult {
@@ -82,38 +26,9 @@
   readonly counterexample: readonly string[] | undefined;
 }
 
-const TARGETS = [0, 1, 2] as const;
-const PROMOTERS = [0, 1] as const;
-const MAXIMUM_COMMITS = 2;
-const MAXIMUM_STARTS = 1;
-const MAXIMUM_ORDERS = 2;
-
-const IDLE: Promoter = {
-  step: 'idle',
-  version: 0,
-  epoch: 0,
-  from: -1,
-  target: -1,
-  answers: [-1, -1, -1],
-  starts: 0,
-  sent: 0,
-};
-
-const START: State = {
-  targets: TARGETS.map(() => ({log: [], term: 1, pausedAt: 0, up: true})),
-  leader: 0,
-  row: {version: 0, epoch: 0, phase: 'none', target: -1},
-  promoters: [IDLE, IDLE],
-  orders: [],
-  fence: 0,
-  acknowledged: [],
-  commits: 0,
-  crashes: 0,
-};
-
 interface Step {
   readonly name: string;
-  readonly state: State;
+  readonly state: ModelState;
 }
 
 function at<T>(items: readonly T[], index: number): T {
@@ -129,7 +44,7 @@
 }
 
 /** A commit that one replica, or none, receives. */
-function* commitSteps(state: State): Generator<Step> {
+function* commitSteps(state: ModelState): Generator<Step> {
   const leader = at(state.targets, state.leader);
   if (!leader.up || state.commits >= MAXIMUM_COMMITS) {
     return;
@@ -159,7 +74,7 @@
   }
 }
 
-function* crashSteps(state: State): Generator<Step> {
+function* crashSteps(state: ModelState): Generator<Step> {
   const leader = at(state.targets, state.leader);
   if (leader.up && state.crashes === 0) {
     const targets = replaced(state.targets, state.leader, {
@@ -171,11 +86,11 @@
 }
 
 function write(
-  state: State,
+  state: ModelState,
   guards: Guards,
   version: number,
-  row: Omit<Row, 'version'>,
-): State | undefined {
+  row: Omit<ModelRow, 'version'>,
+): ModelState | undefined {
   if (guards.comparesVersions && state.row.version !== version) {
     return undefined;
   }
@@ -183,17 +98,17 @@
 }
 
 function withPromoter(
-  state: State,
+  state: ModelState,
   index: number,
-  change: Partial<Promoter>,
-): State {
+  change: Partial<ModelPromoter>,
+): ModelState {
   const promoter = {...at(state.promoters, index), ...change};
   return {...state, promoters: replaced(state.promoters, index, promoter)};
 }
 
 /** Takes the row; a promoter may do so whatever the row says. */
 function* startSteps(
-  state: State,
+  state: ModelState,
   guards: Guards,
   index: number,
 ): Generator<Step> {
@@ -225,7 +140,7 @@
 
 /** A replica is stopped and its answer arrives; lost ones are not played. */
 function* stopSteps(
-  state: State,
+  state: ModelState,
   guards: Guards,
   index: number,
 ): Generator<Step> {
@@ -256,7 +171,7 @@
 }
 
 function* chooseSteps(
-  state: State,
+  state: ModelState,
   guards: Guards,
   index: number,
 ): Generator<Step> {
@@ -306,7 +221,7 @@
  * epoch that is written first.
  */
 function* orderSteps(
-  state: State,
+  state: ModelState,
   guards: Guards,
   index: number,
 ): Generator<Step> {
@@ -338,12 +253,62 @@
   if (done !== undefined) {
     yield {
       name: `promoter ${index} is done`,
-      state: withPromoter(done, index, {step: 'ended'}),
+      state: withPromoter(done, index, {
+        step: 'resuming',
+        version: done.row.version,
+      }),
     };
   }
 }
 
-function* promotionSteps(state: State, guards: Guards): Generator<Step> {
+/** A change that is given up, for whatever reason. */
+function* abandonSteps(
+  state: ModelState,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const {step, epoch, version} = at(state.promoters, index);
+  if (step !== 'stopping') {
+    return;
+  }
+  const phase = 'abandoned' as const;
+  const next = write(state, guards, version, {epoch, phase, target: -1});
+  if (next !== undefined) {
+    yield {
+      name: `promoter ${index} gives up`,
+      state: withPromoter(next, index, {
+        step: 'resuming',
+        version: next.row.version,
+      }),
+    };
+  }
+}
+
+/** After its end a change lets each stopped target receive again. */
+function* resumeSteps(
+  state: ModelState,
+  guards: Guards,
+  index: number,
+): Generator<Step> {
+  const {step, version} = at(state.promoters, index);
+  const isInTime = state.row.version === version;
+  if (step !== 'resuming' || (guards.resumesInTime && !isInTime)) {
+    return;
+  }
+  for (const stopped of TARGETS) {
+    const target = at(state.targets, stopped);
+    if (target.pausedAt > target.term) {
+      const targets = replaced(state.targets, stopped, {
+        ...target,
+        pausedAt: 0,
+      });
+      const name = `promoter ${index} lets ${stopped} go on`;
+      yield {name, state: {...state, targets}};
+    }
+  }
+}
+
+function* promotionSteps(state: ModelState, guards: Guards): Generator<Step> {
   for (const order of state.orders) {
     const orders = state.orders.filter(other => other !== order);
     const next = at(state.targets, order.target);
@@ -368,7 +333,7 @@
   }
 }
 
-function* stepsFrom(state: State, guards: Guards): Generator<Step> {
+function* stepsFrom(state: ModelState, guards: Guards): Generator<Step> {
   yield* commitSteps(state);
   yield* crashSteps(state);
   for (const index of PROMOTERS) {
@@ -376,12 +341,14 @@
     yield* stopSteps(state, guards, index);
     yield* chooseSteps(state, guards, index);
     yield* orderSteps(state, guards, index);
+    yield* abandonSteps(state, guards, index);
+    yield* resumeSteps(state, guards, index);
   }
   yield* promotionSteps(state, guards);
 }
 
 /** True if whoever leads holds every acknowledged commit. */
-function isSafe({targets, leader, acknowledged}: State): boolean {
+function isSafe({targets, leader, acknowledged}: ModelState): boolean {
   const {log} = at(targets, leader);
   return acknowledged.every(commit => log.includes(commit));
 }
@@ -389,7 +356,7 @@
 /** Searches all states that can be reached, the nearest first. */
 export function searchSuccession(guards: Guards): SearchResult {
   const seen = new Set([JSON.stringify(START)]);
-  let frontier: Array<{state: State; path: readonly string[]}> = [
+  let frontier: Array<{state: ModelState; path: readonly string[]}> = [
     {state: START, path: []},
   ];
   while (frontier.length > 0) {
--- a/packages/succession/index.ts
+++ b/packages/succession/index.ts
@@ -2,3 +2,4 @@
 export * from './src/choose_successor';
 export * from './src/succession';
 export * from './src/succession_row';
+export type {ChangeOutcome} from './src/succession_steps';
--- a/packages/succession/src/succession.ts
+++ b/packages/succession/src/succession.ts
@@ -3,7 +3,6 @@
  * is lost. Every step is written to the group's row before it is taken, so that
  * another proxy can go on from there.
  */
-import type {LogPosition} from '@kelpstep/protocol';
 import type {TableStore} from '@kelpstep/platform';
 import {
   type Milliseconds,
@@ -11,21 +10,17 @@
   type Task,
   type TaskHandle,
   sleep,
-  waitFor,
 } from '@kelpstep/runtime';
-import type {
-  ReadTargetStatus,
-  TargetOrder,
-  TargetStatus,
-} from '@kelpstep/statements';
+import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
-import {type StoppedTarget, chooseSuccessor} from './choose_successor';
+import type {StoppedTarget} from './choose_successor';
 import {
   type OrderPromotion,
   SUCCESSION_PREFIX,
   type Succession,
 } from './succession_row';
+import {type ChangeOutcome, createSuccessionSteps} from './succession_steps';
 import {type SuccessionTurn, createTurn} from './succession_turn';
 
 /** Why a primary is replaced. */
@@ -37,9 +32,6 @@
   readonly version: number;
 }
 
-/** How a change ended; `overtaken`: another proxy goes on with it. */
-export type ChangeOutcome = 'done' | 'abandoned' | 'overtaken';
-
 /** What a succession tells of itself, for the log. */
 export interface SuccessionEvents {
   onStart(reason: SuccessionReason, epoch: number): void;
@@ -58,6 +50,8 @@
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
   readonly events: SuccessionEvents;
+  /** Whether another proxy reaches the group's primary; it is asked. */
+  isLeaderReachedElsewhere(): Task<boolean>;
   /** The group's row as last seen. */
   row(): VersionedSuccession | undefined;
   /** When that row was seen first; -Infinity if there is none. */
@@ -86,31 +80,18 @@
  * `FRESH_TURN`, the opening of a connection and the way.
  */
 const PAUSE_BETWEEN_CHANGES: Milliseconds = 1500;
-/** Targets are let go on only right after the row was written. */
-const FRESH_TURN: Milliseconds = 300;
+/** Pause before a proxy that is cut off from a primary looks again. */
+const CUT_OFF_PAUSE: Milliseconds = 300;
 /** Proxies try one after the other, spread over this time. */
 const SPREAD: Milliseconds = 120;
 /** Pause after a change that was given up. */
 const PAUSE_AFTER_FAILURE: Milliseconds = 700;
-/** Time for a target to carry out an order that needs no slot. */
-const ORDER_TIMEOUT: Milliseconds = 400;
-/** Time in which open transactions at a leaving primary may still end. */
-const OPEN_TRANSACTION_TIME: Milliseconds = 120;
-/** How long a successor may take to reach the demoted primary's log end. */
-const CATCH_UP_TIME: Milliseconds = 2000;
-/** How long all replicas are asked again before a change is given up. */
-const STOP_TIME: Milliseconds = 1500;
-const STEP_PAUSE: Milliseconds = 20;
-/** How long the promoted target is asked whether it leads. */
-const LEAD_TIME: Milliseconds = 3000;
-/** Orders for one choice, each with an epoch of its own. */
-const MAXIMUM_ORDERS = 4;
-
 /** Starts to watch a group. */
 export function watchSuccession(options: SuccessionOptions): SuccessionWatch {
   const {runtime, group, store, self, events} = options;
   const {timer, random} = runtime;
   const key = SUCCESSION_PREFIX + group.group;
+  const steps = createSuccessionSteps({...options, onStep: events.onStep});
   let missingSince: Milliseconds | undefined;
 
   function noteMissing(): void {
@@ -157,6 +138,10 @@
         continue;
       }
       yield* sleep(SPREAD * random.fraction());
+      if (yield* isOnlyCutOff()) {
+        yield* sleep(random.jitter(CUT_OFF_PAUSE, 0.5));
+        continue;
+      }
       const reason = findReason();
       if (reason !== undefined && !isOthersTurn()) {
         yield* change(reason);
@@ -164,23 +149,31 @@
     }
   }
 
+  /** A primary that others reach is not lost: this proxy is cut off from it. */
+  function* isOnlyCutOff(): Task<boolean> {
+    const reason = findReason();
+    const mayBe = reason === 'lost' || reason === 'missing';
+    return mayBe && (yield* options.isLeaderReachedElsewhere());
+  }
+
   function* change(reason: SuccessionReason): Task<void> {
     const startedAt = timer.now();
     const before = options.row();
     const epoch = (before?.succession.epoch ?? 0) + 1;
     const leader = group.leader() ?? lastLeader(before?.succession);
+    const ordered = orderedTarget(before?.succession);
     const turn = createTurn(store, options.table, key, before?.version ?? 0, {
       epoch,
       holder: self,
-      phase: 'stopping',
+      // An order that is taken over stays written, should this holder die.
+      phase: ordered === '' ? 'stopping' : 'ordered',
       from: leader?.target ?? '',
-      target: '',
+      target: ordered,
     });
     if (!(yield* turn.write({}))) {
       return;
     }
     events.onStart(reason, epoch);
-    const ordered = orderedTarget(before?.succession);
     const outcome = yield* takeSteps(turn, reason, leader, ordered);
     events.onEnd(outcome, turn.succession().epoch, timer.now() - startedAt);
     if (outcome !== 'done') {
@@ -214,14 +207,14 @@
     ordered: string,
   ): Task<ChangeOutcome> {
     if (ordered !== '') {
-      return yield* carryOut(turn, ordered);
+      return yield* steps.carryOut(turn, ordered);
     }
     const successor = yield* chooseFor(reason, leader);
     if (successor === undefined) {
-      yield* finish(turn, 'abandoned');
+      yield* steps.finish(turn, 'abandoned');
       return 'abandoned';
     }
-    return yield* carryOut(turn, successor.target);
+    return yield* steps.promoteChosen(turn, successor.target);
   }
 
   function* chooseFor(
@@ -231,195 +224,14 @@
     if (reason === 'unfinished') {
       return undefined;
     }
-    const term = (yield* newestTerm()) + 1;
+    const term = (yield* steps.newestTerm()) + 1;
     if (reason === 'missing' && group.leader()?.isReached()) {
       // Asked for its term, a target has said that it leads.
       return undefined;
     }
     return reason === 'leaving' && leader !== undefined
-      ? yield* chooseAfterDemotion(leader, term)
-      : yield* chooseAfterStop(leader, term);
-  }
-
-  function* carryOut(
-    turn: SuccessionTurn,
-    target: string,
-  ): Task<ChangeOutcome> {
-    if (!(yield* turn.write({phase: 'ordered', target}))) {
-      return 'overtaken';
-    }
-    if (!(yield* promote(turn, target))) {
-      return 'overtaken';
-    }
-    yield* finish(turn, 'done');
-    return 'done';
-  }
-
-  /**
-   * Writes the end and lets all targets receive again. A proxy that stood still
-   * meanwhile must not: another may have stopped them by then.
-   */
-  function* finish(
-    turn: SuccessionTurn,
-    phase: 'done' | 'abandoned',
-  ): Task<void> {
-    const startedAt = timer.now();
-    const isWritten = yield* turn.write({phase});
-    if (isWritten && timer.now() - startedAt < FRESH_TURN) {
-      yield* resumeAll();
-    }
-  }
-
-  /** Asks all reached targets at once. */
-  function* newestTerm(): Task<number> {
-    const asked = group
-      .links()
-      .filter(link => link.isReached())
-      .map(link => link.askStatus());
-    let newest = group.positions.leader()?.term ?? 0;
-    for (const answer of asked) {
-      const status = yield* waitFor(answer);
-      if (status !== undefined) {
-        const {term, termHeld, received} = status;
-        newest = Math.max(newest, term, termHeld, received.term);
-      }
-    }
-    return newest;
-  }
-
-  function* order(
-    link: TargetLink,
-    request: TargetOrder,
-  ): Task<TargetStatus | undefined> {
-    const reply = yield* waitFor(link.order(request, ORDER_TIMEOUT));
-    return reply.ok ? options.readStatus(reply.val) : undefined;
-  }
-
-  function stoppedAs(link: TargetLink, received: LogPosition): StoppedTarget {
-    const {isLeaving, dataCentre} = link.registration();
-    return {target: link.target, received, isLeaving, dataCentre};
-  }
-
-  /** The primary stops acknowledging; whoever has its log's end may lead. */
-  function* chooseAfterDemotion(
-    leader: TargetLink,
-    term: number,
-  ): Task<StoppedTarget | undefined> {
-    yield* sleep(OPEN_TRANSACTION_TIME);
-    const demoted = yield* order(leader, {kind: 'demote', term});
-    if (demoted === undefined) {
-      return yield* chooseAfterStop(leader, term);
-    }
-    events.onStep('demoted', leader.target, term);
-    const deadline = timer.now() + CATCH_UP_TIME;
-    while (timer.now() < deadline) {
-      const others = group.links().filter(link => link !== leader);
-      const asked = others.map(link => ({link, status: link.askStatus()}));
-      const stopped: StoppedTarget[] = [];
-      for (const {link, status} of asked) {
-        const known = yield* waitFor(status);
-        if (known !== undefined) {
-          stopped.push(stoppedAs(link, known.received));
-        }
-      }
-      const demotedAt = demoted.received;
-      const successor = chooseSuccessor({stopped, unanswered: 0, demotedAt});
-      if (successor !== undefined) {
-        return successor;
-      }
-      yield* sleep(STEP_PAUSE);
-    }
-    return undefined;
-  }
-
-  /** Stops all that may receive, and compares what they have received. */
-  function* chooseAfterStop(
-    leader: TargetLink | undefined,
-    term: number,
-  ): Task<StoppedTarget | undefined> {
-    const deadline = timer.now() + STOP_TIME;
-    const stopped = new Map<string, StoppedTarget>();
-    while (timer.now() < deadline) {
-      const others = group.links().filter(link => link !== leader);
-      const asked = others
-        .filter(({target}) => !stopped.has(target))
-        .map(link => ({
-          link,
-          reply: link.order({kind: 'pause', term}, ORDER_TIMEOUT),
-        }));
-      for (const {link, reply} of asked) {
-        const answer = yield* waitFor(reply);
-        const status = answer.ok ? options.readStatus(answer.val) : undefined;
-        if (status !== undefined) {
-          stopped.set(link.target, stoppedAs(link, status.received));
-        }
-      }
-      const unanswered = others.filter(({target}) => !stopped.has(target));
-      const successor = chooseSuccessor({
-        stopped: [...stopped.values()],
-        unanswered: unanswered.length,
-        demotedAt: undefined,
-      });
-      if (successor !== undefined) {
-        return successor;
-      }
-      yield* sleep(STEP_PAUSE);
-    }
-    return undefined;
-  }
-
-  /**
-   * Orders the promotion until the target says that it leads. An order without
-   * an answer may be carried out later: the next one names the same target with
-   * a higher epoch, so that whichever takes effect, the same target leads.
-   */
-  function* promote(turn: SuccessionTurn, target: string): Task<boolean> {
-    for (let orders = 0; orders < MAXIMUM_ORDERS; orders++) {
-      const {epoch} = turn.succession();
-      const reply = yield* waitFor(
-        options.orderPromotion({
-          group: group.group,
-          target,
-          holder: self,
-          epoch,
-        }),
-      );
-      events.onStep(`promotion ${reply}`, target, epoch);
-      const mayLead = reply === 'done' || reply === 'unanswered';
-      if (mayLead && (yield* leadsSoon(target))) {
-        return true;
-      }
-      if (!(yield* turn.write({epoch: epoch + 1}))) {
-        return false;
-      }
-    }
-    return false;
-  }
-
-  function* leadsSoon(target: string): Task<boolean> {
-    const deadline = timer.now() + LEAD_TIME;
-    while (timer.now() < deadline) {
-      const link = group.link(target);
-      if (link === undefined || !link.isReached()) {
-        return false;
-      }
-      const status = yield* waitFor(link.askStatus());
-      if (status?.role === 'primary') {
-        return true;
-      }
-      yield* sleep(STEP_PAUSE);
-    }
-    return false;
-  }
-
-  function* resumeAll(): Task<void> {
-    const asked = group
-      .links()
-      .filter(link => link.isReached())
-      .map(link => link.order({kind: 'resume'}, ORDER_TIMEOUT));
-    for (const reply of asked) {
-      yield* waitFor(reply);
-    }
+      ? yield* steps.chooseAfterDemotion(leader, term)
+      : yield* steps.chooseAfterStop(leader, term);
   }
 
   const task: TaskHandle<void> = runtime.spawn('succession', watch());
--- /dev/null
+++ b/packages/succession/src/succession_steps.ts
@@ -0,0 +1,274 @@
+/** The steps of a change of primary, from stopping replicas to letting them go. */
+import type {LogPosition} from '@kelpstep/protocol';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+import type {
+  ReadTargetStatus,
+  TargetOrder,
+  TargetStatus,
+} from '@kelpstep/statements';
+import type {TargetGroup, TargetLink} from '@kelpstep/targets';
+
+import {type StoppedTarget, chooseSuccessor} from './choose_successor';
+import type {OrderPromotion} from './succession_row';
+import type {SuccessionTurn} from './succession_turn';
+
+/** How a change ended; `overtaken`: another proxy goes on with it. */
+export type ChangeOutcome = 'done' | 'abandoned' | 'overtaken';
+
+/** What steps are made of. */
+export interface SuccessionStepsOptions {
+  readonly runtime: Runtime;
+  readonly self: string;
+  readonly group: TargetGroup;
+  readonly readStatus: ReadTargetStatus;
+  readonly orderPromotion: OrderPromotion;
+  onStep(step: string, target: string, epoch: number): void;
+}
+
+/** The steps; each writes to the turn's row before it acts. */
+export interface SuccessionSteps {
+  /** The highest term that any reached target knows of. */
+  newestTerm(): Task<number>;
+  /** Chooses whoever holds all that the demoted primary acknowledged. */
+  chooseAfterDemotion(
+    leader: TargetLink,
+    term: number,
+  ): Task<StoppedTarget | undefined>;
+  /** Chooses among the replicas, all of them stopped. */
+  chooseAfterStop(
+    leader: TargetLink | undefined,
+    term: number,
+  ): Task<StoppedTarget | undefined>;
+  promoteChosen(turn: SuccessionTurn, target: string): Task<ChangeOutcome>;
+  carryOut(turn: SuccessionTurn, target: string): Task<ChangeOutcome>;
+  finish(turn: SuccessionTurn, phase: 'done' | 'abandoned'): Task<void>;
+}
+
+/** Targets are let go on only right after the row was written. */
+const FRESH_TURN: Milliseconds = 300;
+/** Time for a target to carry out an order that needs no slot. */
+const ORDER_TIMEOUT: Milliseconds = 400;
+/** Time in which open transactions at a leaving primary may still end. */
+const OPEN_TRANSACTION_TIME: Milliseconds = 120;
+/** How long a successor may take to reach the demoted primary's log end. */
+const CATCH_UP_TIME: Milliseconds = 2000;
+/** How long all replicas are asked again before a change is given up. */
+const STOP_TIME: Milliseconds = 1500;
+const STEP_PAUSE: Milliseconds = 20;
+/** How long the promoted target is asked whether it leads. */
+const LEAD_TIME: Milliseconds = 3000;
+/** Orders for one choice, each with an epoch of its own. */
+const MAXIMUM_ORDERS = 4;
+
+/** Creates the steps for one group. */
+export function createSuccessionSteps(
+  options: SuccessionStepsOptions,
+): SuccessionSteps {
+  const {runtime, group, self, onStep} = options;
+  const {timer} = runtime;
+
+  /** Writes the choice, has it promoted and lets all receive again. */
+  function* promoteChosen(
+    turn: SuccessionTurn,
+    target: string,
+  ): Task<ChangeOutcome> {
+    if (!(yield* turn.write({phase: 'ordered', target}))) {
+      return 'overtaken';
+    }
+    return yield* carryOut(turn, target);
+  }
+
+  /** Goes on with a choice that is written. */
+  function* carryOut(
+    turn: SuccessionTurn,
+    target: string,
+  ): Task<ChangeOutcome> {
+    if (!(yield* promote(turn, target))) {
+      return 'overtaken';
+    }
+    yield* finish(turn, 'done');
+    return 'done';
+  }
+
+  /** Writes the end and lets all targets receive again. */
+  function* finish(
+    turn: SuccessionTurn,
+    phase: 'done' | 'abandoned',
+  ): Task<void> {
+    const startedAt = timer.now();
+    if (yield* turn.write({phase})) {
+      yield* resumeAll(startedAt + FRESH_TURN);
+    }
+  }
+
+  /** Asks all reached targets at once. */
+  function* newestTerm(): Task<number> {
+    const asked = group
+      .links()
+      .filter(link => link.isReached())
+      .map(link => link.askStatus());
+    let newest = group.positions.leader()?.term ?? 0;
+    for (const answer of asked) {
+      const status = yield* waitFor(answer);
+      if (status !== undefined) {
+        const {term, termHeld, received} = status;
+        newest = Math.max(newest, term, termHeld, received.term);
+      }
+    }
+    return newest;
+  }
+
+  function* order(
+    link: TargetLink,
+    request: TargetOrder,
+  ): Task<TargetStatus | undefined> {
+    const reply = yield* waitFor(link.order(request, ORDER_TIMEOUT));
+    return reply.ok ? options.readStatus(reply.val) : undefined;
+  }
+
+  function stoppedAs(link: TargetLink, received: LogPosition): StoppedTarget {
+    const {isLeaving, dataCentre} = link.registration();
+    return {target: link.target, received, isLeaving, dataCentre};
+  }
+
+  /** The primary stops acknowledging; whoever has its log's end may lead. */
+  function* chooseAfterDemotion(
+    leader: TargetLink,
+    term: number,
+  ): Task<StoppedTarget | undefined> {
+    yield* sleep(OPEN_TRANSACTION_TIME);
+    const demoted = yield* order(leader, {kind: 'demote', term});
+    if (demoted === undefined) {
+      return yield* chooseAfterStop(leader, term);
+    }
+    onStep('demoted', leader.target, term);
+    const deadline = timer.now() + CATCH_UP_TIME;
+    while (timer.now() < deadline) {
+      const others = group.links().filter(link => link !== leader);
+      const asked = others.map(link => ({link, status: link.askStatus()}));
+      const stopped: StoppedTarget[] = [];
+      for (const {link, status} of asked) {
+        const known = yield* waitFor(status);
+        if (known !== undefined) {
+          stopped.push(stoppedAs(link, known.received));
+        }
+      }
+      const demotedAt = demoted.received;
+      const successor = chooseSuccessor({stopped, unanswered: 0, demotedAt});
+      if (successor !== undefined) {
+        return successor;
+      }
+      yield* sleep(STEP_PAUSE);
+    }
+    return undefined;
+  }
+
+  /** Stops all that may receive, and compares what they have received. */
+  function* chooseAfterStop(
+    leader: TargetLink | undefined,
+    term: number,
+  ): Task<StoppedTarget | undefined> {
+    const deadline = timer.now() + STOP_TIME;
+    const stopped = new Map<string, StoppedTarget>();
+    while (timer.now() < deadline) {
+      const others = group.links().filter(link => link !== leader);
+      const asked = others
+        .filter(({target}) => !stopped.has(target))
+        .map(link => ({
+          link,
+          reply: link.order({kind: 'pause', term}, ORDER_TIMEOUT),
+        }));
+      for (const {link, reply} of asked) {
+        const answer = yield* waitFor(reply);
+        const status = answer.ok ? options.readStatus(answer.val) : undefined;
+        if (status !== undefined) {
+          stopped.set(link.target, stoppedAs(link, status.received));
+        }
+      }
+      const unanswered = others.filter(({target}) => !stopped.has(target));
+      const successor = chooseSuccessor({
+        stopped: [...stopped.values()],
+        unanswered: unanswered.length,
+        demotedAt: undefined,
+      });
+      if (successor !== undefined) {
+        return successor;
+      }
+      yield* sleep(STEP_PAUSE);
+    }
+    return undefined;
+  }
+
+  /**
+   * Orders the promotion until the target says that it leads. An order without
+   * an answer may be carried out later: the next one names the same target with
+   * a higher epoch, so that whichever takes effect, the same target leads.
+   */
+  function* promote(turn: SuccessionTurn, target: string): Task<boolean> {
+    for (let orders = 0; orders < MAXIMUM_ORDERS; orders++) {
+      const {epoch} = turn.succession();
+      const reply = yield* waitFor(
+        options.orderPromotion({
+          group: group.group,
+          target,
+          holder: self,
+          epoch,
+        }),
+      );
+      onStep(`promotion ${reply}`, target, epoch);
+      const mayLead = reply === 'done' || reply === 'unanswered';
+      if (mayLead && (yield* leadsSoon(target))) {
+        return true;
+      }
+      if (!(yield* turn.write({epoch: epoch + 1}))) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  function* leadsSoon(target: string): Task<boolean> {
+    const deadline = timer.now() + LEAD_TIME;
+    while (timer.now() < deadline) {
+      const link = group.link(target);
+      if (link === undefined || !link.isReached()) {
+        return false;
+      }
+      const status = yield* waitFor(link.askStatus());
+      if (status?.role === 'primary') {
+        return true;
+      }
+      yield* sleep(STEP_PAUSE);
+    }
+    return false;
+  }
+
+  /**
+   * Nothing is sent after `until`: a proxy that stood still meanwhile could let
+   * targets go on that another one has stopped by then.
+   */
+  function* resumeAll(until: Milliseconds): Task<void> {
+    const asked = group
+      .links()
+      .filter(link => link.isReached())
+      .map(link => link.order({kind: 'resume'}, ORDER_TIMEOUT, until));
+    for (const reply of asked) {
+      yield* waitFor(reply);
+    }
+  }
+
+  return {
+    newestTerm,
+    chooseAfterDemotion,
+    chooseAfterStop,
+    promoteChosen,
+    carryOut,
+    finish,
+  };
+}
--- a/packages/targets/index.ts
+++ b/packages/targets/index.ts
@@ -1,5 +1,6 @@
 /** Targets of statement sessions: connections, admission, log positions. */
 export * from './src/change_signal';
+export * from './src/connection_shares';
 export * from './src/group_positions';
 export * from './src/registration';
 export * from './src/shared_connections';
--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -9,10 +9,21 @@
   type TargetAddress,
   createSessionSettings,
 } from '@kelpstep/statements';
-import {type Future, mapFuture, settledFuture} from '@kelpstep/runtime';
+import {
+  type Future,
+  type Milliseconds,
+  mapFuture,
+  settledFuture,
+} from '@kelpstep/runtime';
 import {Ok, type Result} from 'ts-results';
 
-import {OPEN_TIMEOUT, type SharedConnection} from './shared_connections';
+import type {SharedConnection} from './shared_connections';
+
+/**
+ * Time to open it: set-up takes up to 27 ms of a slot at a target (brief) and a
+ * round trip. Beyond it the target counts as silent.
+ */
+const OPEN_TIMEOUT: Milliseconds = 350;
 
 /** A connection that is opened when it is first needed, again if it was lost. */
 export interface QuestionConnection {
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -56,7 +56,7 @@
  * Time for a connection to open. Set-up costs some tens of milliseconds at a
  * target (brief) and a round trip; beyond this the target counts as away.
  */
-export const OPEN_TIMEOUT: Milliseconds = 500;
+const OPEN_TIMEOUT: Milliseconds = 500;
 
 /**
  * Connections beyond the share that are opened while the target takes them:
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -16,6 +16,7 @@
 } from '@kelpstep/statements';
 
 import {type ChangeSignal, createChangeSignal} from './change_signal';
+import {shareOfHolder} from './connection_shares';
 import {type GroupPositions, createGroupPositions} from './group_positions';
 import type {GroupSettings, TargetRegistration} from './registration';
 import {createSuspensionGuard} from './suspension_guard';
@@ -36,8 +37,8 @@
   readonly readStatus: ReadTargetStatus;
   readonly policies: AdmissionPolicies;
   readonly events: TargetGroupEvents;
-  /** Proxies that share the connections; undefined while that isn't known. */
-  liveProxies(): number | undefined;
+  /** Proxies that share the connections; `Infinity` while that isn't known. */
+  holders(): number;
 }
 
 /** A group of targets. */
@@ -79,16 +80,6 @@
  */
 const KEPT_AFTER_ENTRY: Milliseconds = 2500;
 
-/**
- * Part of a target's connections that proxies share for good. A target holds
- * those of instances that lost power for seconds: the rest lets the instances
- * that start in their place reach it. At 1 the worst seconds after a loss of
- * power of all instances served 0.35 of their worth, at this value 0.54.
- */
-const CONNECTION_USE = 0.64;
-/** One connection for questions, one for statements. */
-const MINIMUM_SHARE = 2;
-
 interface Member {
   readonly link: TargetLink;
   /** When the entry went; undefined while it is there. */
@@ -112,10 +103,7 @@
   let knownLeader = '';
 
   function share(): number {
-    const proxies = options.liveProxies() ?? Infinity;
-    const usable = settings.connectionLimit * CONNECTION_USE;
-    const share = Math.floor(usable / proxies);
-    return Math.max(MINIMUM_SHARE, share);
+    return shareOfHolder(settings.connectionLimit, options.holders());
   }
 
   function noteLeader(): void {
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -71,7 +71,12 @@
   /** Starts a transaction; `work.request` begins it. */
   pin(work: StatementWork): Future<PinnedStart>;
   /** Asks on the link's own connection. */
-  order(order: TargetOrder, timeout: Milliseconds): Future<OrderReply>;
+  order(
+    order: TargetOrder,
+    timeout: Milliseconds,
+    /** Monotonic time after which it isn't sent any more; never by default. */
+    sendUntil?: Milliseconds,
+  ): Future<OrderReply>;
   /** Asks for the log's end. */
   probe(): Future<boolean>;
   /** Asks how the target sees itself. */
@@ -92,9 +97,10 @@
 
 /**
  * Time for the answer to a question. The longest round trip between regions is
- * tens of milliseconds; a target answers these without a slot.
+ * tens of milliseconds; a target answers these without a slot. With the time to
+ * open a connection it is most of the time in which a silent target is found.
  */
-const QUESTION_TIMEOUT: Milliseconds = 400;
+const QUESTION_TIMEOUT: Milliseconds = 250;
 /** Statements that wait at a target at most. */
 const QUEUE_CAPACITY = 500;
 
@@ -342,10 +348,11 @@
   function order(
     question: TargetOrder,
     timeout: Milliseconds,
+    sendUntil?: Milliseconds,
   ): Future<OrderReply> {
     return isClosed
       ? settledFuture(Err('closed'))
-      : questions.ask(question, timeout);
+      : questions.ask(question, timeout, sendUntil);
   }
 
   function askStatus(): Future<TargetStatus | undefined> {
--- a/packages/targets/src/target_questions.ts
+++ b/packages/targets/src/target_questions.ts
@@ -23,7 +23,7 @@
 /** Answer to a question of the proxy's own. */
 export type OrderReply = Result<
   StatementAnswer,
-  ConnectionLoss | OpenFailure | 'behind a statement'
+  ConnectionLoss | OpenFailure | 'behind a statement' | 'too late'
 >;
 
 /** What questions are made of. */
@@ -38,7 +38,12 @@
 
 /** Asks one target. */
 export interface TargetQuestions {
-  ask(order: TargetOrder, timeout: Milliseconds): Future<OrderReply>;
+  /** Not sent after `sendUntil`, a monotonic time; `Infinity` by default. */
+  ask(
+    order: TargetOrder,
+    timeout: Milliseconds,
+    sendUntil?: Milliseconds,
+  ): Future<OrderReply>;
 }
 
 /** Creates questions to a target. */
@@ -51,6 +56,7 @@
   function* askOnce(
     question: TargetOrder,
     timeout: Milliseconds,
+    sendUntil: Milliseconds,
   ): Task<OrderReply> {
     const opened = yield* waitFor(options.connection.get());
     if (opened.err) {
@@ -59,6 +65,9 @@
       }
       return opened;
     }
+    if (timer.now() > sendUntil) {
+      return Err('too late');
+    }
     const {connection, applied} = opened.val;
     const request = {body: question};
     const askedAt = timer.now();
@@ -89,26 +98,31 @@
   function* askTwice(
     question: TargetOrder,
     timeout: Milliseconds,
+    sendUntil: Milliseconds,
     result: Deferred<OrderReply>,
   ): Task<void> {
-    const first = yield* askOnce(question, timeout);
+    const first = yield* askOnce(question, timeout, sendUntil);
     const isLoss =
       first.err && (first.val === 'closed' || first.val === 'timed out');
     if (!isLoss) {
       result.settle(first);
       return;
     }
-    const second = yield* askOnce(question, timeout);
-    if (second.err && second.val !== 'behind a statement') {
+    const second = yield* askOnce(question, timeout, sendUntil);
+    const isSilent =
+      second.err &&
+      second.val !== 'behind a statement' &&
+      second.val !== 'too late';
+    if (isSilent) {
       options.onSilence(second.val);
     }
     result.settle(second);
   }
 
   return {
-    ask(order, timeout) {
+    ask(order, timeout, sendUntil = Infinity) {
       const result = createDeferred<OrderReply>();
-      runtime.spawn('question', askTwice(order, timeout, result));
+      runtime.spawn('question', askTwice(order, timeout, sendUntil, result));
       return result.future;
     },
   };
