feat(gateway): a second attempt for reads whose answer is lost

Cause: an answer that a target lost was noticed by the statement's timeout only (800 to 2,000 ms), beyond the objective. Ruled out: shorter timeouts for each attempt (they break off work that is under way, under load most of all). Change: a read or begin that was sent and is silent for 280 ms, or four times the expected time, is tried at another target too (primary: on another connection), for a tenth of all at most; the first success counts. Proxies that start again know the others by the row of their earlier life at once.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -7,6 +7,7 @@
   type Milliseconds,
   type Runtime,
   type Task,
+  mapFuture,
   sleep,
   waitFor,
 } from '@kelpstep/runtime';
@@ -16,7 +17,7 @@
   errorAnswer,
 } from '@kelpstep/statements';
 import type {
-  PinnedConnection,
+  PinnedStart,
   StatementOutcome,
   StatementWork,
   TargetGroup,
@@ -29,7 +30,12 @@
   type Dispatcher,
   kindOf,
 } from './dispatch_types';
-import {createPlaceFinder} from './find_place';
+import {type Place, type PlaceSearch, createPlaceFinder} from './find_place';
+import {
+  type Attempt,
+  awaitWithSecond,
+  createAttemptBudget,
+} from './second_attempt';
 
 /** What dispatch is made of. */
 export interface DispatcherOptions {
@@ -61,6 +67,14 @@
 const RETRY_PAUSE: Milliseconds = 15;
 /** Pause after no connection to a target could be had. */
 const REOPEN_PAUSE: Milliseconds = 40;
+/**
+ * A target that was sent a read and tells nothing for so long has lost the
+ * answer, or is slow: another one is tried too. Below the tightest objective,
+ * 400 ms, above the time that a target's own queue adds under load.
+ */
+const SILENCE: Milliseconds = 280;
+/** For statements that take long, in multiples of the expected time. */
+const SILENCE_FACTOR = 4;
 /** Time to come back when no target may run the statement now. */
 const DEFAULT_RETRY_AFTER: Milliseconds = 300;
 /** Errors after which the same statement may be tried elsewhere. */
@@ -86,10 +100,12 @@
   const {runtime, isChanging} = options;
   const {timer} = runtime;
   const places = createPlaceFinder({runtime, isChanging});
+  const budget = createAttemptBudget();
 
   function workFor(
     work: Dispatch,
     after: LogPosition | undefined,
+    onSent: () => void,
   ): StatementWork {
     const {id, route, statement, shape, settings} = work;
     const isBegin = statement.kind === 'begin';
@@ -105,20 +121,64 @@
         ...(after === undefined ? {} : {after}),
       },
       isAbandoned: work.isAbandoned,
+      onSent,
     };
   }
 
-  function* run(
-    link: TargetLink,
+  function start(
+    {link, after}: Place,
     work: Dispatch,
-    after: LogPosition | undefined,
-  ): Task<{outcome: StatementOutcome; pinned: PinnedConnection | undefined}> {
-    const targetWork = workFor(work, after);
-    if (work.statement.kind === 'begin') {
-      return yield* waitFor(link.pin(targetWork));
+    onSent: () => void,
+  ): Attempt {
+    const targetWork = workFor(work, after, onSent);
+    return work.statement.kind === 'begin'
+      ? link.pin(targetWork)
+      : mapFuture(link.run(targetWork), outcome => ({
+          outcome,
+          pinned: undefined,
+        }));
+  }
+
+  /** What may run twice gets a second attempt if the first tells nothing. */
+  function* run(
+    search: PlaceSearch,
+    place: Place,
+    progress: Progress,
+  ): Task<PinnedStart> {
+    const {work} = search;
+    let sentAt: Milliseconds | undefined;
+    let hasEnded = false;
+    // The attempt that isn't needed any more leaves its queue.
+    const waited = {
+      ...work,
+      isAbandoned: () => hasEnded || work.isAbandoned(),
+    };
+    const first = start(place, waited, () => {
+      sentAt = timer.now();
+    });
+    if (work.isWrite) {
+      return yield* waitFor(first);
     }
-    const outcome = yield* waitFor(link.run(targetWork));
-    return {outcome, pinned: undefined};
+    budget.earn();
+    const expected = place.link.expectedTime(kindOf(work));
+    const end = yield* awaitWithSecond({
+      timer,
+      first,
+      sentAt: () => sentAt,
+      patience: Math.max(SILENCE, SILENCE_FACTOR * expected),
+      start() {
+        progress.tried.set(place.link.target, timer.now());
+        const other = places.another(search, place);
+        if (other === undefined || !budget.spend()) {
+          return undefined;
+        }
+        progress.attempts += 1;
+        progress.reason = `second attempt at ${other.link.target}`;
+        return start(other, waited, () => {});
+      },
+    });
+    hasEnded = true;
+    return end;
   }
 
   function* dispatchUnless(
@@ -142,13 +202,14 @@
       if (timer.now() >= until && progress.attempts === 0) {
         return refuse(progress, progress.reason || 'no target may run it');
       }
-      const place = yield* places.find({
+      const search = {
         group,
         work,
         until,
         triedAt: progress.tried,
         mayAskElsewhere,
-      });
+      };
+      const place = yield* places.find(search);
       if (place === 'elsewhere') {
         return undefined;
       }
@@ -156,7 +217,7 @@
         return refuse(progress, progress.reason || 'no target may run it');
       }
       progress.target = place.link.target;
-      const {outcome, pinned} = yield* run(place.link, work, place.after);
+      const {outcome, pinned} = yield* run(search, place, progress);
       progress.attempts += outcome.kind === 'unreached' ? 0 : 1;
       const result = conclude(group, work, place.link, outcome, progress);
       if (result !== undefined) {
--- a/packages/gateway/src/find_place.ts
+++ b/packages/gateway/src/find_place.ts
@@ -42,6 +42,8 @@
 /** Finds places. */
 export interface PlaceFinder {
   find(search: PlaceSearch): Task<Placement>;
+  /** A place beside one that was tried; at the primary, the same again. */
+  another(search: PlaceSearch, place: Place): Place | undefined;
   /** True if a place is expected to be found without waiting. */
   isExpected(group: TargetGroup, work: Dispatch): boolean;
 }
@@ -178,6 +180,16 @@
   return {
     find: search =>
       search.work.needsPrimary ? findPrimary(search) : findReader(search),
+    another({group, work, triedAt}, place) {
+      if (work.needsPrimary || place.after === undefined) {
+        return place;
+      }
+      const {after} = place;
+      const now = timer.now();
+      const kind = kindOf(work);
+      const link = chooseReader({group, kind, position: after, triedAt, now});
+      return link && {link, after};
+    },
     isExpected(group, work) {
       if (work.needsPrimary && usablePrimary(group) === undefined) {
         return false;
--- a/packages/membership/src/store_presence.ts
+++ b/packages/membership/src/store_presence.ts
@@ -160,11 +160,17 @@
     return written.ok;
   }
 
-  /** Reads first: the own row may be there from an earlier life. */
+  /**
+   * Reads first: with a row from an earlier life the others' rows are there too,
+   * so that connections are taken up at once.
+   */
   function* keepPresent(): Task<void> {
     for (;;) {
-      const isDone = (yield* read()) && (yield* write());
-      if (!isDone) {
+      const hasRead = yield* read();
+      if (hasRead && ownVersion > 0) {
+        updateLive();
+      }
+      if (!hasRead || !(yield* write())) {
         yield* sleep(random.jitter(RETRY_PAUSE, PERIOD_JITTER));
         continue;
       }
--- a/packages/targets/src/statement_work.ts
+++ b/packages/targets/src/statement_work.ts
@@ -22,6 +22,8 @@
   readonly request: TargetRequest;
   /** True once nobody waits for the answer any more. */
   isAbandoned(): boolean;
+  /** Called as it is sent to the target. */
+  onSent(): void;
 }
 
 /** What became of a statement. */
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -271,6 +271,7 @@
       release(shared);
       return {outcome: {kind: 'refused', retryAfter: 0}};
     }
+    work.onSent();
     const reply = yield* exchangeStatement({
       timer,
       shared,
