feat(succession): a primary that no replica hears is replaced

Cause: a primary cut off from its replicas is reached and answers reads; writes wait for a receiver until their timeout, as long as the cut lasts. Ruled out: taking every write that waits for a sign (answers that are lost would cost a healthy primary; the test for that stays green). Change: writes that wait 400 ms with none answered have the logs' ends compared twice, 100 ms apart; if no reached replica has the primary's, the replicas are stopped and one is promoted. A proxy that stops waits for other proxies' work too; new targets are asked at once.

--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -52,6 +52,8 @@
 /** Runs statements here or through other proxies. */
 export interface GatewayRelay {
   readonly dispatcher: Dispatcher;
+  /** Work of other proxies that is under way here. */
+  pending(): number;
   close(): void;
 }
 
@@ -190,7 +192,8 @@
       caller.messages.post({kind: 'stop'});
     }
     const end = runtime.timer.now() + endFor;
-    while (sessions.size > 0 && runtime.timer.now() < end) {
+    const isBusy = () => sessions.size > 0 || relay.pending() > 0;
+    while (isBusy() && runtime.timer.now() < end) {
       yield* sleep(DRAIN_STEP);
     }
     for (const caller of sessions) {
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -189,7 +189,7 @@
     onGroup: watch,
     createRelay(local, isStopping) {
       if (options.transport === undefined) {
-        return {dispatcher: local, close: () => {}};
+        return {dispatcher: local, pending: () => 0, close: () => {}};
       }
       relay = createRelay({
         runtime,
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -81,5 +81,5 @@
   }
 
   const isLeaderReached = createLeaderCheck({runtime, client, peers});
-  return {dispatcher, isLeaderReached, close};
+  return {dispatcher, isLeaderReached, pending: server.pending, close};
 }
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -119,7 +119,7 @@
     }
     const added: Use = {peer, count: 1};
     uses.set(peer, added);
-    const pinging = runtime.spawn('ping', keepAsking(added));
+    const pinging = runtime.spawn('ping', keepAsking(address, added));
     peer.closed.onSettled(() => {
       uses.delete(peer);
       pinging.cancel();
@@ -135,12 +135,14 @@
   }
 
   /** A connection that tells nothing while something is on it is given up. */
-  function* keepAsking({peer, count: unusedCount}: Use): Task<void> {
+  function* keepAsking(address: string, {peer}: Use): Task<void> {
     for (;;) {
       yield* sleep(PING_PERIOD);
       if ((uses.get(peer)?.count ?? 0) === 0) {
         continue;
       }
+      // It counts as used, so that a long transaction doesn't lose it.
+      void links.connect(address, CONNECT_TIMEOUT);
       const askedAt = timer.now();
       const reply = yield* waitFor(peer.request(relayPing, {}, PING_TIMEOUT));
       if (reply.err && peer.lastHeardAt() < askedAt) {
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -52,6 +52,8 @@
 /** Serves other proxies. */
 export interface RelayServer {
   accept(connection: Connection): void;
+  /** Statements and transactions of others that are under way here. */
+  pending(): number;
 }
 
 /** One statement or transaction of another proxy. */
@@ -72,6 +74,7 @@
 export function createRelayServer(options: RelayServerOptions): RelayServer {
   const {runtime, local, events} = options;
   const {timer} = runtime;
+  const senders = new Set<ReadonlyMap<number, RelayedWork>>();
 
   function toDispatch(message: RelayedStatement, work: RelayedWork): Dispatch {
     const {id, route, statement, shape, lastCommit} = message;
@@ -112,6 +115,7 @@
 
   function accept(connection: Connection): void {
     const works = new Map<number, RelayedWork>();
+    senders.add(works);
 
     function end(number: number): void {
       const work = works.get(number);
@@ -216,10 +220,16 @@
     }
 
     runtime.spawn('sender silence', watchSilence());
-    peer.closed.onSettled(() => [...works.keys()].forEach(end));
+    peer.closed.onSettled(() => {
+      [...works.keys()].forEach(end);
+      senders.delete(works);
+    });
   }
 
-  return {accept};
+  return {
+    accept,
+    pending: () => [...senders].reduce((sum, works) => sum + works.size, 0),
+  };
 }
 
 /** The session's values as they are now; none is ever taken back. */
--- a/packages/scenarios/__tests__/succession.spec.ts
+++ b/packages/scenarios/__tests__/succession.spec.ts
@@ -114,4 +114,49 @@
     expect(isReplaced).toEqual(true);
     expect(world.checker.broken()).toEqual([]);
   });
+
+  test('frees writes that no replica receives', () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const world = createStatementWorld({seed, duration: 2 * DURATION});
+      const {group, network, timer} = world;
+      const replicas = ['target-2', 'target-3'];
+      timer.advance(WARM_UP);
+      replicas.forEach(target => network.cut(PRIMARY, target));
+      const isReplaced = timer.runUntil(
+        () => replicas.some(name => group.target(name).role() === 'primary'),
+        2 * DECISION_TIME + PROMOTION_TIME,
+      );
+      timer.advance(DECISION_TIME);
+      const from = timer.now();
+      timer.advance(DECISION_TIME);
+      const {started, served} = world.counts.servedSince(from);
+      replicas.forEach(target => network.heal(PRIMARY, target));
+      world.finish();
+      const isServed = served / started > 0.9;
+      expect({seed, broken: world.checker.broken()}).toEqual({
+        seed,
+        broken: [],
+      });
+      expect({seed, isReplaced, isServed}).toEqual({
+        seed,
+        isReplaced: true,
+        isServed: true,
+      });
+    }
+  });
+
+  test('is not made for answers that are lost', () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const world = createStatementWorld({seed, duration: DURATION});
+      world.timer.advance(WARM_UP);
+      world.lostAnswers = 0.2;
+      world.timer.advance(WARM_UP);
+      world.lostAnswers = 0;
+      expect({seed, term: world.group.target(PRIMARY).term()}).toEqual({
+        seed,
+        term: 1,
+      });
+      world.finish();
+    }
+  });
 });
--- a/packages/succession/src/succession.ts
+++ b/packages/succession/src/succession.ts
@@ -24,7 +24,13 @@
 import {type SuccessionTurn, createTurn} from './succession_turn';
 
 /** Why a primary is replaced. */
-export type SuccessionReason = 'leaving' | 'lost' | 'missing' | 'unfinished';
+export type SuccessionReason =
+  | 'leaving'
+  | 'lost'
+  /** It is reached, but no replica receives from it. */
+  | 'isolated'
+  | 'missing'
+  | 'unfinished';
 
 /** A succession row with its version in the store. */
 export interface VersionedSuccession {
@@ -80,6 +86,13 @@
  * `FRESH_TURN`, the opening of a connection and the way.
  */
 const PAUSE_BETWEEN_CHANGES: Milliseconds = 1500;
+/**
+ * Writes that wait for so long, none answered, may lack a receiver. Beyond what a
+ * target's own queue adds under load, 150 to 250 ms.
+ */
+const STALLED_AFTER: Milliseconds = 400;
+/** Pause before a primary whose writes wait is looked at again. */
+const NOT_ISOLATED_PAUSE: Milliseconds = 1000;
 /** Pause before a proxy that is cut off from a primary looks again. */
 const CUT_OFF_PAUSE: Milliseconds = 300;
 /** Proxies try one after the other, spread over this time. */
@@ -117,7 +130,15 @@
     if (leader.registration().isLeaving && canLeave) {
       return 'leaving';
     }
-    return isUnderWay() ? 'unfinished' : undefined;
+    if (isUnderWay()) {
+      return 'unfinished';
+    }
+    return hasStalledWrites(leader) ? 'isolated' : undefined;
+  }
+
+  function hasStalledWrites(leader: TargetLink): boolean {
+    const since = leader.writesStalledSince();
+    return since !== undefined && timer.now() - since >= STALLED_AFTER;
   }
 
   function isUnderWay(): boolean {
@@ -143,6 +164,10 @@
         continue;
       }
       const reason = findReason();
+      if (reason === 'isolated' && !(yield* steps.isIsolated(group.leader()))) {
+        yield* sleep(random.jitter(NOT_ISOLATED_PAUSE, 0.5));
+        continue;
+      }
       if (reason !== undefined && !isOthersTurn()) {
         yield* change(reason);
       }
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -1,5 +1,5 @@
 /** The steps of a change of primary, from stopping replicas to letting them go. */
-import type {LogPosition} from '@kelpstep/protocol';
+import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
 import {
   type Milliseconds,
   type Runtime,
@@ -33,6 +33,11 @@
 
 /** The steps; each writes to the turn's row before it acts. */
 export interface SuccessionSteps {
+  /**
+   * True if no reached replica receives what the primary has in its log: twice,
+   * with a pause, as records are always on their way.
+   */
+  isIsolated(leader: TargetLink | undefined): Task<boolean>;
   /** The highest term that any reached target knows of. */
   newestTerm(): Task<number>;
   /** Chooses whoever holds all that the demoted primary acknowledged. */
@@ -66,6 +71,11 @@
 /** Orders for one choice, each with an epoch of its own. */
 const MAXIMUM_ORDERS = 4;
 
+/** Looks at the replicas before a primary is taken for isolated. */
+const ISOLATION_LOOKS = 2;
+/** Pause before each; records arrive within a few round trips of 24 ms. */
+const ISOLATION_PAUSE: Milliseconds = 100;
+
 /** Creates the steps for one group. */
 export function createSuccessionSteps(
   options: SuccessionStepsOptions,
@@ -107,6 +117,42 @@
     }
   }
 
+  /** Where the logs of the reached replicas end, as they received them. */
+  function* receivedByReplicas(leader: TargetLink): Task<LogPosition[]> {
+    const asked = group
+      .links()
+      .filter(link => link !== leader && link.isReached())
+      .map(link => link.askStatus());
+    const ends: LogPosition[] = [];
+    for (const answer of asked) {
+      const status = yield* waitFor(answer);
+      if (status !== undefined) {
+        ends.push(status.received);
+      }
+    }
+    return ends;
+  }
+
+  function* isIsolated(leader: TargetLink | undefined): Task<boolean> {
+    if (leader === undefined) {
+      return false;
+    }
+    const status = yield* waitFor(leader.askStatus());
+    if (status?.role !== 'primary') {
+      return false;
+    }
+    for (let look = 0; look < ISOLATION_LOOKS; look++) {
+      yield* sleep(ISOLATION_PAUSE);
+      const ends = yield* receivedByReplicas(leader);
+      const isBehind = (end: LogPosition) =>
+        compareLogPositions(end, status.received) < 0;
+      if (ends.length === 0 || !ends.every(isBehind)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Asks all reached targets at once. */
   function* newestTerm(): Task<number> {
     const asked = group
@@ -264,6 +310,7 @@
   }
 
   return {
+    isIsolated,
     newestTerm,
     chooseAfterDemotion,
     chooseAfterStop,
--- a/packages/targets/src/pinned_connection.ts
+++ b/packages/targets/src/pinned_connection.ts
@@ -17,6 +17,7 @@
 import type {SharedConnection} from './shared_connections';
 import {exchangeStatement} from './statement_exchange';
 import type {PinnedConnection, StatementWork} from './statement_work';
+import type {WriteProgress} from './write_progress';
 
 /** What a pinned connection is made of. */
 export interface PinnedConnectionOptions {
@@ -25,6 +26,7 @@
   /** A connection on which the target has begun the transaction. */
   readonly shared: SharedConnection;
   readonly settings: SessionSettings;
+  readonly writes: WriteProgress;
   onAnswers(askedAt: Milliseconds, answers: readonly StatementAnswer[]): void;
   giveBack(shared: SharedConnection): void;
 }
@@ -50,6 +52,7 @@
       work,
       timeout,
       isInTransaction: true,
+      writes: options.writes,
       onAnswers,
     });
     state = reply.ok ? reply.val.state : 'failed';
--- a/packages/targets/src/statement_exchange.ts
+++ b/packages/targets/src/statement_exchange.ts
@@ -15,6 +15,7 @@
 
 import type {SharedConnection} from './shared_connections';
 import type {StatementWork} from './statement_work';
+import type {WriteProgress} from './write_progress';
 
 /** What an exchange is told. */
 export interface StatementExchange {
@@ -23,9 +24,20 @@
   readonly work: Pick<StatementWork, 'settings' | 'shape' | 'request'>;
   readonly timeout: Milliseconds;
   readonly isInTransaction: boolean;
+  readonly writes: WriteProgress;
   onAnswers(askedAt: Milliseconds, answers: readonly StatementAnswer[]): void;
 }
 
+/** True for what a primary answers only once a replica has received it. */
+function waitsForReceiver({
+  request,
+  shape,
+}: StatementExchange['work']): boolean {
+  const {kind} = request.body;
+  const isWrite = kind === 'write' || shape?.access === 'write';
+  return isWrite || kind === 'commit';
+}
+
 /**
  * Applies the settings and sends, in one write. After a loss or a refused
  * setting the connection's state is unknown: it is closed.
@@ -41,7 +53,11 @@
   const sent = connection.send([...before, request], exchange.timeout);
   // Noted at once: what follows on this connection comes after it.
   noteApplied(applied, before);
+  const conclude = waitsForReceiver(exchange.work)
+    ? exchange.writes.start()
+    : undefined;
   const reply = yield* waitFor(sent);
+  conclude?.(reply.ok);
   if (reply.err) {
     connection.close();
     return reply;
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -194,6 +194,7 @@
     nextSettings: GroupSettings,
   ): void {
     settings = nextSettings;
+    const before = members.size;
     const listed = new Set(registrations.map(({target}) => target));
     registrations.forEach(take);
     for (const [target, member] of members) {
@@ -203,6 +204,10 @@
     }
     setTargets();
     changes.give();
+    if (members.size > before) {
+      // New targets are asked at once: after a start nothing is served before.
+      tick();
+    }
   }
 
   function links(): TargetLink[] {
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -45,6 +45,7 @@
   type SharedConnection,
   createSharedConnections,
 } from './shared_connections';
+import {createWriteProgress} from './write_progress';
 
 /** What a link is made of. */
 export interface TargetLinkOptions {
@@ -90,6 +91,8 @@
   /** Since when no question was answered; undefined while they are. */
   silentSince(): Milliseconds | undefined;
   lastAskedAt(): Milliseconds;
+  /** Since when writes wait and none is answered; undefined if none waits. */
+  writesStalledSince(): Milliseconds | undefined;
   /** Closes what is open beyond need; call it a few times a second. */
   trim(): void;
   close(): void;
@@ -142,6 +145,7 @@
       }
     },
   });
+  const writes = createWriteProgress(timer);
   const questionConnection = createQuestionConnection(place, options.open);
   const questions = createTargetQuestions({
     runtime,
@@ -278,6 +282,7 @@
       work,
       timeout: remaining,
       isInTransaction: false,
+      writes,
       onAnswers: noteAnswers,
     });
     if (reply.err) {
@@ -316,6 +321,7 @@
         target,
         shared,
         settings: work.settings,
+        writes,
         onAnswers: noteAnswers,
         giveBack: connections.giveBack,
       });
@@ -405,6 +411,7 @@
     isReached: () => silentSince === undefined,
     silentSince: () => silentSince,
     lastAskedAt: () => lastAskedAt,
+    writesStalledSince: writes.stalledSince,
     trim: connections.trim,
     close() {
       isClosed = true;
