--- a/packages/observability/src/metrics_registry.ts
+++ b/packages/observability/src/metrics_registry.ts
@@ -2,7 +2,8 @@
  * Counters, gauges and latency summaries, rendered in the Prometheus text
  * format. Handles are looked up once, so that counting costs an addition.
  */
-import {build, type Histogram} from 'hdr-histogram-js';
+// Its main module makes formatters for logs when it loads: 17 ms of each start.
+import Histogram from 'hdr-histogram-js/dist/Int32Histogram';
 
 /** Label values by label name. */
 export type Labels = Readonly<Record<string, string>>;
@@ -46,6 +47,7 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 const MILLISECONDS_PER_SECOND = 1000;
+const SHORTEST_DURATION_MICROSECONDS = 1;
 const LONGEST_DURATION_MICROSECONDS = 120_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const PERCENTILES = [
@@ -80,12 +82,11 @@
 }
 
 function createSummary(): Summary & {sumMilliseconds(): number} {
-  const histogram: Histogram = build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: LONGEST_DURATION_MICROSECONDS,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-    bitBucketSize: 32,
-  });
+  const histogram = new Histogram(
+    SHORTEST_DURATION_MICROSECONDS,
+    LONGEST_DURATION_MICROSECONDS,
+    SIGNIFICANT_DIGITS,
+  );
   let sum = 0;
   return {
     record(milliseconds) {
@@ -94,7 +95,10 @@
       );
       sum += milliseconds;
       histogram.recordValue(
-        Math.min(Math.max(microseconds, 1), LONGEST_DURATION_MICROSECONDS),
+        Math.min(
+          Math.max(microseconds, SHORTEST_DURATION_MICROSECONDS),
+          LONGEST_DURATION_MICROSECONDS,
+        ),
       );
     },
     count: () => histogram.totalCount,
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,5 +1,5 @@
 /** Bundles a program into one file that plain Node.js runs. */
-import {build} from 'esbuild';
+import {type BuildOptions, build} from 'esbuild';
 
 /** yargs looks for its locales beside `import.meta.url`, which cjs lacks. */
 const IMPORT_META_URL = 'importMetaUrl';
@@ -9,6 +9,7 @@
 export async function bundleProgram(
   entry: string,
   outfile: string,
+  options: Pick<BuildOptions, 'external' | 'plugins' | 'banner'> = {},
 ): Promise<void> {
   await build({
     entryPoints: [entry],
@@ -20,5 +21,6 @@
     mainFields: ['module', 'main'],
     define: {'import.meta.url': IMPORT_META_URL},
     banner: {js: BANNER},
+    ...options,
   });
 }
