perf(targets): ask a target's status with the start of its connection

Cause: a proxy that starts learns its primaries three round trips after the list of targets (connect, start, status), 120 ms and more between regions. Change: the status goes with the start, in one write. The time to open a connection is no longer counted as service time, which had what waited refused for a while after a start.

--- a/packages/pool/src/admission.ts
+++ b/packages/pool/src/admission.ts
@@ -46,6 +46,11 @@
 
 /** A request that runs. */
 export interface AdmittedRun {
+  /**
+   * Tells that it is sent only now: the time to open a connection is no service
+   * time, and would have what waits refused for a while after a start.
+   */
+  sent(): void;
   /** Tells of its end; `failed` answers don't count as service times. */
   end(outcome: RunOutcome, failed: boolean): void;
 }
@@ -156,7 +161,7 @@
   }
 
   function start(entry: E): AdmittedRun {
-    const sentAt = timer.now();
+    let sentAt = timer.now();
     running += 1;
     workInFlight += entry.expected;
     const inFlight = running + leases;
@@ -175,7 +180,12 @@
       limit.observe({outcome, latency, shortestLatency, inFlight, now});
     }
 
-    return {end};
+    return {
+      sent() {
+        sentAt = timer.now();
+      },
+      end,
+    };
   }
 
   function waitForSlot(entry: E): void {
--- a/packages/scenarios/src/statements/session_callers.ts
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -41,7 +41,15 @@
   served: number;
   readonly errors: Map<StatementErrorName | 'no answer', number>;
   /** Served ones among those that started after a time. */
-  servedSince(time: Milliseconds): {started: number; served: number};
+  servedSince(time: Milliseconds): ServedOperations;
+  /** The same, of transactions alone. */
+  transactionsSince(time: Milliseconds): ServedOperations;
+}
+
+/** Operations that have ended. */
+export interface ServedOperations {
+  readonly started: number;
+  readonly served: number;
 }
 
 /** Time after which a caller gives an answer up. */
@@ -61,22 +69,31 @@
 
 type Outcome = StatementAnswer | undefined;
 
+interface EndedOperation {
+  readonly at: Milliseconds;
+  readonly isTransaction: boolean;
+  readonly isServed: boolean;
+}
+
+function count(operations: readonly EndedOperation[]): ServedOperations {
+  const served = operations.filter(({isServed}) => isServed).length;
+  return {started: operations.length, served};
+}
+
 /** Starts callers; gives the counts that they keep. */
 export function startSessionCallers(
   options: SessionCallersOptions,
 ): OperationCounts {
   const {runtime, random, checker, routes} = options;
   const {timer} = runtime;
-  const log: Array<{at: Milliseconds; isServed: boolean}> = [];
+  const log: EndedOperation[] = [];
   const counts: OperationCounts = {
     started: 0,
     served: 0,
     errors: new Map(),
-    servedSince(time) {
-      const recent = log.filter(({at}) => at >= time);
-      const served = recent.filter(({isServed}) => isServed).length;
-      return {started: recent.length, served};
-    },
+    servedSince: time => count(log.filter(({at}) => at >= time)),
+    transactionsSince: time =>
+      count(log.filter(({at, isTransaction}) => isTransaction && at >= time)),
   };
   let nextNumber = 1;
 
@@ -248,9 +265,13 @@
     return answer;
   }
 
-  function note(at: Milliseconds, outcome: Outcome): void {
+  function note(
+    at: Milliseconds,
+    isTransaction: boolean,
+    outcome: Outcome,
+  ): void {
     const isServed = outcome !== undefined && outcome.error === undefined;
-    log.push({at, isServed});
+    log.push({at, isTransaction, isServed});
     counts.served += isServed ? 1 : 0;
     if (!isServed) {
       const name = outcome?.error?.name ?? 'no answer';
@@ -277,6 +298,7 @@
       const isTransaction = random.fraction() < 0.25;
       note(
         at,
+        isTransaction,
         isTransaction
           ? yield* runTransaction(session)
           : yield* runSingle(session),
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -50,6 +50,8 @@
   readonly promotionTime?: Milliseconds;
   /** Connections that a target accepts. */
   readonly connectionLimit?: number;
+  /** Statements that a target runs at a time. */
+  readonly slots?: number;
   /** False: proxies send no statements through each other. */
   readonly relays?: boolean;
 }
@@ -100,6 +102,7 @@
 /** Keeps the network's chance apart from the seeds of worlds. */
 const RELAY_SEED = 2_000_000;
 const CONNECTION_LIMIT = 40;
+const SLOTS = 3;
 /** How long a target holds a connection whose other end has no power. */
 const LINGER_TIME: Milliseconds = 3000;
 const TARGETS = ['target-1', 'target-2', 'target-3'] as const;
@@ -155,6 +158,7 @@
   const timer = createVirtualTimer();
   const random = createRandom(options.seed);
   const connectionLimit = options.connectionLimit ?? CONNECTION_LIMIT;
+  const slots = options.slots ?? SLOTS;
   const network = createLinkNetwork(timer, delayBetween);
   /** Carries what proxies send each other. */
   const relays = createFakeNetwork({
@@ -175,7 +179,7 @@
     recorder: checker,
     group: GROUP,
     targets: TARGETS,
-    slots: 3,
+    slots,
     connectionLimit,
     workTime: 12,
     promotionTime: options.promotionTime ?? 300,
@@ -269,7 +273,8 @@
           findings: [],
         }),
       },
-      open: (address, timeout) => group.open(place, address, timeout),
+      open: (address, timeout, firstRequests) =>
+        group.open(place, address, timeout, firstRequests),
       readStatus,
       orderPromotion,
       policies: {
@@ -324,7 +329,7 @@
       group: GROUP,
       address: target,
       dataCentre: target,
-      slots: 3,
+      slots,
       isLeaving: leaving.has(target),
       role,
       startedAt: 0,
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -16,6 +16,7 @@
   type StatementAnswer,
   type TargetAddress,
   type TargetConnection,
+  type TargetRequest,
 } from '@kelpstep/statements';
 import {Err, Ok, type Result} from 'ts-results';
 
@@ -52,6 +53,7 @@
     from: string,
     address: TargetAddress,
     timeout: Milliseconds,
+    firstRequests?: readonly TargetRequest[],
   ): Future<Result<OpenedConnection, OpenFailure>>;
   /** Carries out a promotion; false if a higher epoch was seen. */
   promote(target: string, epoch: number, holder: string): boolean;
@@ -60,6 +62,15 @@
   restart(name: string, wiped: boolean): void;
 }
 
+/** A connection as the target sees it. */
+interface AcceptedConnection {
+  readonly connection: TargetConnection;
+  run(
+    requests: readonly TargetRequest[],
+    done: (answers: readonly StatementAnswer[]) => void,
+  ): void;
+}
+
 /** Creates a group whose first target leads term 1. */
 export function createStandInGroup(options: StandInGroupOptions): StandInGroup {
   const {timer, network, recorder, group} = options;
@@ -176,7 +187,7 @@
   function createConnection(
     from: string,
     target: StandInTarget,
-  ): OpenedConnection {
+  ): AcceptedConnection {
     const session = target.open();
     const ends = closers.get(target.target) ?? new Set();
     const waiting = new Set<(loss: ConnectionLoss) => void>();
@@ -219,11 +230,31 @@
       network.deliver(target.target, from, end);
     }
 
+    /** Runs requests that have arrived, one after the other. */
+    function run(
+      requests: readonly TargetRequest[],
+      done: (answers: readonly StatementAnswer[]) => void,
+    ): void {
+      const answers: StatementAnswer[] = [];
+      function step(): void {
+        const request = requests[answers.length];
+        if (request === undefined) {
+          nextTurn();
+          done(answers);
+          return;
+        }
+        target.handle(session, request, answer => {
+          answers.push(answer);
+          step();
+        });
+      }
+      inTurn(step);
+    }
+
     const connection: TargetConnection = {
       send(requests, timeout) {
         const result =
           createDeferred<Result<readonly StatementAnswer[], ConnectionLoss>>();
-        const answers: StatementAnswer[] = [];
         function settle(loss: ConnectionLoss): void {
           waiting.delete(settle);
           result.settle(Err(loss));
@@ -234,13 +265,7 @@
         }
         waiting.add(settle);
         const cancel = timer.after(timeout, () => settle('timed out'));
-        function answered(answer: StatementAnswer): void {
-          answers.push(answer);
-          if (answers.length < requests.length) {
-            step(answers.length);
-            return;
-          }
-          nextTurn();
+        function answered(answers: readonly StatementAnswer[]): void {
           if (options.losesAnswer()) {
             return;
           }
@@ -252,16 +277,10 @@
             }
           });
         }
-        function step(index: number): void {
-          const request = requests[index];
-          if (request !== undefined) {
-            target.handle(session, request, answered);
-          }
-        }
         network.deliver(
           from,
           target.target,
-          () => inTurn(() => step(0)),
+          () => run(requests, answered),
           () => !isOpen,
         );
         return result.future;
@@ -271,28 +290,42 @@
       onClosed: listener => void listeners.push(listener),
     };
     ends.add(lose);
-    return {connection, position: target.applied()};
+    return {connection, run};
   }
 
   function open(
     from: string,
     address: TargetAddress,
     timeout: Milliseconds,
+    firstRequests: readonly TargetRequest[] = [],
   ): Future<Result<OpenedConnection, OpenFailure>> {
     const result = createDeferred<Result<OpenedConnection, OpenFailure>>();
     timer.after(timeout, () => result.settle(Err('timed out')));
-    network.deliver(from, address.target, () => {
-      const target = targets.get(address.target);
-      const count = closers.get(address.target)?.size ?? 0;
+
+    function reply(outcome: Result<OpenedConnection, OpenFailure>): void {
       network.deliver(address.target, from, () => {
-        if (target === undefined || !target.isRunning()) {
-          result.settle(Err('refused'));
-        } else if (count >= options.connectionLimit) {
-          result.settle(Err('tooManyConnections'));
-        } else if (!result.future.isSettled()) {
-          result.settle(Ok(createConnection(from, target)));
+        if (!result.settle(outcome) && outcome.ok) {
+          outcome.val.connection.close();
         }
       });
+    }
+
+    network.deliver(from, address.target, () => {
+      const target = targets.get(address.target);
+      const count = closers.get(address.target)?.size ?? 0;
+      if (target === undefined || !target.isRunning()) {
+        reply(Err('refused'));
+        return;
+      }
+      if (count >= options.connectionLimit) {
+        reply(Err('tooManyConnections'));
+        return;
+      }
+      const {connection, run} = createConnection(from, target);
+      const position = target.applied();
+      run(firstRequests, firstAnswers =>
+        reply(Ok({connection, position, firstAnswers})),
+      );
     });
     return result.future;
   }
--- a/packages/statements/src/target_connection.ts
+++ b/packages/statements/src/target_connection.ts
@@ -84,16 +84,22 @@
   readonly target: string;
 }
 
-/** Opens a connection whose start was answered. */
+/**
+ * Opens a connection whose start was answered. First requests go with the start,
+ * in one write: their answers come a round trip earlier.
+ */
 export type OpenTargetConnection = (
   target: TargetAddress,
   timeout: Milliseconds,
+  firstRequests?: readonly TargetRequest[],
 ) => Future<Result<OpenedConnection, OpenFailure>>;
 
 /** A new connection and the log's end that its start was answered with. */
 export interface OpenedConnection {
   readonly connection: TargetConnection;
   readonly position: LogPosition | undefined;
+  /** Answers to the first requests. */
+  readonly firstAnswers: readonly StatementAnswer[];
 }
 
 /** Reads the row that a status order is answered with. */
--- a/packages/targets/__tests__/target_questions.spec.ts
+++ b/packages/targets/__tests__/target_questions.spec.ts
@@ -43,15 +43,19 @@
       },
       onClosed: () => {},
     };
-    return settledFuture(Ok({connection, position: undefined}));
+    return settledFuture(
+      Ok({connection, position: undefined, firstAnswers: []}),
+    );
   };
 
   const questions = createTargetQuestions({
     runtime,
-    connection: createQuestionConnection(
-      {target: 't', group: 'g', address: 'a'},
+    connection: createQuestionConnection({
+      timer,
+      target: {target: 't', group: 'g', address: 'a'},
       open,
-    ),
+      onOpened: () => {},
+    }),
     onAnswers: () => {},
     onRoundTrip: () => {},
     onSilence: () => {},
--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -6,12 +6,14 @@
 import {
   type OpenFailure,
   type OpenTargetConnection,
+  type OpenedConnection,
   type TargetAddress,
   createSessionSettings,
 } from '@kelpstep/statements';
 import {
   type Future,
   type Milliseconds,
+  type TimerService,
   mapFuture,
   settledFuture,
 } from '@kelpstep/runtime';
@@ -38,10 +40,21 @@
   close(): void;
 }
 
+/** What a connection for questions is made of. */
+export interface QuestionConnectionOptions {
+  readonly timer: TimerService;
+  readonly target: TargetAddress;
+  readonly open: OpenTargetConnection;
+  /** `askedAt` is when opening began; `firstAnswers` holds a status. */
+  onOpened(askedAt: Milliseconds, opened: OpenedConnection): void;
+}
+
+/** The status is asked with the start: a proxy that starts knows no primary. */
+const FIRST_REQUESTS = [{body: {kind: 'status'}}] as const;
+
 /** Creates it closed. */
 export function createQuestionConnection(
-  target: TargetAddress,
-  open: OpenTargetConnection,
+  options: QuestionConnectionOptions,
 ): QuestionConnection {
   let current: SharedConnection | undefined;
   let opening: Future<Result<SharedConnection, OpenFailure>> | undefined;
@@ -51,17 +64,25 @@
     return lent === undefined && (current?.connection.isOpen() ?? false);
   }
 
-  function get(): Future<Result<SharedConnection, OpenFailure>> {
-    if (current?.connection.isOpen()) {
-      return settledFuture(Ok(current));
-    }
-    opening ??= mapFuture(open(target, OPEN_TIMEOUT), result => {
+  function openWithStatus(): Future<Result<SharedConnection, OpenFailure>> {
+    const askedAt = options.timer.now();
+    const opened = options.open(options.target, OPEN_TIMEOUT, FIRST_REQUESTS);
+    return mapFuture(opened, result => {
       opening = undefined;
-      return result.map(({connection}) => {
+      return result.map(open => {
+        const {connection} = open;
         current = {connection, applied: createSessionSettings()};
+        options.onOpened(askedAt, open);
         return current;
       });
     });
+  }
+
+  function get(): Future<Result<SharedConnection, OpenFailure>> {
+    if (current?.connection.isOpen()) {
+      return settledFuture(Ok(current));
+    }
+    opening ??= openWithStatus();
     return opening;
   }
 
