perf(gateway): fewer holders with more connections, replaced when not reached

Cause: of 16 connections a target takes, five holders kept five for questions and up to ten for statements; after a loss of power the target holds them for 3 s, and the holders that start anew fight for the rest: no transaction ran. Change: three connections a holder at least.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -117,6 +117,8 @@
  */
 const HEARD_WITHIN: Milliseconds = 450;
 
+const NOBODY: ReadonlySet<string> = new Set();
+
 /** A proxy by itself has nobody to ask. */
 function* nobodyAsked(): Task<boolean> {
   return false;
@@ -136,13 +138,18 @@
   const reported = new Set<string>();
   const followers = new Map<string, TableFollower>();
   let isLeaderReached: LeaderCheck = nobodyAsked;
+  let lostPeers: () => ReadonlySet<string> = () => NOBODY;
   const presence = startStorePresence({
     runtime,
     store,
     self,
     table: layout.presenceTable,
   });
-  const holders = createHolders({self, live: presence.live});
+  const holders = createHolders({
+    self,
+    live: presence.live,
+    lost: () => lostPeers(),
+  });
 
   function isHeard(link: TargetLink): boolean {
     const silence = timer.now() - link.lastAskedAt();
@@ -205,6 +212,7 @@
         onListenFailure: events.onListenFailure,
       });
       isLeaderReached = relay.isLeaderReached;
+      lostPeers = relay.lost;
       return relay;
     },
   });
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -33,12 +33,19 @@
 export interface Relay extends GatewayRelay {
   /** Whether another proxy reaches the group's primary. */
   readonly isLeaderReached: LeaderCheck;
+  /** Relay addresses of proxies that were not reached for some time. */
+  lost(): ReadonlySet<string>;
 }
 
 /** Starts to listen for other proxies. */
 export function createRelay(options: RelayOptions): Relay {
   const {runtime, transport, self, local, holders, events} = options;
-  const client = createRelayClient({runtime, transport, self: self.proxy});
+  const client = createRelayClient({
+    runtime,
+    transport,
+    self: self.proxy,
+    isListed: holders.isListed,
+  });
   const server = createRelayServer({
     runtime,
     local,
@@ -81,5 +88,11 @@
   }
 
   const isLeaderReached = createLeaderCheck({runtime, client, peers});
-  return {dispatcher, isLeaderReached, pending: server.pending, close};
+  return {
+    dispatcher,
+    isLeaderReached,
+    lost: client.lost,
+    pending: server.pending,
+    close,
+  };
 }
--- a/packages/gateway/src/relay/holders.ts
+++ b/packages/gateway/src/relay/holders.ts
@@ -16,6 +16,12 @@
   readonly self: PresentProxy;
   /** Proxies that run; another array after each change. */
   live(): readonly PresentProxy[] | undefined;
+  /**
+   * Relay addresses that this proxy hasn't reached for some time; another set after
+   * each change. Others hold connections in their place long before their rows
+   * expire.
+   */
+  lost(): ReadonlySet<string>;
 }
 
 /** The holders of each group. */
@@ -26,6 +32,8 @@
   count(settings: GroupSettings): number;
   /** True once the proxies that run are known. */
   areKnown(): boolean;
+  /** True if a proxy with this relay address is among those that run. */
+  isListed(relayAddress: string): boolean;
   /** Holders that statements may be sent to, without this proxy. */
   others(settings: GroupSettings): readonly PresentProxy[];
 }
@@ -40,17 +48,15 @@
 export function createHolders(options: HoldersOptions): Holders {
   const {self} = options;
   let chosenFrom: readonly PresentProxy[] | undefined;
+  let chosenWithout: ReadonlySet<string> | undefined;
+  let reached: readonly PresentProxy[] = [];
   let candidates: CandidateSet<PresentProxy> | undefined;
   const chosen = new Map<string, Choice>();
 
-  function choose(
-    live: readonly PresentProxy[],
-    group: string,
-    most: number,
-  ): Choice {
-    let holders = live;
-    if (live.length > most) {
-      candidates ??= createCandidateSet(live);
+  function choose(group: string, most: number): Choice {
+    let holders = reached;
+    if (reached.length > most) {
+      candidates ??= createCandidateSet(reached);
       holders = pickResponsible(group, candidates, most);
     }
     const others = holders.filter(({proxy}) => proxy !== self.proxy);
@@ -66,17 +72,20 @@
     connectionLimit,
   }: GroupSettings): Choice | undefined {
     const live = options.live();
+    const lost = options.lost();
     if (live === undefined) {
       return undefined;
     }
-    if (live !== chosenFrom) {
+    if (live !== chosenFrom || lost !== chosenWithout) {
       chosenFrom = live;
+      chosenWithout = lost;
+      reached = live.filter(({relayAddress}) => !lost.has(relayAddress));
       candidates = undefined;
       chosen.clear();
     }
     const most = mostHolders(connectionLimit);
     const key = `${group} ${most}`;
-    const known = chosen.get(key) ?? choose(live, group, most);
+    const known = chosen.get(key) ?? choose(group, most);
     chosen.set(key, known);
     return known;
   }
@@ -84,6 +93,9 @@
   return {
     holds: settings => choiceFor(settings)?.isHolder ?? false,
     areKnown: () => options.live() !== undefined,
+    isListed: address =>
+      options.live()?.some(({relayAddress}) => relayAddress === address) ??
+      true,
     count: settings => choiceFor(settings)?.count ?? Infinity,
     others: settings => choiceFor(settings)?.others ?? [],
   };
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -21,6 +21,7 @@
 import {Err, Ok, type Result} from 'ts-results';
 
 import type {Dispatch, DispatchResult} from '../dispatch_types';
+import {createPeerReachability} from './peer_reachability';
 import {
   type PinnedResult,
   RELAY_END,
@@ -53,6 +54,8 @@
   readonly transport: Transport;
   /** Name of this proxy. */
   readonly self: string;
+  /** False once the proxy at an address is no longer among those that run. */
+  isListed(address: string): boolean;
 }
 
 /** Hands statements to other proxies. */
@@ -64,15 +67,15 @@
   ): Task<RelayOutcome>;
   /** Whether the other proxy reaches the group's primary; false in doubt. */
   reachesLeader(address: string, group: string): Future<boolean>;
-  /** False for a while after it could not be reached. */
+  /** False from a failure until it answers again. */
   isUsable(address: string): boolean;
+  /** Addresses not reached for some time; another set after each change. */
+  lost(): ReadonlySet<string>;
   close(): void;
 }
 
 /** Time for a connection to another proxy: some round trips between regions. */
 const CONNECT_TIMEOUT: Milliseconds = 300;
-/** A proxy that could not be reached is left alone for so long. */
-const PAUSE_AFTER_FAILURE: Milliseconds = 700;
 /** Added to the statement's time, for the way back. */
 const ANSWER_ALLOWANCE: Milliseconds = 60;
 /** How often it is looked whether the caller still waits. */
@@ -99,18 +102,19 @@
   const {runtime, transport, self} = options;
   const {timer} = runtime;
   const links: PeerLinks = createPeerLinks({transport, timer});
-  const pausedUntil = new Map<string, Milliseconds>();
+  const reachability = createPeerReachability({
+    runtime,
+    // A frozen process takes connections and answers nothing.
+    isAnswering: address =>
+      mapFuture(
+        links.request(address, relayPing, {}, CONNECT_TIMEOUT),
+        ({ok}) => ok,
+      ),
+    isListed: options.isListed,
+  });
   const uses = new Map<RpcPeer, Use>();
   let nextWork = 1;
 
-  function isUsable(address: string): boolean {
-    return timer.now() >= (pausedUntil.get(address) ?? -Infinity);
-  }
-
-  function pause(address: string): void {
-    pausedUntil.set(address, timer.now() + PAUSE_AFTER_FAILURE);
-  }
-
   function use(address: string, peer: RpcPeer): void {
     const known = uses.get(peer);
     if (known !== undefined) {
@@ -123,7 +127,7 @@
     peer.closed.onSettled(() => {
       uses.delete(peer);
       pinging.cancel();
-      pause(address);
+      reachability.noteFailure(address);
     });
   }
 
@@ -269,7 +273,7 @@
     const address = to.relayAddress;
     const opened = yield* waitFor(links.connect(address, CONNECT_TIMEOUT));
     if (opened.err) {
-      pause(address);
+      reachability.noteFailure(address);
       return {kind: 'notRun', reason: `${to.proxy} not reached`};
     }
     const peer = opened.val;
@@ -306,7 +310,13 @@
     );
   }
 
-  return {dispatch, reachesLeader, isUsable, close: links.close};
+  return {
+    dispatch,
+    reachesLeader,
+    isUsable: reachability.isUsable,
+    lost: reachability.lost,
+    close: links.close,
+  };
 }
 
 function readPinned(reply: Result<PinnedResult, RequestFailure>) {
--- a/packages/targets/src/connection_shares.ts
+++ b/packages/targets/src/connection_shares.ts
@@ -10,8 +10,12 @@
  * power of all instances served 0.35 of their worth, at this value 0.54.
  */
 const CONNECTION_USE = 0.64;
-/** One connection for questions, one for statements. */
-const MINIMUM_SHARE = 2;
+/**
+ * One connection for questions, two for statements. Fewer holders with more
+ * connections each need fewer of them for questions: a target that takes 16 has
+ * room for the proxies that start anew while it holds those of the dead.
+ */
+const MINIMUM_SHARE = 3;
 
 /** Proxies that may hold connections to a target with this limit. */
 export function mostHolders(connectionLimit: number): number {
