feat(cli): sum up the ended requests of a log

For on-call engineers and for finding what binds: per second, outcome, reason and kind the number of requests, the mean time held, the proxy and the target that had most of them.

--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -8,6 +8,7 @@
 import {addDemoCommand} from './commands/demo';
 import {addManifestCommands} from './commands/manifest';
 import {addProxyCommand} from './commands/proxy';
+import {addRequestsCommand} from './commands/requests';
 import {addStatusCommand} from './commands/status';
 import {ConsoleOutput} from './console_output';
 import {EXIT_CODES, ExitCode} from './exit_code';
@@ -17,6 +18,7 @@
   addManifestCommands,
   addStatusCommand,
   addAuditCommand,
+  addRequestsCommand,
   addCallCommands,
   addDemoCommand,
 ];
--- a/packages/observability/index.ts
+++ b/packages/observability/index.ts
@@ -3,3 +3,4 @@
 export * from './src/logger';
 export * from './src/metrics_registry';
 export * from './src/proxy_metrics';
+export * from './src/request_summary';
