fix(gateway): cuts don't teach how long a change of primary takes

A proxy that was cut off for seconds took that for the time of a change and refused at once, at the next loss of a primary, what could have waited. An absence of over 3 s is no longer counted. Test fails without it (2,000 in place of 1,000 ms expected).

--- a/packages/gateway/__tests__/primary_return.spec.ts
+++ b/packages/gateway/__tests__/primary_return.spec.ts
@@ -21,6 +21,15 @@
     expect(primaryReturn.expected('other', 700)).toEqual(0);
   });
 
+  test('is not expected later after a cut of this proxy', () => {
+    const primaryReturn = createPrimaryReturn();
+    primaryReturn.note('g', true, 0);
+    primaryReturn.note('g', false, 1000);
+    primaryReturn.note('g', true, 9000);
+    primaryReturn.note('g', false, 20_000);
+    expect(primaryReturn.expected('g', 20_000)).toEqual(1000);
+  });
+
   test('is expected as earlier ones came back, in whichever group', () => {
     const primaryReturn = createPrimaryReturn();
     for (const start of [0, 10_000, 20_000, 30_000]) {
--- a/packages/gateway/src/primary_return.ts
+++ b/packages/gateway/src/primary_return.ts
@@ -25,8 +25,8 @@
 const FIRST_GUESS: Milliseconds = 1000;
 /** Weight of the newest absence; the platform's time for a promotion is steady. */
 const WEIGHT = 0.5;
-/** Absences that tell of an outage rather than of a change count no more than this. */
-const LONGEST: Milliseconds = 3000;
+/** A longer absence tells of a cut or an outage, not of a change of primary. */
+const LONGEST_CHANGE: Milliseconds = 3000;
 /** An absence that lasts longer than expected may end at any time. */
 const LEAST: Milliseconds = 100;
 
@@ -40,8 +40,8 @@
     const since = lostAt.get(group);
     hadPrimary.add(group);
     lostAt.delete(group);
-    if (since !== undefined) {
-      const absence = Math.min(LONGEST, now - since);
+    const absence = since === undefined ? Infinity : now - since;
+    if (absence <= LONGEST_CHANGE) {
       typical += WEIGHT * (absence - typical);
     }
   }
