--- a/packages/gateway/src/find_place.ts
+++ b/packages/gateway/src/find_place.ts
@@ -185,10 +185,10 @@
         return {link, after: undefined};
       }
       const after = yield* requiredPosition(search);
+      if (after === 'again') {
+        continue;
+      }
       if (!isPosition(after)) {
-        if (after === 'again') {
-          continue;
-        }
         return after;
       }
       if (usablePrimary(group) === link) {
@@ -201,10 +201,10 @@
     const {group, work, until, triedAt} = search;
     for (;;) {
       const after = yield* requiredPosition(search);
+      if (after === 'again') {
+        continue;
+      }
       if (!isPosition(after)) {
-        if (after === 'again') {
-          continue;
-        }
         return after;
       }
       const link = chooseReader({
--- a/packages/gateway/src/relay/peer_reachability.ts
+++ b/packages/gateway/src/relay/peer_reachability.ts
@@ -47,7 +47,7 @@
 ): PeerReachability {
   const {runtime, isAnswering, isListed} = options;
   const {timer, random} = runtime;
-  const failingSince = new Map<string, Milliseconds>();
+  const failing = new Set<string>();
   let lost: ReadonlySet<string> = new Set();
 
   function setLost(address: string, isLost: boolean): void {
@@ -64,7 +64,7 @@
   }
 
   function forget(address: string): void {
-    failingSince.delete(address);
+    failing.delete(address);
     setLost(address, false);
   }
 
@@ -83,13 +83,12 @@
 
   return {
     noteFailure(address) {
-      if (!failingSince.has(address)) {
-        const since = timer.now();
-        failingSince.set(address, since);
-        runtime.spawn('reach peer', tryAgain(address, since));
+      if (!failing.has(address)) {
+        failing.add(address);
+        runtime.spawn('reach peer', tryAgain(address, timer.now()));
       }
     },
-    isUsable: address => !failingSince.has(address),
+    isUsable: address => !failing.has(address),
     lost: () => lost,
   };
 }
--- a/packages/scenarios/src/statements/session_callers.ts
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -14,12 +14,9 @@
   sleep,
   waitAtMost,
 } from '@kelpstep/runtime';
-import type {
-  SessionStatement,
-  StatementAnswer,
-  StatementErrorName,
-} from '@kelpstep/statements';
+import type {SessionStatement, StatementAnswer} from '@kelpstep/statements';
 
+import {type OperationCounts, createOperationLog} from './operation_counts';
 import {type RuleChecker, type SentRequest, isPromise} from './rule_checker';
 
 /** What callers are made of. */
@@ -35,28 +32,6 @@
   connect(caller: CallerConnection): boolean;
 }
 
-/** How operations ended. */
-export interface OperationCounts {
-  started: number;
-  served: number;
-  readonly errors: Map<StatementErrorName | 'no answer', number>;
-  /** Served ones among those that started after a time. */
-  servedSince(time: Milliseconds): ServedOperations;
-  /** The same, of transactions alone. */
-  transactionsSince(time: Milliseconds): ServedOperations;
-  /** Times after which single statements that started then were refused. */
-  refusalTimesBetween(
-    from: Milliseconds,
-    until: Milliseconds,
-  ): readonly Milliseconds[];
-}
-
-/** Operations that have ended. */
-export interface ServedOperations {
-  readonly started: number;
-  readonly served: number;
-}
-
 /** Time after which a caller gives an answer up. */
 const ANSWER_TIMEOUT: Milliseconds = 2500;
 const LONGEST_PAUSE: Milliseconds = 120;
@@ -74,39 +49,13 @@
 
 type Outcome = StatementAnswer | undefined;
 
-interface EndedOperation {
-  readonly at: Milliseconds;
-  readonly isTransaction: boolean;
-  readonly isServed: boolean;
-  readonly isRefused: boolean;
-  readonly duration: Milliseconds;
-}
-
-function count(operations: readonly EndedOperation[]): ServedOperations {
-  const served = operations.filter(({isServed}) => isServed).length;
-  return {started: operations.length, served};
-}
-
 /** Starts callers; gives the counts that they keep. */
 export function startSessionCallers(
   options: SessionCallersOptions,
 ): OperationCounts {
   const {runtime, random, checker, routes} = options;
   const {timer} = runtime;
-  const log: EndedOperation[] = [];
-  const counts: OperationCounts = {
-    started: 0,
-    served: 0,
-    errors: new Map(),
-    servedSince: time => count(log.filter(({at}) => at >= time)),
-    transactionsSince: time =>
-      count(log.filter(({at, isTransaction}) => isTransaction && at >= time)),
-    refusalTimesBetween: (from, until) =>
-      log
-        .filter(({at, isTransaction}) => !isTransaction && at >= from)
-        .filter(({at}) => at < until)
-        .flatMap(({isRefused, duration}) => (isRefused ? [duration] : [])),
-  };
+  const {counts, note} = createOperationLog();
   let nextNumber = 1;
 
   function createSession(route: CallerRoute): Session | undefined {
@@ -277,22 +226,6 @@
     return answer;
   }
 
-  function note(
-    at: Milliseconds,
-    isTransaction: boolean,
-    outcome: Outcome,
-  ): void {
-    const isServed = outcome !== undefined && outcome.error === undefined;
-    const isRefused = outcome?.error?.name === 'busy';
-    const duration = timer.now() - at;
-    log.push({at, isTransaction, isServed, isRefused, duration});
-    counts.served += isServed ? 1 : 0;
-    if (!isServed) {
-      const name = outcome?.error?.name ?? 'no answer';
-      counts.errors.set(name, (counts.errors.get(name) ?? 0) + 1);
-    }
-  }
-
   function* live(route: CallerRoute): Task<void> {
     let session: Session | undefined;
     while (timer.now() < options.until) {
@@ -310,13 +243,15 @@
       counts.started += 1;
       const at = timer.now();
       const isTransaction = random.fraction() < 0.25;
-      note(
+      const outcome = isTransaction
+        ? yield* runTransaction(session)
+        : yield* runSingle(session);
+      note({
         at,
+        duration: timer.now() - at,
         isTransaction,
-        isTransaction
-          ? yield* runTransaction(session)
-          : yield* runSingle(session),
-      );
+        failure: outcome === undefined ? 'no answer' : outcome.error?.name,
+      });
     }
     session?.connection.close();
   }
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -38,7 +38,8 @@
 
 import {type RuleChecker, createRuleChecker} from './rule_checker';
 import {GROUP, ROUTES, configurationWith} from './statement_routes';
-import {type OperationCounts, startSessionCallers} from './session_callers';
+import type {OperationCounts} from './operation_counts';
+import {startSessionCallers} from './session_callers';
 
 /** Size and pace of a world; the figures are those of a small deployment. */
 export interface StatementWorldOptions {
--- a/packages/targets/__tests__/target_questions.spec.ts
+++ b/packages/targets/__tests__/target_questions.spec.ts
@@ -1,5 +1,6 @@
 import {
   type Milliseconds,
+  createDeferred,
   createRandom,
   createRuntime,
   createVirtualTimer,
@@ -10,7 +11,6 @@
   TargetConnection,
   TargetRequest,
 } from '@kelpstep/statements';
-import {createDeferred} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 import {Err, Ok} from 'ts-results';
