feat(table-feed): two distributors a data centre hand the store's tables on

Cause: each proxy followed the store's feeds and kept a row of its own, so calls of the store grew with proxies times changes.

Change: a copy of each table in every proxy; two proxies of a data centre follow the store, the others subscribe to both, an update says which version it leads from and to. The distributors' rows list their subscribers and so replace a row per proxy, its periodic write and read. Presence rows, the relay of whole tables by HTTP and its endpoint are removed.

Ruled out on the way: a proxy that takes news in a circle believes itself current (found by the holders' test: seeds stopped following), hence the age since the store's answer that every message carries; two distributors that die together each vouched for the other.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -2,21 +2,7 @@
  * Wires a proxy of statement sessions: what it follows in the platform's store,
  * the gateway, and the watch over each group's primary.
  */
-import {
-  type AskForTables,
-  type PresentProxy,
-  type RelayedTables,
-  startStorePresence,
-  startTableRelay,
-} from '@kelpstep/membership';
-import type {
-  StoreFailure,
-  StoredRow,
-  TableFollower,
-  TableRows,
-  TableStore,
-} from '@kelpstep/platform';
-import {followTable} from '@kelpstep/platform';
+import type {StoredRow, TableRows, TableStore} from '@kelpstep/platform';
 import type {AdmissionPolicies} from '@kelpstep/pool';
 import type {Transport} from '@kelpstep/rpc';
 import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
@@ -33,6 +19,11 @@
   successionSchema,
   watchSuccession,
 } from '@kelpstep/succession';
+import {
+  type PresentProxy,
+  type TableFeedEvents,
+  createTableFeed,
+} from '@kelpstep/table-feed';
 import type {
   TargetGroup,
   TargetGroupEvents,
@@ -59,8 +50,8 @@
   readonly registrationTable: string;
   /** Rows of the groups' changes of primary. */
   readonly successionTable: string;
-  /** Rows of the proxies that run. */
-  readonly presenceTable: string;
+  /** Rows of the proxies that hand the tables on. */
+  readonly distributorTable: string;
   /** Undefined while there is no configuration. */
   decodeConfiguration(
     rows: TableRows,
@@ -70,25 +61,25 @@
 
 /** What a proxy tells of itself, for logs and metrics. */
 export interface StatementProxyEvents {
+  readonly tables: TableFeedEvents;
   readonly gateway: GatewayEvents;
   targets(group: string): TargetGroupEvents;
   succession(group: string): SuccessionEvents;
   onConfiguration(version: number): void;
   /** Something in the store that can't be used. */
   onFinding(place: 'configuration' | 'registration', message: string): void;
-  /** A newer table was taken from another proxy. */
-  onRelayed(table: string, peer: string, version: number): void;
   /** Other proxies can't send statements to this one. */
   onListenFailure(message: string): void;
-  onFeed(table: string, isFollowing: boolean, failure?: StoreFailure): void;
 }
 
 /** What a proxy is made of. */
 export interface StatementProxyOptions {
   readonly runtime: Runtime;
   readonly self: PresentProxy;
-  /** Carries statements between proxies; undefined for a proxy by itself. */
-  readonly transport: Transport | undefined;
+  /** Relative to others: those with more hand the tables on sooner. */
+  readonly capacity: number;
+  /** Carries tables and statements between proxies. */
+  readonly transport: Transport;
   readonly store: TableStore;
   readonly layout: StoreLayout;
   readonly open: OpenTargetConnection;
@@ -98,14 +89,13 @@
   readonly events: StatementProxyEvents;
   /** Addresses of proxies to ask first; they may be out of date. */
   readonly seeds: readonly string[];
-  readonly askForTables: AskForTables;
 }
 
 /** A running proxy of statement sessions. */
 export interface StatementProxy {
   readonly gateway: Gateway;
-  /** What it hands on to proxies that the store doesn't answer. */
-  tables(): RelayedTables;
+  /** Ends what other proxies are connected to; nothing is served any more. */
+  close(): void;
 }
 
 /** Other proxies keep their turn for so long after the row's last step. */
@@ -136,18 +126,11 @@
   const {timer} = runtime;
   const rows = new Map<string, SeenRow>();
   const reported = new Set<string>();
-  const followers = new Map<string, TableFollower>();
   let isLeaderReached: LeaderCheck = nobodyAsked;
   let lostPeers: () => ReadonlySet<string> = () => NOBODY;
-  const presence = startStorePresence({
-    runtime,
-    store,
-    self,
-    table: layout.presenceTable,
-  });
   const holders = createHolders({
     self,
-    live: presence.live,
+    live: () => feed.live(),
     lost: () => lostPeers(),
   });
 
@@ -193,7 +176,7 @@
     isChanging,
     onGroup: watch,
     createRelay(local, isStopping) {
-      if (options.transport === undefined) {
+      if (self.relayAddress === '') {
         return {dispatcher: local, pending: () => 0, close: () => {}};
       }
       const relay = createRelay({
@@ -217,18 +200,6 @@
     },
   });
 
-  function follow(table: string, onRows: (rows: TableRows) => void): void {
-    const follower = followTable({
-      runtime,
-      store,
-      table,
-      onRows,
-      onFeed: (isFollowing, failure) =>
-        events.onFeed(table, isFollowing, failure),
-    });
-    followers.set(table, follower);
-  }
-
   function takeConfiguration(tableRows: TableRows): void {
     const decoded = layout.decodeConfiguration(tableRows);
     if (decoded === undefined || !gateway.configure(decoded.value)) {
@@ -271,20 +242,26 @@
     }
   }
 
-  follow(layout.configurationTable, takeConfiguration);
-  follow(layout.registrationTable, takeRegistrations);
-  follow(layout.successionTable, takeSuccessions);
-  followers.set(layout.presenceTable, presence.follower);
-  const tableRelay = startTableRelay({
+  const feed = createTableFeed({
     runtime,
-    followers,
-    ask: options.askForTables,
-    peers() {
-      const known = new Set([...options.seeds, ...presence.addresses()]);
-      known.delete(self.address);
-      return [...known];
-    },
-    onTaken: events.onRelayed,
+    store,
+    self,
+    transport: options.transport,
+    capacity: options.capacity,
+    seeds: options.seeds,
+    distributorTable: layout.distributorTable,
+    tables: [
+      {table: layout.configurationTable, onRows: takeConfiguration},
+      {table: layout.registrationTable, onRows: takeRegistrations},
+      {table: layout.successionTable, onRows: takeSuccessions},
+    ],
+    events: events.tables,
   });
-  return {gateway, tables: tableRelay.tables};
+
+  function close(): void {
+    feed.close();
+    gateway.close();
+  }
+
+  return {gateway, close};
 }
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -1,5 +1,5 @@
 /** Wires what sends statements through other proxies, and serves theirs. */
-import type {PresentProxy} from '@kelpstep/membership';
+import type {PresentProxy} from '@kelpstep/table-feed';
 import type {Transport} from '@kelpstep/rpc';
 import type {Runtime} from '@kelpstep/runtime';
 import type {GroupSettings} from '@kelpstep/targets';
--- a/packages/gateway/src/relay/holders.ts
+++ b/packages/gateway/src/relay/holders.ts
@@ -5,10 +5,10 @@
  */
 import {
   type CandidateSet,
-  type PresentProxy,
   createCandidateSet,
   pickResponsible,
 } from '@kelpstep/membership';
+import type {PresentProxy} from '@kelpstep/table-feed';
 import {type GroupSettings, mostHolders} from '@kelpstep/targets';
 
 /** What holders are chosen from. */
--- a/packages/gateway/src/relay/leader_check.ts
+++ b/packages/gateway/src/relay/leader_check.ts
@@ -2,7 +2,7 @@
  * Asks other proxies whether they reach a group's primary, so that one that is
  * cut off from it doesn't take it for lost.
  */
-import type {PresentProxy} from '@kelpstep/membership';
+import type {PresentProxy} from '@kelpstep/table-feed';
 import {type Runtime, type Task, waitFor} from '@kelpstep/runtime';
 
 import {inRandomOrder} from './peer_order';
--- a/packages/gateway/src/relay/peer_order.ts
+++ b/packages/gateway/src/relay/peer_order.ts
@@ -1,5 +1,5 @@
 /** The order in which other proxies are asked. */
-import type {PresentProxy} from '@kelpstep/membership';
+import type {PresentProxy} from '@kelpstep/table-feed';
 import type {Random} from '@kelpstep/runtime';
 
 /** In random order, so that load spreads; those of a data centre first. */
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -3,7 +3,7 @@
  * connections to the group's targets, through a holder otherwise, and through
  * any that reaches a place while this one doesn't.
  */
-import type {PresentProxy} from '@kelpstep/membership';
+import type {PresentProxy} from '@kelpstep/table-feed';
 import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
 import {errorAnswer} from '@kelpstep/statements';
 
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -13,5 +13,3 @@
   pickResponsible,
 } from './src/rendezvous';
 export * from './src/short_exchange';
-export * from './src/store_presence';
-export * from './src/table_relay';
--- a/packages/platform/index.ts
+++ b/packages/platform/index.ts
@@ -5,5 +5,4 @@
 export * from './src/parse_json';
 export * from './src/platform_client';
 export * from './src/resilient_platform_client';
-export * from './src/table_follower';
 export * from './src/table_store';
--- a/packages/platform/src/table_store.ts
+++ b/packages/platform/src/table_store.ts
@@ -11,6 +11,9 @@
   readonly version: number;
 }
 
+/** The rows of a table by key. */
+export type TableRows = ReadonlyMap<string, StoredRow>;
+
 /** Rows, and the version up to which they are complete. */
 export interface TableChanges {
   readonly rows: readonly StoredRow[];
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -6,7 +6,6 @@
   type StatementProxyEvents,
   createStatementProxy,
 } from '@kelpstep/gateway';
-import type {AskForTables, RelayedTables} from '@kelpstep/membership';
 import {
   WORTH_PER_SLOT_TIME,
   createAdaptiveLimit,
@@ -92,14 +91,14 @@
 interface RunningProxy {
   readonly gateway: Gateway;
   readonly runtime: Runtime;
-  tables(): RelayedTables;
+  close(): void;
 }
 
-const PEER_DELAY: Milliseconds = 12;
 /** One way, within a region and between two. */
 const NEAR_DELAY: Milliseconds = 0.5;
 const FAR_DELAY: Milliseconds = 6;
 const RELAY_PORT = 7000;
+const FEED_PORT = 7001;
 /** Keeps the network's chance apart from the seeds of worlds. */
 const RELAY_SEED = 2_000_000;
 const CONNECTION_LIMIT = 40;
@@ -110,7 +109,7 @@
 const CONFIGURATION_TABLE = 'configuration';
 const REGISTRATION_TABLE = 'registrations';
 const SUCCESSION_TABLE = 'successions';
-const PRESENCE_TABLE = 'proxies';
+const DISTRIBUTOR_TABLE = 'distributors';
 /** A stopped target's entry goes after three missed heartbeats. */
 const ENTRY_LIFETIME: Milliseconds = 3600;
 const REGISTRATION_PERIOD: Milliseconds = 100;
@@ -133,9 +132,13 @@
   }),
   onConfiguration: () => {},
   onFinding: () => {},
-  onRelayed: () => {},
   onListenFailure: () => {},
-  onFeed: () => {},
+  tables: {
+    onFeed: () => {},
+    onSubscription: () => {},
+    onDistributor: () => {},
+    onListenFailure: () => {},
+  },
 };
 
 function readStatus(answer: StatementAnswer): TargetStatus | undefined {
@@ -205,7 +208,9 @@
   const dataCentreOf = (proxy: string) =>
     `centre-${placeNumber(proxy) % TARGETS.length}`;
   const hostOf = (proxy: string) => `10.0.0.${placeNumber(proxy)}`;
-  const relayAddressOf = (proxy: string) => `${hostOf(proxy)}:${RELAY_PORT}`;
+  const feedAddressOf = (proxy: string) => `${hostOf(proxy)}:${FEED_PORT}`;
+  const relayAddressOf = (proxy: string) =>
+    options.relays === false ? '' : `${hostOf(proxy)}:${RELAY_PORT}`;
 
   function delayBetween(from: string, to: string): Milliseconds {
     const isNear =
@@ -228,13 +233,6 @@
     return result.future;
   };
 
-  /** Proxies reach each other as long as both run. */
-  const askForTables: AskForTables = peer => {
-    const result = createDeferred<RelayedTables | undefined>();
-    timer.after(PEER_DELAY, () => result.settle(running.get(peer)?.tables()));
-    return result.future;
-  };
-
   function placeOf(proxy: string): string {
     return `life ${lives.get(proxy) ?? 0} of ${proxy}`;
   }
@@ -243,24 +241,22 @@
     lives.set(proxy, (lives.get(proxy) ?? 0) + 1);
     const place = placeOf(proxy);
     const runtime = createRuntime({timer, random: random.split()});
-    const {gateway, tables} = createStatementProxy({
+    const {gateway, close} = createStatementProxy({
       runtime,
       self: {
         proxy,
         dataCentre: dataCentreOf(proxy),
-        address: proxy,
+        address: feedAddressOf(proxy),
         relayAddress: relayAddressOf(proxy),
       },
-      transport:
-        options.relays === false
-          ? undefined
-          : relays.transportFor(hostOf(proxy)),
+      transport: relays.transportFor(hostOf(proxy)),
+      capacity: 1,
       store: store.clientOf(proxy),
       layout: {
         configurationTable: CONFIGURATION_TABLE,
         registrationTable: REGISTRATION_TABLE,
         successionTable: SUCCESSION_TABLE,
-        presenceTable: PRESENCE_TABLE,
+        distributorTable: DISTRIBUTOR_TABLE,
         decodeConfiguration: rows => {
           const value = rows.get('current')?.value;
           return value === undefined
@@ -284,10 +280,9 @@
         retryAfter: spreadRetryAfter,
       },
       events: SILENT_EVENTS,
-      seeds: proxies,
-      askForTables,
+      seeds: proxies.map(feedAddressOf),
     });
-    running.set(proxy, {gateway, runtime, tables});
+    running.set(proxy, {gateway, runtime, close});
   }
 
   function killProxy(proxy: string): void {
@@ -295,7 +290,7 @@
     running.delete(proxy);
     relays.killHost(hostOf(proxy));
     killed?.runtime.shutdown();
-    killed?.gateway.close();
+    killed?.close();
   }
 
   function cutPower(proxy: string): void {
--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -35,6 +35,8 @@
   remove(table: string, key: string): void;
   /** Forgets the history of changes. */
   compact(): void;
+  /** Calls so far, refused ones too. */
+  calls(): number;
   readonly faults: StoreFaults;
 }
 
@@ -61,6 +63,7 @@
     lostAnswers: 0,
     lateWrites: 0,
   };
+  let calls = 0;
   let version = 0;
   let historyFrom = 0;
   let waiters: Array<() => void> = [];
@@ -108,6 +111,7 @@
       answer: (settle: (reply: Result<T, StoreFailure>) => void) => void,
     ): Future<Result<T, StoreFailure>> {
       const result = createDeferred<Result<T, StoreFailure>>();
+      calls += 1;
       timer.after(answerTime, () => {
         if (hits(faults.silent, name)) {
           timer.after(SILENCE_TIMEOUT, () => result.settle(Err('unanswered')));
@@ -186,6 +190,7 @@
       removed.clear();
       changed();
     },
+    calls: () => calls,
     faults,
   };
 }
--- /dev/null
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -0,0 +1,248 @@
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {type FeedFleet, createFeedFleet} from './feed_fleet';
+
+const SEEDS = [1, 2, 3];
+const DATA_CENTRES = 6;
+const FLEET = {proxies: 60, dataCentres: DATA_CENTRES};
+const LARGE_FLEET = {proxies: 195, dataCentres: DATA_CENTRES};
+const START_TIME = 300;
+/** After it all proxies know their distributors. */
+const SETTLED = 5000;
+/** In which a configuration is to be in force everywhere. */
+const IN_FORCE = 3000;
+const SECOND = 1000;
+
+function startFleet(seed: number, size = FLEET): FeedFleet {
+  const fleet = createFeedFleet({seed, ...size});
+  fleet.startAll(START_TIME);
+  fleet.timer.advance(SETTLED);
+  return fleet;
+}
+
+/** Commits a configuration; gives who lacks it when the bound has passed. */
+function configureAndWait(fleet: FeedFleet, wait = IN_FORCE): string[] {
+  fleet.configure();
+  fleet.timer.advance(wait);
+  return fleet.outdated();
+}
+
+function callsWithin(fleet: FeedFleet, duration: number): number {
+  const before = fleet.store.calls();
+  fleet.timer.advance(duration);
+  return fleet.store.calls() - before;
+}
+
+function centresOf(fleet: FeedFleet): string[] {
+  return [...new Set(fleet.names.map(fleet.dataCentreOf))];
+}
+
+describe('the tables of many proxies', () => {
+  test('cost the store calls by data centre, not by proxy', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed, LARGE_FLEET);
+      const slots = centresOf(fleet).map(
+        centre => fleet.distributors(centre).length,
+      );
+      const calm = callsWithin(fleet, 10 * SECOND) / 10;
+      fleet.configure();
+      const perChange = callsWithin(fleet, SECOND) - calm;
+      expect({seed, slots, isCalm: calm < 20, isCheap: perChange < 30}).toEqual(
+        {
+          seed,
+          slots: [2, 2, 2, 2, 2, 2],
+          isCalm: true,
+          isCheap: true,
+        },
+      );
+    }
+  });
+
+  test('cost no more with a thousand proxies', () => {
+    const fleet = startFleet(1, {...LARGE_FLEET, proxies: 1000});
+    const calm = callsWithin(fleet, 10 * SECOND) / 10;
+    expect({outdated: configureAndWait(fleet, 200), isCalm: calm < 20}).toEqual(
+      {
+        outdated: [],
+        isCalm: true,
+      },
+    );
+  });
+
+  test('reach every proxy soon after a change', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed, LARGE_FLEET);
+      expect(configureAndWait(fleet, 100)).toEqual([]);
+      for (let count = 0; count < 30; count++) {
+        fleet.configure();
+        fleet.timer.advance(20);
+      }
+      fleet.timer.advance(150);
+      expect({seed, outdated: fleet.outdated()}).toEqual({seed, outdated: []});
+      expect(fleet.backward()).toEqual(0);
+    }
+  });
+
+  test('go on when the store has forgotten the changes', () => {
+    const fleet = startFleet(1);
+    fleet.store.compact();
+    expect(configureAndWait(fleet)).toEqual([]);
+  });
+});
+
+describe('a distributor that fails', () => {
+  const faults: Array<[string, (fleet: FeedFleet, name: string) => void]> = [
+    ['is killed', (fleet, name) => fleet.kill(name)],
+    ['loses power', (fleet, name) => fleet.cutPower(name)],
+    ['freezes', (fleet, name) => fleet.network.freezeHost(fleet.hostOf(name))],
+    [
+      'gets no answer of the store',
+      ({store}, name) => (store.faults.silent as Set<string>).add(name),
+    ],
+    [
+      'is refused by the store',
+      ({store}, name) => (store.faults.refused as Set<string>).add(name),
+    ],
+    [
+      'is cut off from its subscribers one way',
+      ({network, names, hostOf}, name) =>
+        network.cutGroups([hostOf(name)], names.map(hostOf), 'one-way'),
+    ],
+  ];
+
+  for (const [description, fail] of faults) {
+    for (const count of [1, 2]) {
+      test(`delays no change beyond its bound: ${count} of two ${description}`, () => {
+        for (const seed of SEEDS) {
+          const fleet = startFleet(seed);
+          const failed = fleet.distributors('centre-1').slice(0, count);
+          failed.forEach(name => fail(fleet, name));
+          const outdated = configureAndWait(fleet).filter(
+            name => !failed.includes(name),
+          );
+          expect({seed, outdated}).toEqual({seed, outdated: []});
+        }
+      });
+    }
+  }
+
+  test('is replaced, and takes its place as a subscriber when it is back', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const before = fleet.distributors('centre-1');
+      before.forEach(fleet.cutPower);
+      fleet.timer.advance(2 * SETTLED);
+      before.forEach(fleet.start);
+      fleet.timer.advance(SETTLED);
+      const after = fleet.distributors('centre-1');
+      const kept = after.filter(name => before.includes(name));
+      expect({seed, count: after.length, kept}).toEqual({
+        seed,
+        count: 2,
+        kept: [],
+      });
+      expect(configureAndWait(fleet, 200)).toEqual([]);
+      const names = (fleet.live('proxy-1') ?? []).map(({proxy}) => proxy);
+      expect(names.sort()).toEqual([...fleet.names].sort());
+    }
+  });
+});
+
+describe('a proxy', () => {
+  test('that is cut off from all others takes no slot and asks the store', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const before = fleet.distributors('centre-1');
+      const lone = fleet.names.find(
+        name =>
+          fleet.dataCentreOf(name) === 'centre-1' && !before.includes(name),
+      );
+      const hosts = fleet.names.filter(name => name !== lone).map(fleet.hostOf);
+      fleet.network.cutGroups([fleet.hostOf(lone ?? '')], hosts);
+      const outdated = configureAndWait(fleet, IN_FORCE + SECOND);
+      fleet.timer.advance(20 * SECOND);
+      expect({seed, outdated, now: fleet.distributors('centre-1')}).toEqual({
+        seed,
+        outdated: [],
+        now: before,
+      });
+    }
+  });
+
+  test('that the store refuses starts with what others know', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const name = 'proxy-20';
+      fleet.kill(name);
+      (fleet.store.faults.refused as Set<string>).add(name);
+      fleet.start(name);
+      fleet.timer.advance(SECOND);
+      expect({seed, outdated: fleet.outdated()}).toEqual({seed, outdated: []});
+      expect(configureAndWait(fleet, 200)).toEqual([]);
+    }
+  });
+
+  test('that is gone is known as gone, and a new one as running', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const isListed = (name: string) =>
+        fleet.names.filter(other =>
+          fleet.live(other)?.some(({proxy}) => proxy === name),
+        ).length;
+      fleet.cutPower('proxy-20');
+      fleet.timer.advance(SETTLED);
+      const afterLoss = isListed('proxy-20');
+      fleet.start('proxy-20');
+      fleet.timer.advance(IN_FORCE);
+      expect({seed, afterLoss, afterStart: isListed('proxy-20')}).toEqual({
+        seed,
+        afterLoss: 0,
+        afterStart: FLEET.proxies,
+      });
+    }
+  });
+});
+
+describe('all proxies', () => {
+  test('that start at the same time have the tables soon and ask seldom', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed, LARGE_FLEET);
+      fleet.names.forEach(fleet.kill);
+      fleet.timer.advance(SECOND);
+      const before = fleet.store.calls();
+      fleet.startAll(START_TIME);
+      fleet.timer.advance(150);
+      const outdated = fleet.outdated();
+      fleet.timer.advance(2 * SECOND);
+      const calls = fleet.store.calls() - before;
+      expect({
+        seed,
+        outdated,
+        isCheap: calls < 3 * LARGE_FLEET.proxies,
+      }).toEqual({
+        seed,
+        outdated: [],
+        isCheap: true,
+      });
+    }
+  });
+
+  test('go on while the store is away, and do not crowd it', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed, LARGE_FLEET);
+      fleet.store.faults.refused = 'all';
+      fleet.timer.advance(SETTLED);
+      const calls = callsWithin(fleet, 10 * SECOND) / 10;
+      const known = fleet.live('proxy-1')?.length;
+      fleet.store.faults.refused = new Set();
+      const outdated = configureAndWait(fleet, 4 * SECOND);
+      expect({seed, known, outdated, isModest: calls < 160}).toEqual({
+        seed,
+        known: LARGE_FLEET.proxies,
+        outdated: [],
+        isModest: true,
+      });
+    }
+  });
+});
--- /dev/null
+++ b/packages/table-feed/src/choose_sources.ts
@@ -0,0 +1,139 @@
+/**
+ * Decides where a proxy takes the tables from, and which slots of distributors
+ * are free. Without input and output.
+ *
+ * Load pattern: all proxies start at once, or lose their distributors or the
+ * store at once. Each then needs the tables soon, and the store must not be asked
+ * by all of them at the same moment.
+ */
+import type {Milliseconds} from '@kelpstep/runtime';
+
+import {
+  type DistributorRow,
+  type PresentProxy,
+  SLOTS_PER_DATA_CENTRE,
+} from './distributor_row';
+
+/** News older than this may lack a change that is to be in force by now. */
+export const FRESH_WITHIN: Milliseconds = 2400;
+/** A proxy that starts waits so much for its peers, for each proxy that runs. */
+const START_PATIENCE_PER_PROXY: Milliseconds = 0.5;
+/** Time until a proxy of a whole new system gives up its seeds. */
+const FIRST_DISTRIBUTORS_WITHIN: Milliseconds = 400;
+/** Distributors elsewhere are asked if those of the own data centre are stale. */
+const STALE_AT_HOME: Milliseconds = 2000;
+/** A proxy that can't learn the distributors from the store asks others. */
+const UNKNOWN_PATIENCE: Milliseconds = 250;
+/** A distributor that isn't heard for so long has failed, or this proxy is cut. */
+const SILENT_SLOT: Milliseconds = 2000;
+/** A slot whose distributor has no news for so long is given to another proxy. */
+const STALE_SLOT: Milliseconds = 10_000;
+
+/** What a proxy knows of its sources. */
+export interface SourceView {
+  /** Age of the newest news from another proxy; `Infinity` without any. */
+  readonly age: Milliseconds;
+  /** The same for the distributors of the own data centre, of which it may be one. */
+  readonly homeAge: Milliseconds;
+  /** False while the own data centre has no distributor. */
+  readonly hasHome: boolean;
+  /** Time since this proxy started. */
+  readonly uptime: Milliseconds;
+  readonly isDistributor: boolean;
+  /** Number of proxies that run; undefined while the table isn't known. */
+  readonly proxies: number | undefined;
+  /** True if other proxies are told of this one before they know any. */
+  readonly isSeed: boolean;
+  /** From 0 to 1, drawn once for each wait: spreads what all would do at once. */
+  readonly spread: number;
+}
+
+/** True if this proxy asks the store itself. */
+export function followsStore(view: SourceView): boolean {
+  const {age, uptime, isDistributor, isSeed, proxies, spread} = view;
+  if (isDistributor || (isSeed && proxies === 1)) {
+    return true;
+  }
+  if (Number.isFinite(age)) {
+    return age > FRESH_WITHIN * (1 + spread / 4);
+  }
+  return proxies !== undefined && uptime > startPatience(view);
+}
+
+/** How long a proxy that starts waits for its peers before it asks the store. */
+export function startPatience({
+  proxies = 1,
+  isSeed,
+  spread,
+}: SourceView): Milliseconds {
+  if (proxies > 1) {
+    return proxies * START_PATIENCE_PER_PROXY * spread;
+  }
+  // The whole system starts for the first time: all ask the seeds.
+  return isSeed ? 0 : FIRST_DISTRIBUTORS_WITHIN * (1 + spread);
+}
+
+/** True if this proxy subscribes to one that is no distributor of its own. */
+export function needsDistantSource(view: SourceView): boolean {
+  const {homeAge, hasHome, uptime, proxies} = view;
+  if (proxies === undefined) {
+    return uptime > UNKNOWN_PATIENCE;
+  }
+  return !hasHome || Math.min(homeAge, uptime) > STALE_AT_HOME;
+}
+
+/** What is known of the slots of a data centre. */
+export interface SlotView {
+  readonly self: string;
+  /** Rows of the own data centre. */
+  readonly rows: readonly DistributorRow[];
+  /** True if the rows are known to be new. */
+  readonly areRowsFresh: boolean;
+  /** True if another proxy gives fresh news: this one isn't cut off. */
+  readonly hearsOthers: boolean;
+  /** How long the distributor at an address hasn't given fresh news. */
+  silence(address: string): Milliseconds;
+}
+
+/** The slot of this proxy; undefined if it is no distributor. */
+export function slotOf(
+  self: string,
+  rows: readonly DistributorRow[],
+): number | undefined {
+  return rows.find(({distributor}) => distributor.proxy === self)?.slot;
+}
+
+/** A slot that this proxy may take; undefined if there is none. */
+export function findFreeSlot(view: SlotView): number | undefined {
+  const {rows} = view;
+  if (!view.areRowsFresh || slotOf(view.self, rows) !== undefined) {
+    return undefined;
+  }
+  for (let slot = 0; slot < SLOTS_PER_DATA_CENTRE; slot++) {
+    const row = rows.find(candidate => candidate.slot === slot);
+    const others = rows.filter(candidate => candidate !== row);
+    if (row === undefined || isGone(row, others, view)) {
+      return slot;
+    }
+  }
+  return undefined;
+}
+
+function isGone(
+  {distributor}: DistributorRow,
+  others: readonly DistributorRow[],
+  view: SlotView,
+): boolean {
+  const isSilent = ({address}: PresentProxy) =>
+    view.silence(address) > SILENT_SLOT;
+  // A proxy that is cut off must not take the slots of those that it can't hear.
+  if (!view.hearsOthers || !isSilent(distributor)) {
+    return false;
+  }
+  const isHeardByOther = others.some(
+    row =>
+      !isSilent(row.distributor) &&
+      row.subscribers.some(({proxy}) => proxy === distributor.proxy),
+  );
+  return !isHeardByOther || view.silence(distributor.address) > STALE_SLOT;
+}
--- /dev/null
+++ b/packages/table-feed/src/distributor_row.ts
@@ -0,0 +1,90 @@
+/**
+ * Rows of the distributors: two slots a data centre, each with the proxy that
+ * holds it and the proxies that subscribe to it. Together they tell which
+ * proxies run.
+ */
+import type {PlacedProxy} from '@kelpstep/membership';
+import type {TableRows} from '@kelpstep/platform';
+import {z} from 'zod';
+
+/** A proxy as it tells of itself. */
+export const presentProxySchema = z.object({
+  proxy: z.string(),
+  dataCentre: z.string(),
+  /** Where others subscribe to its tables; empty if they can't. */
+  address: z.string(),
+  /** Where others send it statements; empty if they can't. */
+  relayAddress: z.string(),
+});
+export type PresentProxy = z.infer<typeof presentProxySchema> & PlacedProxy;
+
+/** What a distributor writes of itself. */
+export const distributorValueSchema = z.object({
+  distributor: presentProxySchema,
+  subscribers: z.array(presentProxySchema).readonly(),
+});
+export type DistributorValue = z.infer<typeof distributorValueSchema>;
+
+/** A distributor's row. */
+export interface DistributorRow extends DistributorValue {
+  readonly dataCentre: string;
+  readonly slot: number;
+  readonly version: number;
+}
+
+/** With two, one may fail without its subscribers missing a change. */
+export const SLOTS_PER_DATA_CENTRE = 2;
+
+/** Key of a slot's row. */
+export function keyOfSlot(dataCentre: string, slot: number): string {
+  return `${dataCentre}/${slot}`;
+}
+
+/** The rows that can be read; others name no proxy that could be asked. */
+export function readDistributorRows(rows: TableRows): DistributorRow[] {
+  return [...rows.values()].flatMap(({key, value, version}) => {
+    const parsed = distributorValueSchema.safeParse(value);
+    const separator = key.lastIndexOf('/');
+    const slot = Number(key.slice(separator + 1));
+    return parsed.success && separator > 0 && Number.isInteger(slot)
+      ? [{...parsed.data, dataCentre: key.slice(0, separator), slot, version}]
+      : [];
+  });
+}
+
+/** All proxies that the rows tell of, each once, by name. */
+export function listPresentProxies(
+  rows: readonly DistributorRow[],
+): Map<string, PresentProxy> {
+  const present = new Map<string, PresentProxy>();
+  for (const {distributor, subscribers} of rows) {
+    for (const proxy of [distributor, ...subscribers]) {
+      present.set(proxy.proxy, proxy);
+    }
+  }
+  return present;
+}
+
+/** True if two entries tell the same of a proxy. */
+export function isSameProxy(
+  left: PresentProxy,
+  right: PresentProxy | undefined,
+): boolean {
+  return (
+    left.proxy === right?.proxy &&
+    left.address === right.address &&
+    left.relayAddress === right.relayAddress &&
+    left.dataCentre === right.dataCentre
+  );
+}
+
+/** True if two lists hold the same proxies in the same order. */
+export function areSameProxies(
+  left: readonly PresentProxy[],
+  right: readonly PresentProxy[],
+): boolean {
+  return (
+    left.length === right.length &&
+    left.every((proxy, index) => isSameProxy(proxy, right[index]))
+  );
+}
--- /dev/null
+++ b/packages/table-feed/src/source_keeper.ts
@@ -0,0 +1,149 @@
+/** Keeps the subscriptions to the proxies that the tables are taken from. */
+import type {Address, Transport} from '@kelpstep/rpc';
+import type {Milliseconds, Runtime} from '@kelpstep/runtime';
+
+import {FRESH_WITHIN} from './choose_sources';
+import type {DistributorRow, PresentProxy} from './distributor_row';
+import {type Subscription, startSubscription} from './subscription';
+import type {TableCopy} from './table_copy';
+
+/** What a source keeper is made of. */
+export interface SourceKeeperOptions {
+  readonly runtime: Runtime;
+  readonly transport: Transport;
+  readonly self: PresentProxy;
+  readonly copies: readonly TableCopy[];
+  /** Proxies to ask while no distributor elsewhere is known. */
+  readonly seeds: readonly Address[];
+  rows(): readonly DistributorRow[];
+  /** Proxies that are known to run. */
+  proxies(): readonly PresentProxy[];
+  onSubscription(address: Address, isSubscribed: boolean, reason: string): void;
+}
+
+/** The other proxies that the tables are taken from. */
+export interface SourceKeeper {
+  /** Subscribes to whom it should be by now, and ends the other subscriptions. */
+  update(needsDistant: boolean): void;
+  /** Age of the newest news of any source, also past ones; `Infinity` without any. */
+  age(): Milliseconds;
+  /** The same for the distributors of the own data centre. */
+  homeAge(): Milliseconds;
+  /** How long a source hasn't given fresh news; 0 for one that isn't asked. */
+  silence(address: Address): Milliseconds;
+  close(): void;
+}
+
+interface Source {
+  readonly subscription: Subscription;
+  freshAt: Milliseconds;
+}
+
+/** A distant source gets so long to give fresh news before another is tried. */
+const DISTANT_TRIAL: Milliseconds = 1200;
+
+/** Creates a keeper without subscriptions. */
+export function createSourceKeeper(options: SourceKeeperOptions): SourceKeeper {
+  const {runtime, self} = options;
+  const {timer, random} = runtime;
+  const sources = new Map<Address, Source>();
+  let distant: Address | undefined;
+  /** When the store had answered whom the newest news came from. */
+  let newestAt = -Infinity;
+
+  function distributorsWhere(isWanted: (row: DistributorRow) => boolean) {
+    return options
+      .rows()
+      .filter(isWanted)
+      .map(({distributor}) => distributor.address)
+      .filter(address => address !== '' && address !== self.address);
+  }
+
+  function homes(): Address[] {
+    return distributorsWhere(row => row.dataCentre === self.dataCentre);
+  }
+
+  function pickDistant(): Address | undefined {
+    const elsewhere = distributorsWhere(
+      row => row.dataCentre !== self.dataCentre,
+    );
+    const any = [
+      ...options.seeds,
+      ...options.proxies().map(({address}) => address),
+    ].filter(address => address !== '' && address !== self.address);
+    const known = elsewhere.length > 0 ? elsewhere : any;
+    const untried = known.filter(address => !sources.has(address));
+    return untried.length === 0 ? undefined : random.pick(untried);
+  }
+
+  function updateDistant(needsDistant: boolean): void {
+    if (!needsDistant) {
+      distant = undefined;
+      return;
+    }
+    const isStale = distant === undefined || silence(distant) > DISTANT_TRIAL;
+    distant = isStale ? (pickDistant() ?? distant) : distant;
+  }
+
+  function subscribe(address: Address): Source {
+    const subscription = startSubscription({
+      runtime,
+      transport: options.transport,
+      self,
+      address,
+      copies: options.copies,
+      onSubscribed: (isSubscribed, reason) =>
+        options.onSubscription(address, isSubscribed, reason),
+    });
+    return {subscription, freshAt: timer.now()};
+  }
+
+  function noteNews({subscription}: Source): void {
+    const age = subscription.age();
+    newestAt = Math.max(newestAt, timer.now() - age);
+  }
+
+  function update(needsDistant: boolean): void {
+    sources.forEach(noteNews);
+    updateDistant(needsDistant);
+    const wanted = new Set(
+      distant === undefined ? homes() : [...homes(), distant],
+    );
+    for (const [address, {subscription}] of [...sources]) {
+      if (!wanted.has(address)) {
+        sources.delete(address);
+        subscription.end();
+      }
+    }
+    for (const address of wanted) {
+      const source = sources.get(address) ?? subscribe(address);
+      sources.set(address, source);
+      if (source.subscription.age() <= FRESH_WITHIN) {
+        source.freshAt = timer.now();
+      }
+    }
+  }
+
+  function silence(address: Address): Milliseconds {
+    const source = sources.get(address);
+    return source === undefined ? 0 : timer.now() - source.freshAt;
+  }
+
+  function youngest(addresses: Iterable<Address>): Milliseconds {
+    const ages = [...addresses].map(
+      address => sources.get(address)?.subscription.age() ?? Infinity,
+    );
+    return Math.min(...ages);
+  }
+
+  return {
+    update,
+    age: () => Math.min(youngest(sources.keys()), timer.now() - newestAt),
+    homeAge: () => youngest(homes()),
+    silence,
+    close() {
+      sources.forEach(({subscription}) => subscription.end());
+      sources.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/table-feed/src/store_follower.ts
@@ -0,0 +1,126 @@
+/** Keeps a copy current through the store's feed of changes. */
+import type {StoreFailure, TableChanges, TableStore} from '@kelpstep/platform';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  type TaskHandle,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+import type {Result} from 'ts-results';
+
+import type {TableCopy} from './table_copy';
+
+/** What a follower is made of. */
+export interface StoreFollowerOptions {
+  readonly runtime: Runtime;
+  readonly store: TableStore;
+  readonly copy: TableCopy;
+  /** Longest wait of one question. A connection that fell silent shows then. */
+  readonly wait: Milliseconds;
+  /** Pause after changes, so that those in quick succession come together. */
+  readonly pause: Milliseconds;
+  /** Longest pause after failures. */
+  longestRetry(): Milliseconds;
+  /** The store answered. */
+  onAnswer(): void;
+  /** The feed was lost or is back; `failure` says why it was lost. */
+  onFeed(isFollowing: boolean, failure?: StoreFailure): void;
+}
+
+/** Follows a table while it is told to. */
+export interface StoreFollower {
+  start(): void;
+  stop(): void;
+  /** True from an answer of the store until the next failure or stop. */
+  isFollowing(): boolean;
+}
+
+/** The first answer tells whether the store is there, and is not waited for. */
+const SHORTEST_WAIT: Milliseconds = 1;
+const FIRST_RETRY: Milliseconds = 50;
+const RETRY_JITTER = 0.3;
+
+/** Creates a follower that doesn't follow yet. */
+export function createStoreFollower(
+  options: StoreFollowerOptions,
+): StoreFollower {
+  const {runtime, store, copy} = options;
+  const {random} = runtime;
+  let task: TaskHandle<void> | undefined;
+  let isFollowing = false;
+  let isFirst = true;
+  let hasLostHistory = false;
+  let retry = FIRST_RETRY;
+
+  function setFollowing(following: boolean, failure?: StoreFailure): void {
+    if (following !== isFollowing) {
+      isFollowing = following;
+      options.onFeed(following, failure);
+    }
+  }
+
+  function* read(): Task<Result<TableChanges, StoreFailure>> {
+    const reply = yield* waitFor(store.readTable(copy.table));
+    if (reply.ok) {
+      hasLostHistory = false;
+      copy.take({table: copy.table, ...reply.val});
+    }
+    return reply;
+  }
+
+  function* awaitChanges(
+    after: number,
+  ): Task<Result<TableChanges, StoreFailure>> {
+    const wait = isFirst ? SHORTEST_WAIT : options.wait;
+    const question = store.awaitChanges(copy.table, after, wait);
+    const reply = yield* waitFor(question);
+    if (reply.ok) {
+      copy.take({table: copy.table, after, ...reply.val});
+    }
+    return reply;
+  }
+
+  function* step(): Task<void> {
+    const version = copy.version();
+    const mustRead = version === undefined || hasLostHistory;
+    const reply = yield* mustRead ? read() : awaitChanges(version);
+    if (reply.ok) {
+      retry = FIRST_RETRY;
+      isFirst = false;
+      options.onAnswer();
+      setFollowing(true);
+      if (reply.val.rows.length > 0) {
+        yield* sleep(options.pause);
+      }
+      return;
+    }
+    if (reply.val === 'history lost') {
+      hasLostHistory = true;
+      return;
+    }
+    setFollowing(false, reply.val);
+    yield* sleep(random.jitter(retry, RETRY_JITTER));
+    retry = Math.min(options.longestRetry(), retry * 2);
+  }
+
+  function* follow(): Task<void> {
+    for (;;) {
+      yield* step();
+    }
+  }
+
+  return {
+    start() {
+      task ??= runtime.spawn(`follow ${copy.table}`, follow());
+    },
+    stop() {
+      task?.cancel();
+      task = undefined;
+      isFollowing = false;
+      isFirst = true;
+    },
+    isFollowing: () => isFollowing,
+  };
+}
