--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -63,7 +63,7 @@
     runtime,
     local,
     client,
-    dataCentre: self.dataCentre,
+    place: self,
     holds(group) {
       const settings = options.settings(group);
       const isLeft = holders.areKnown() && settings !== undefined;
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -15,7 +15,7 @@
   type Dispatcher,
   refusalAnswer,
 } from '../dispatch_types';
-import {inRandomOrder} from './peer_order';
+import {type ProxyPlace, nearestFirst} from './peer_order';
 import type {RelayClient} from './relay_client';
 
 /** What a relaying dispatcher is made of. */
@@ -23,8 +23,8 @@
   readonly runtime: Runtime;
   readonly local: LocalDispatcher;
   readonly client: RelayClient;
-  /** Data centre of this proxy: a peer in it is preferred. */
-  readonly dataCentre: string;
+  /** Where this proxy is: near peers are preferred. */
+  readonly place: ProxyPlace;
   /** True if this proxy holds connections to the group's targets. */
   holds(group: string): boolean;
   /** Other proxies that hold some. */
@@ -44,7 +44,7 @@
 export function createRelayingDispatcher(
   options: RelayingDispatcherOptions,
 ): Dispatcher {
-  const {runtime, local, client, dataCentre} = options;
+  const {runtime, local, client, place} = options;
   const {timer, random} = runtime;
   const refusedAt = new Map<string, Milliseconds>();
 
@@ -65,7 +65,7 @@
 
   function usablePeers(work: Dispatch): PresentProxy[] {
     const usable = options.peers(work.route.group).filter(isUsable);
-    return inRandomOrder(random, usable, dataCentre);
+    return nearestFirst(random, usable, place);
   }
 
   function peersToAsk(work: Dispatch): PresentProxy[] {
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -246,6 +246,7 @@
       self: {
         proxy,
         dataCentre: dataCentreOf(proxy),
+        region: '',
         address: feedAddressOf(proxy),
         relayAddress: relayAddressOf(proxy),
       },
--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -120,6 +120,7 @@
       self: {
         proxy: name,
         dataCentre: dataCentreOf(name),
+        region: '',
         address: addressOf(name),
         relayAddress: '',
       },
--- a/packages/table-feed/src/distributor_row.ts
+++ b/packages/table-feed/src/distributor_row.ts
@@ -11,6 +11,8 @@
 export const presentProxySchema = z.object({
   proxy: z.string(),
   dataCentre: z.string(),
+  /** Data centres of one region are near each other; empty if not known. */
+  region: z.string().default(''),
   /** Where others subscribe to its tables; empty if they can't. */
   address: z.string(),
   /** Where others send it statements; empty if they can't. */
@@ -74,7 +76,8 @@
     left.proxy === right?.proxy &&
     left.address === right.address &&
     left.relayAddress === right.relayAddress &&
-    left.dataCentre === right.dataCentre
+    left.dataCentre === right.dataCentre &&
+    left.region === right.region
   );
 }
 
--- a/packages/table-feed/src/source_keeper.ts
+++ b/packages/table-feed/src/source_keeper.ts
@@ -56,24 +56,32 @@
       .rows()
       .filter(isWanted)
       .map(({distributor}) => distributor.address)
-      .filter(address => address !== '' && address !== self.address);
+      .filter(isOther);
+  }
+
+  function isOther(address: Address): boolean {
+    return address !== '' && address !== self.address;
   }
 
   function homes(): Address[] {
     return distributorsWhere(row => row.dataCentre === self.dataCentre);
   }
 
+  /** Distributors of the region, then all, then any proxy that may know more. */
   function pickDistant(): Address | undefined {
-    const elsewhere = distributorsWhere(
-      row => row.dataCentre !== self.dataCentre,
-    );
-    const any = [
-      ...options.seeds,
-      ...options.proxies().map(({address}) => address),
-    ].filter(address => address !== '' && address !== self.address);
-    const known = elsewhere.length > 0 ? elsewhere : any;
-    const untried = known.filter(address => !sources.has(address));
-    return untried.length === 0 ? undefined : random.pick(untried);
+    const anyProxy = options.proxies().map(({address}) => address);
+    const choices = [
+      distributorsWhere(({distributor}) => distributor.region === self.region),
+      distributorsWhere(() => true),
+      [...options.seeds, ...anyProxy].filter(isOther),
+    ];
+    for (const addresses of choices) {
+      const untried = addresses.filter(address => !sources.has(address));
+      if (untried.length > 0) {
+        return random.pick(untried);
+      }
+    }
+    return undefined;
   }
 
   function updateDistant(needsDistant: boolean): void {
