fix(table-feed): a removed row reaches subscribers

Cause: an object schema of zod wants the key of an unknown value, and JSON leaves out an undefined one: news of a removed row, or of one whose bytes can't be read, ended every subscription, again and again. The test fails without the change.

--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -40,6 +40,11 @@
   cutPower(name: string): void;
   /** Commits the next configuration. */
   configure(): void;
+  /** Writes a row beside it that says nothing, or removes it. */
+  putForeign(): void;
+  removeForeign(): void;
+  /** Proxies that know a row of that kind. */
+  knowForeign(): string[];
   /** Proxies that don't have the newest configuration. */
   outdated(): string[];
   live(name: string): readonly PresentProxy[] | undefined;
@@ -50,6 +55,7 @@
 }
 
 const CONFIGURATION_TABLE = 'configuration';
+const FOREIGN_KEY = 'foreign';
 const DISTRIBUTOR_TABLE = 'distributors';
 const FEED_PORT = 7001;
 const ANSWER_TIME: Milliseconds = 4;
@@ -95,6 +101,7 @@
   });
   const running = new Map<string, RunningFeed>();
   const inForce = new Map<string, number>();
+  const foreignKnown = new Set<string>();
   let distributorRows: TableRows = new Map();
   let newest = 0;
   let backward = 0;
@@ -103,6 +110,11 @@
     const version = Number(rows.get('current')?.value ?? 0);
     backward += version < (inForce.get(name) ?? 0) ? 1 : 0;
     inForce.set(name, version);
+    if (rows.has(FOREIGN_KEY)) {
+      foreignKnown.add(name);
+    } else {
+      foreignKnown.delete(name);
+    }
   }
 
   function start(name: string): void {
@@ -189,6 +201,9 @@
       end(name);
     },
     configure,
+    putForeign: () => store.put(CONFIGURATION_TABLE, FOREIGN_KEY, undefined),
+    removeForeign: () => store.remove(CONFIGURATION_TABLE, FOREIGN_KEY),
+    knowForeign: () => [...foreignKnown],
     outdated: () =>
       [...inForce].flatMap(([name, version]) =>
         version === newest ? [] : [name],
--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -84,6 +84,17 @@
     }
   });
 
+  test('tell of rows that are removed, and of those that can not be read', () => {
+    const fleet = startFleet(1);
+    fleet.putForeign();
+    fleet.timer.advance(SECOND);
+    expect(fleet.knowForeign().length).toEqual(FLEET.proxies);
+    fleet.removeForeign();
+    fleet.timer.advance(SECOND);
+    expect(fleet.knowForeign()).toEqual([]);
+    expect(configureAndWait(fleet, 200)).toEqual([]);
+  });
+
   test('go on when the store has forgotten the changes', () => {
     const fleet = startFleet(1);
     fleet.store.compact();
--- a/packages/table-feed/src/feed_messages.ts
+++ b/packages/table-feed/src/feed_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between a proxy that hands tables on and its subscribers. */
+import type {StoredRow} from '@kelpstep/platform';
 import {defineMethod} from '@kelpstep/protocol';
 import {gunzipSync, gzipSync} from 'node:zlib';
 import {z} from 'zod';
@@ -6,13 +7,15 @@
 import {presentProxySchema} from './distributor_row';
 import type {TableUpdate} from './table_copy';
 
-const rowSchema = z.object({
-  key: z.string(),
-  /** Left out if the row was removed, or its bytes can't be read. */
-  value: z.unknown(),
-  isRemoved: z.boolean(),
-  version: z.number(),
-});
+const rowSchema = z
+  .object({
+    key: z.string(),
+    /** Left out if the row was removed, or its bytes can't be read. */
+    value: z.unknown().optional(),
+    isRemoved: z.boolean(),
+    version: z.number(),
+  })
+  .transform((row): StoredRow => ({...row, value: row.value}));
 
 const updatesSchema = z.array(
   z.object({
