perf(gateway): what is under way at a peer doesn't send statements to other regions

Cause: the time of a peer was multiplied by what this proxy has under way there, at 2.6 statements a second, proxy and group. Now the average and the longest wait alone decide.

--- a/packages/gateway/src/relay/peer_load.ts
+++ b/packages/gateway/src/relay/peer_load.ts
@@ -1,6 +1,6 @@
 /**
  * Which of several proxies is expected to answer a statement first, by what earlier
- * ones took and what is under way. Without input and output.
+ * ones took and how long others have been waiting. Without input and output.
  *
  * Load pattern: a burst while an instance is slow. All that its data centre sends to
  * it would wait there, and be refused, though others have room.
@@ -15,7 +15,7 @@
   expected(peer: string, guess: Milliseconds, now: Milliseconds): Milliseconds;
 }
 
-const WEIGHT = 0.2;
+const WEIGHT = 0.1;
 /**
  * Measured so long ago, half of a time is believed: a peer that was slow gets a
  * statement now and then, and is used again once it is fast.
@@ -74,7 +74,7 @@
       const belief = 0.5 ** ((now - load.measuredAt) / HALF_LIFE);
       const beyondGuess = (load.average ?? guess) - guess;
       const believed = guess + beyondGuess * belief;
-      return Math.max(believed, longestWait(load, now)) * (1 + load.begun.size);
+      return Math.max(believed, longestWait(load, now));
     },
   };
 }
