--- a/packages/gateway/src/relay/peer_load.ts
+++ b/packages/gateway/src/relay/peer_load.ts
@@ -15,12 +15,12 @@
   expected(peer: string, guess: Milliseconds, now: Milliseconds): Milliseconds;
 }
 
-const WEIGHT = 0.1;
+const WEIGHT = 0.15;
 /**
  * Measured so long ago, half of a time is believed: a peer that was slow gets a
  * statement now and then, and is used again once it is fast.
  */
-const HALF_LIFE: Milliseconds = 1000;
+const HALF_LIFE: Milliseconds = 3000;
 
 interface Load {
   average: Milliseconds | undefined;
