fix(table-feed): packed updates are kept apart by the versions that they lead to

Cause: what was packed for a first subscriber was kept under what it lacked only. One that subscribed before the next round got the same text, though the copies had moved on, and was counted as having the newer version: its next news showed a gap and it connected anew.

--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -50,6 +50,8 @@
   live(name: string): readonly PresentProxy[] | undefined;
   /** Distributors by the store's rows, by data centre. */
   distributors(dataCentre: string): string[];
+  /** Subscriptions that ended as an update lacked what came before it. */
+  gaps(): number;
   /** Configurations that came after a newer one in the same process. */
   backward(): number;
 }
@@ -105,6 +107,7 @@
   let distributorRows: TableRows = new Map();
   let newest = 0;
   let backward = 0;
+  let gaps = 0;
 
   function takeConfiguration(name: string, rows: TableRows): void {
     const version = Number(rows.get('current')?.value ?? 0);
@@ -147,7 +150,9 @@
       ],
       events: {
         onFeed: () => {},
-        onSubscription: () => {},
+        onSubscription: (unusedAddress, unusedState, reason) => {
+          gaps += reason.includes('gap') ? 1 : 0;
+        },
         onDistributor: () => {},
         onListenFailure: message => {
           throw new Error(message);
@@ -217,6 +222,7 @@
         .map(([, {value}]) => value as {distributor: PresentProxy})
         .map(({distributor}) => distributor.proxy);
     },
+    gaps: () => gaps,
     backward: () => backward,
   };
 }
--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -84,6 +84,21 @@
     }
   });
 
+  test('come without a gap, whoever subscribes when', () => {
+    for (const seed of SEEDS) {
+      const fleet = createFeedFleet({seed, ...LARGE_FLEET});
+      fleet.startAll(START_TIME);
+      for (let step = 0; step < 40; step++) {
+        fleet.configure();
+        fleet.timer.advance(25);
+      }
+      fleet.names.slice(0, 60).forEach(fleet.kill);
+      fleet.names.slice(0, 60).forEach(fleet.start);
+      fleet.timer.advance(SECOND);
+      expect({seed, gaps: fleet.gaps()}).toEqual({seed, gaps: 0});
+    }
+  });
+
   test('tell of rows that are removed, and of those that can not be read', () => {
     const fleet = startFleet(1);
     fleet.putForeign();
--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -56,11 +56,13 @@
   const {copies} = options;
   const {timer} = options.runtime;
   const subscribers = new Map<RpcPeer, Subscriber>();
-  /** Of one round: most subscribers lack the same. */
+  /** By what is lacked up to which versions: most subscribers lack the same. */
   const packed = new Map<string, ReturnType<typeof packUpdates>>();
 
   function packMissing(sent: ReadonlyMap<string, number>) {
-    const key = copies.map(({table}) => sent.get(table)).join();
+    const key = copies
+      .map(({table, version}) => `${sent.get(table)} to ${version()}`)
+      .join();
     const known = packed.get(key);
     if (known !== undefined) {
       return known;
