--- a/packages/gateway/src/choose_reader.ts
+++ b/packages/gateway/src/choose_reader.ts
@@ -17,7 +17,7 @@
 
 /**
  * For so long a target that lacked the position, or was tried, is left out. A
- * replica in step applies a commit within this time (8 to 50 ms).
+ * replica in step applies a commit within this time.
  */
 const LAG_MEMORY: Milliseconds = 60;
 /**
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -102,8 +102,8 @@
 const CHANGE_HOLD: Milliseconds = 2500;
 
 /**
- * A target counts as heard for so long after it answered a question: questions
- * come every 300 ms, and a round trip between regions is 24 ms.
+ * A target counts as heard for so long after it answered a question: the pause
+ * between two questions, and a round trip between regions.
  */
 const HEARD_WITHIN: Milliseconds = 450;
 
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -73,8 +73,8 @@
 const REOPEN_PAUSE: Milliseconds = 40;
 /**
  * A target that was sent a read and tells nothing for so long has lost the
- * answer, or is slow: another one is tried too. Below the tightest objective,
- * 400 ms, above the time that a target's own queue adds under load.
+ * answer, or is slow: another one is tried too. Below the tightest objective of
+ * callers, above the time that a target's own queue adds under load.
  */
 const SILENCE: Milliseconds = 280;
 /** For statements that take long, in multiples of the expected time. */
--- a/packages/gateway/src/find_place.ts
+++ b/packages/gateway/src/find_place.ts
@@ -65,10 +65,10 @@
 const LOOK_PERIOD: Milliseconds = 15;
 /**
  * How long a proof of freshness is waited for before another proxy is asked:
- * two round trips between regions, 24 ms each, and time to answer.
+ * two round trips between regions and time to answer.
  */
 const PROOF_PATIENCE: Milliseconds = 120;
-/** Traffic and questions, every 300 ms, keep the proof younger than this. */
+/** Traffic and questions keep the proof younger than this. */
 const PROOF_AGE: Milliseconds = 1000;
 
 function isPosition(
--- a/packages/gateway/src/primary_return.ts
+++ b/packages/gateway/src/primary_return.ts
@@ -22,9 +22,8 @@
 }
 
 /**
- * Guesses before any primary was seen to return. A promotion takes 300 to 1,000 ms
- * (deployments of the brief); a loss has to be found first, and a planned change
- * goes on at once. Too long a guess refuses what could have waited.
+ * Guesses before any primary was seen to return. A loss has to be found first, a
+ * planned change goes on at once. Too long a guess refuses what could have waited.
  */
 const FIRST_GUESS = {lost: 1000, leaving: 300} as const;
 /** Weight of the newest absence; the platform's time for a promotion is steady. */
--- a/packages/gateway/src/relay/peer_reachability.ts
+++ b/packages/gateway/src/relay/peer_reachability.ts
@@ -37,7 +37,7 @@
 const PAUSE_JITTER = 0.3;
 /**
  * Silence after which another proxy holds connections in its place. A process that
- * is killed starts again within about a second; rows of dead ones expire after 27 s.
+ * is killed starts again within about a second.
  */
 const LOST_AFTER: Milliseconds = 1200;
 
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -88,7 +88,7 @@
  */
 const PING_TIMEOUT: Milliseconds = 600;
 
-/** A round trip between regions, 24 ms, one more to connect, and a busy peer. */
+/** A round trip between regions, one more to connect, and a busy peer. */
 const LEADER_TIMEOUT: Milliseconds = 150;
 
 /** A peer's connection with how much is handed over on it. */
--- a/packages/observability/src/metrics_registry.ts
+++ b/packages/observability/src/metrics_registry.ts
@@ -2,7 +2,7 @@
  * Counters, gauges and latency summaries, rendered in the Prometheus text
  * format. Handles are looked up once, so that counting costs an addition.
  */
-// Its main module makes formatters for logs when it loads: 17 ms of each start.
+// Its main module makes formatters for logs when it loads, at each start.
 import Histogram from 'hdr-histogram-js/dist/Int32Histogram';
 
 /** Label values by label name. */
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -59,8 +59,7 @@
 
 /**
  * Creates an exchanger with keep-alive connections. The client that comes with
- * Node.js is used for its start-up: it is part of the program's snapshot, where
- * undici took 80 to 120 ms of processor time to load.
+ * Node.js is used as it is part of the program's snapshot: others add to each start.
  */
 export function createHttpExchanger(
   options: HttpExchangerOptions,
--- a/packages/succession/src/succession.ts
+++ b/packages/succession/src/succession.ts
@@ -88,7 +88,7 @@
 const PAUSE_BETWEEN_CHANGES: Milliseconds = 1500;
 /**
  * Writes that wait for so long, none answered, may lack a receiver. Beyond what a
- * target's own queue adds under load, 150 to 250 ms.
+ * target's own queue adds under load.
  */
 const STALLED_AFTER: Milliseconds = 400;
 /** Pause before a primary whose writes wait is looked at again. */
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -81,7 +81,7 @@
 
 /** Looks at the replicas before a primary is taken for isolated. */
 const ISOLATION_LOOKS = 2;
-/** Pause before each; records arrive within a few round trips of 24 ms. */
+/** Pause before each; records arrive within a few round trips. */
 const ISOLATION_PAUSE: Milliseconds = 100;
 
 interface Answered {
--- a/packages/succession/src/succession_turn.ts
+++ b/packages/succession/src/succession_turn.ts
@@ -24,7 +24,7 @@
 
 /**
  * A write that is silent for so long may be done and its answer lost: the row
- * is read. The store answers in 4 to 16 ms when it isn't slow.
+ * is read. Well beyond the time of a store that isn't slow.
  */
 const LOOK_AFTER: Milliseconds = 250;
 /** Tries of one write; without them a change waited for another proxy. */
--- a/packages/targets/src/connection_shares.ts
+++ b/packages/targets/src/connection_shares.ts
@@ -6,14 +6,13 @@
 /**
  * Part of a target's connections that proxies share for good. A target holds
  * those of instances that lost power for seconds: the rest lets the instances
- * that start in their place reach it. At 1 the worst seconds after a loss of
- * power of all instances served 0.35 of their worth, at this value 0.54.
+ * that start in their place reach it.
  */
 const CONNECTION_USE = 0.64;
 /**
  * One connection for questions, two for statements. Fewer holders with more
- * connections each need fewer of them for questions: a target that takes 16 has
- * room for the proxies that start anew while it holds those of the dead.
+ * connections each need fewer of them for questions: a target has room for the
+ * proxies that start anew while it holds those of the dead.
  */
 const MINIMUM_SHARE = 3;
 
--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -22,8 +22,8 @@
 import type {SharedConnection} from './shared_connections';
 
 /**
- * Time to open it: set-up takes up to 27 ms of a slot at a target (brief) and a
- * round trip. Beyond it the target counts as silent.
+ * Time to open it: a round trip, and set-up in a slot of the target. Beyond it the
+ * target counts as silent.
  */
 const OPEN_TIMEOUT: Milliseconds = 350;
 
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -71,7 +71,7 @@
 export const TICK_PERIOD: Milliseconds = 100;
 /**
  * A target that told nothing for so long is asked. Well below the shortest
- * staleness of routes (1,500 ms), so that samples are at hand.
+ * staleness of routes, so that samples are at hand.
  */
 const PROBE_AFTER: Milliseconds = 300;
 /**
--- a/scripts/module_plugins.ts
+++ b/scripts/module_plugins.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Texts of a library's messages in all languages: a quarter of the program, and
- * 4 ms of each start, for one that only speaks English.
+ * Texts of a library's messages in all languages: a quarter of the program, for one
+ * that only speaks English.
  */
 const LEFT_OUT = /\/locales\/index\.js$/;
 
--- a/scripts/platform_snapshot.ts
+++ b/scripts/platform_snapshot.ts
@@ -1,8 +1,6 @@
 /**
  * Puts the program of deploy/system.toml into a start-up snapshot of Node.js that
- * holds it with its modules loaded. From the start of the process to its end,
- * without settings, it takes 57 ms of processor time; with a code cache in place of
- * the snapshot it took 145 ms.
+ * holds it with its modules loaded: a start is mostly spent on loading them.
  */
 import {spawnSync} from 'node:child_process';
 import {rmSync} from 'node:fs';
