perf(gateway): peers are compared by what they take beyond the way there

The way there and back now counts by distance, what a peer takes beyond it by measurement, and an unmeasured one takes what its group does. Begins aren't measured: they wait for connections.

--- a/packages/gateway/src/relay/peer_load.ts
+++ b/packages/gateway/src/relay/peer_load.ts
@@ -7,22 +7,39 @@
  */
 import type {Milliseconds} from '@kelpstep/runtime';
 
-/** Expectations by peer. */
+/** Another proxy that statements may be handed to. */
+export interface LoadedPeer {
+  /** What takes about the same time at all of them. */
+  readonly group: string;
+  readonly proxy: string;
+  /** Time of the way there and back. */
+  readonly roundTrip: Milliseconds;
+}
+
+/** Expectations by group and peer. */
 export interface PeerLoad {
   /** A statement is handed over; call the result when it has its answer. */
-  begin(peer: string, now: Milliseconds): (now: Milliseconds) => void;
-  /** Time to the answer of one more; `guess` before any was measured. */
-  expected(peer: string, guess: Milliseconds, now: Milliseconds): Milliseconds;
+  begin(peer: LoadedPeer, now: Milliseconds): (now: Milliseconds) => void;
+  /** Time to the answer of one more. */
+  expected(peer: LoadedPeer, now: Milliseconds): Milliseconds;
 }
 
-const WEIGHT = 0.15;
+/** Of a time above a peer's average: one that turns slow is soon left. */
+const RISING_WEIGHT = 0.4;
+const FALLING_WEIGHT = 0.15;
+/** Of a group's average, which all of its peers have a part in. */
+const GROUP_WEIGHT = 0.05;
+/** Until a group has answered anything. */
+const FIRST_GUESS: Milliseconds = 20;
 /**
- * Measured so long ago, half of a time is believed: a peer that was slow gets a
- * statement now and then, and is used again once it is fast.
+ * Measured so long ago, half of what a peer takes more or less than its group is
+ * believed: one that was slow gets a statement now and then, and is used again once
+ * it is fast.
  */
 const HALF_LIFE: Milliseconds = 3000;
 
 interface Load {
+  /** Time beyond the way there and back. */
   average: Milliseconds | undefined;
   measuredAt: Milliseconds;
   /** When what is under way was handed over, oldest first. */
@@ -32,9 +49,11 @@
 /** Creates expectations without any measurement. */
 export function createPeerLoad(): PeerLoad {
   const loads = new Map<string, Load>();
+  const groups = new Map<string, Milliseconds>();
 
-  function loadOf(peer: string): Load {
-    const known = loads.get(peer);
+  function loadOf({group, proxy}: LoadedPeer): Load {
+    const key = `${group} ${proxy}`;
+    const known = loads.get(key);
     if (known !== undefined) {
       return known;
     }
@@ -43,14 +62,21 @@
       measuredAt: -Infinity,
       begun: new Set(),
     };
-    loads.set(peer, created);
+    loads.set(key, created);
     return created;
   }
 
-  function measure(load: Load, time: Milliseconds, now: Milliseconds): void {
-    const before = load.average ?? time;
-    load.average = before + WEIGHT * (time - before);
-    load.measuredAt = now;
+  function groupAverage({group}: LoadedPeer): Milliseconds {
+    return groups.get(group) ?? FIRST_GUESS;
+  }
+
+  function measure(peer: LoadedPeer, time: Milliseconds): void {
+    const load = loadOf(peer);
+    const common = groupAverage(peer);
+    const before = load.average ?? common;
+    const weight = time > before ? RISING_WEIGHT : FALLING_WEIGHT;
+    load.average = before + weight * (time - before);
+    groups.set(peer.group, common + GROUP_WEIGHT * (time - common));
   }
 
   /** A peer that doesn't answer at all shows by what waits for it. */
@@ -66,15 +92,16 @@
       load.begun.add(work);
       return end => {
         load.begun.delete(work);
-        measure(load, end - work.at, end);
+        load.measuredAt = end;
+        measure(peer, Math.max(0, end - work.at - peer.roundTrip));
       };
     },
-    expected(peer, guess, now) {
+    expected(peer, now) {
       const load = loadOf(peer);
+      const common = groupAverage(peer);
       const belief = 0.5 ** ((now - load.measuredAt) / HALF_LIFE);
-      const beyondGuess = (load.average ?? guess) - guess;
-      const believed = guess + beyondGuess * belief;
-      return Math.max(believed, longestWait(load, now));
+      const believed = common + ((load.average ?? common) - common) * belief;
+      return peer.roundTrip + Math.max(believed, longestWait(load, now));
     },
   };
 }
--- a/packages/gateway/src/relay/peer_order.ts
+++ b/packages/gateway/src/relay/peer_order.ts
@@ -5,13 +5,13 @@
 /** Where the proxy is that asks. */
 export type ProxyPlace = Pick<PresentProxy, 'dataCentre' | 'region'>;
 
-/** Guesses of the time to an answer, before any was measured. */
-const SAME_DATA_CENTRE: Milliseconds = 20;
-const SAME_REGION: Milliseconds = 25;
-const OTHER_REGION: Milliseconds = 80;
+/** Ways there and back, by distance: what counts is their order of magnitude. */
+const SAME_DATA_CENTRE: Milliseconds = 1;
+const SAME_REGION: Milliseconds = 2;
+const OTHER_REGION: Milliseconds = 40;
 
-/** Time to the answer of a statement, as the distance lets expect it. */
-export function guessByDistance(
+/** Time of the way there and back that the distance lets expect. */
+export function roundTripBetween(
   from: ProxyPlace,
   to: ProxyPlace,
 ): Milliseconds {
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -16,8 +16,8 @@
   refusalAnswer,
 } from '../dispatch_types';
 import {createAttemptBudget} from '../second_attempt';
-import {createPeerLoad} from './peer_load';
-import {type ProxyPlace, fastestFirst, guessByDistance} from './peer_order';
+import {type LoadedPeer, createPeerLoad} from './peer_load';
+import {type ProxyPlace, fastestFirst, roundTripBetween} from './peer_order';
 import type {RelayClient, RelayOutcome} from './relay_client';
 
 /** What a relaying dispatcher is made of. */
@@ -53,14 +53,17 @@
   const budget = createAttemptBudget();
 
   /** Reads and writes may find different places. */
-  function keyOf(peer: PresentProxy, work: Dispatch): string {
-    const kind = work.needsPrimary ? 'primary' : 'any';
-    return `${work.route.group} ${kind} ${peer.proxy}`;
+  function sortOf({route, needsPrimary}: Dispatch): string {
+    return `${route.group} ${needsPrimary ? 'primary' : 'any'}`;
   }
 
-  /** Groups have targets of their own, and so times of their own. */
-  function loadKey({proxy}: PresentProxy, {route}: Dispatch): string {
-    return `${route.group} ${proxy}`;
+  function keyOf({proxy}: PresentProxy, work: Dispatch): string {
+    return `${sortOf(work)} ${proxy}`;
+  }
+
+  function asLoaded(peer: PresentProxy, work: Dispatch): LoadedPeer {
+    const roundTrip = roundTripBetween(place, peer);
+    return {group: sortOf(work), proxy: peer.proxy, roundTrip};
   }
 
   function hasRefused(peer: PresentProxy, work: Dispatch): boolean {
@@ -78,8 +81,7 @@
   }
 
   function expectedTime(peer: PresentProxy, work: Dispatch): Milliseconds {
-    const guess = guessByDistance(place, peer);
-    return load.expected(loadKey(peer, work), guess, timer.now());
+    return load.expected(asLoaded(peer, work), timer.now());
   }
 
   function peersToAsk(work: Dispatch): PresentProxy[] {
@@ -95,9 +97,13 @@
     work: Dispatch,
     mayWait: boolean,
   ): Task<RelayOutcome> {
-    const end = load.begin(loadKey(peer, work), timer.now());
+    // A transaction waits for a connection of its own: that says little of the peer.
+    const isMeasured = work.statement.kind !== 'begin';
+    const end = isMeasured && load.begin(asLoaded(peer, work), timer.now());
     const outcome = yield* client.dispatch(peer, work, mayWait);
-    end(timer.now());
+    if (end) {
+      end(timer.now());
+    }
     return outcome;
   }
 
