--- a/packages/gateway/__tests__/peer_order.spec.ts
+++ b/packages/gateway/__tests__/peer_order.spec.ts
@@ -79,6 +79,12 @@
     expect(measured(USUAL + 30).isSlow(asked, USUAL)).toEqual(false);
   });
 
+  test('is not slow for one statement that took long', () => {
+    const load = measured(USUAL);
+    load.begin(asked, 0)(SLOW / 2);
+    expect(load.isSlow(asked, SLOW / 2)).toEqual(false);
+  });
+
   test('is slow while a statement waits there for long', () => {
     const load = measured(USUAL);
     const end = load.begin(asked, 100);
--- a/packages/gateway/src/relay/peer_load.ts
+++ b/packages/gateway/src/relay/peer_load.ts
@@ -24,9 +24,8 @@
   isSlow(peer: LoadedPeer, now: Milliseconds): boolean;
 }
 
-/** Of a time above a peer's average: one that turns slow is soon left. */
-const RISING_WEIGHT = 0.4;
-const FALLING_WEIGHT = 0.15;
+/** One statement that takes long, as some do everywhere, makes no slow peer. */
+const WEIGHT = 0.2;
 /** Of a group's average, which all of its peers have a part in. */
 const GROUP_WEIGHT = 0.05;
 /** A slow peer takes so many times what its group does, */
@@ -78,8 +77,7 @@
     const load = loadOf(peer);
     const common = groupAverage(peer);
     const before = load.average ?? common;
-    const weight = time > before ? RISING_WEIGHT : FALLING_WEIGHT;
-    load.average = before + weight * (time - before);
+    load.average = before + WEIGHT * (time - before);
     groups.set(peer.group, common + GROUP_WEIGHT * (time - common));
   }
 
