refactor: one pause between retries, one way to listen, no second look-ups

Of the store follower the limit now counts when a pause begins, not when the one before ended: a lone proxy that becomes a distributor asks again sooner. - Listening, its failure and its end stood in the relay and in the table feed: acceptConnections of the rpc package serves both. - Signs of life of a feed had a period at either end: one constant beside the messages. - A distributor's own row was looked up in two ways, its key was written out again. - Members that nobody called (isFollowing, isSubscribed), an export and an intersection of types that added nothing are gone; the times of single statements are picked in one place.

--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -1,6 +1,6 @@
 /** Wires what sends statements through other proxies, and serves theirs. */
 import type {PresentProxy} from '@kelpstep/table-feed';
-import type {Transport} from '@kelpstep/rpc';
+import {type Transport, acceptConnections} from '@kelpstep/rpc';
 import type {Runtime} from '@kelpstep/runtime';
 import type {GroupSettings} from '@kelpstep/targets';
 
@@ -71,20 +71,16 @@
     },
     peers,
   });
-  const listening = transport.listen(self.relayAddress, server.accept);
-  listening.onSettled(result => {
-    if (result.err) {
-      options.onListenFailure(result.val.message);
-    }
+  const stopListening = acceptConnections({
+    transport,
+    address: self.relayAddress,
+    accept: server.accept,
+    onFailure: options.onListenFailure,
   });
 
   function close(): void {
     client.close();
-    listening.onSettled(result => {
-      if (result.ok) {
-        result.val.close();
-      }
-    });
+    stopListening();
   }
 
   const isLeaderReached = createLeaderCheck({runtime, client, peers});
--- a/packages/gateway/src/relay/peer_reachability.ts
+++ b/packages/gateway/src/relay/peer_reachability.ts
@@ -5,8 +5,10 @@
 import {
   type Future,
   type Milliseconds,
+  type RetryPauseBounds,
   type Runtime,
   type Task,
+  retryPause,
   sleep,
   waitFor,
 } from '@kelpstep/runtime';
@@ -30,11 +32,11 @@
   lost(): ReadonlySet<string>;
 }
 
-/** First pause before a proxy is tried again: one that restarts is back soon. */
-const FIRST_PAUSE: Milliseconds = 100;
-/** Longest such pause; a cut or a dead proxy costs two attempts a second. */
-const LONGEST_PAUSE: Milliseconds = 500;
-const PAUSE_JITTER = 0.3;
+/**
+ * Before a proxy is tried again: one that restarts is back soon, a cut or a dead one
+ * costs two attempts a second.
+ */
+const PAUSES: RetryPauseBounds = {first: 100, longest: 500};
 /**
  * Silence after which another proxy holds connections in its place. A process that
  * is killed starts again within about a second.
@@ -69,10 +71,8 @@
   }
 
   function* tryAgain(address: string, since: Milliseconds): Task<void> {
-    let pause = FIRST_PAUSE;
-    while (isListed(address)) {
-      yield* sleep(random.jitter(pause, PAUSE_JITTER));
-      pause = Math.min(LONGEST_PAUSE, pause * 2);
+    for (let failures = 0; isListed(address); failures++) {
+      yield* sleep(retryPause(PAUSES, failures, random));
       if (yield* waitFor(isAnswering(address))) {
         break;
       }
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -106,11 +106,11 @@
   ): Task<RelayOutcome> {
     // A transaction waits for a connection of its own: that says little of the peer.
     const isMeasured = work.statement.kind !== 'begin';
-    const end = isMeasured && load.begin(asLoaded(peer, work), timer.now());
+    const end = isMeasured
+      ? load.begin(asLoaded(peer, work), timer.now())
+      : undefined;
     const outcome = yield* client.dispatch(peer, work, mayWait);
-    if (end) {
-      end(timer.now());
-    }
+    end?.(timer.now());
     return outcome;
   }
 
--- a/packages/rpc/index.ts
+++ b/packages/rpc/index.ts
@@ -1,4 +1,5 @@
 /** JSON-RPC 2.0 between processes over TCP or over a transport passed in. */
+export * from './src/accept_connections';
 export * from './src/failure_codec';
 export * from './src/handlers';
 export * from './src/peer';
--- a/packages/runtime/index.ts
+++ b/packages/runtime/index.ts
@@ -4,6 +4,7 @@
 export * from './src/mailbox';
 export * from './src/random';
 export * from './src/real_timer';
+export * from './src/retry_pause';
 export * from './src/runtime';
 export * from './src/timer';
 export * from './src/virtual_timer';
--- a/packages/scenarios/src/statements/operation_counts.ts
+++ b/packages/scenarios/src/statements/operation_counts.ts
@@ -56,21 +56,23 @@
     errors: new Map(),
     servedSince: time => count(log.filter(({at}) => at >= time)),
     statementTimesSince: time =>
-      log
-        .filter(({isTransaction, failure}) => !isTransaction && !failure)
-        .filter(({at}) => at >= time)
-        .map(({duration}) => duration),
+      statementTimes(({at, failure}) => at >= time && failure === undefined),
     transactionsSince: time =>
       count(log.filter(({at, isTransaction}) => isTransaction && at >= time)),
     refusalTimesBetween: (from, until) =>
-      log
-        .filter(
-          ({isTransaction, failure}) => !isTransaction && failure === 'busy',
-        )
-        .filter(({at}) => at >= from && at < until)
-        .map(({duration}) => duration),
+      statementTimes(
+        ({at, failure}) => at >= from && at < until && failure === 'busy',
+      ),
   };
 
+  function statementTimes(
+    isWanted: (operation: EndedOperation) => boolean,
+  ): Milliseconds[] {
+    return log
+      .filter(operation => !operation.isTransaction && isWanted(operation))
+      .map(({duration}) => duration);
+  }
+
   function note(operation: EndedOperation): void {
     const {failure} = operation;
     log.push(operation);
--- a/packages/table-feed/src/choose_sources.ts
+++ b/packages/table-feed/src/choose_sources.ts
@@ -95,18 +95,18 @@
   silence(address: string): Milliseconds;
 }
 
-/** The slot of this proxy; undefined if it is no distributor. */
-export function slotOf(
+/** The row of this proxy; undefined if it is no distributor. */
+export function rowOf(
   self: string,
   rows: readonly DistributorRow[],
-): number | undefined {
-  return rows.find(({distributor}) => distributor.proxy === self)?.slot;
+): DistributorRow | undefined {
+  return rows.find(({distributor}) => distributor.proxy === self);
 }
 
 /** A slot that this proxy may take; undefined if there is none. */
 export function findFreeSlot(view: SlotView): number | undefined {
   const {rows} = view;
-  if (!view.areRowsFresh || slotOf(view.self, rows) !== undefined) {
+  if (!view.areRowsFresh || rowOf(view.self, rows) !== undefined) {
     return undefined;
   }
   for (let slot = 0; slot < SLOTS_PER_DATA_CENTRE; slot++) {
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -1,6 +1,6 @@
 /** Wires what keeps the copies of the store's tables in a proxy. */
 import type {TableRows, TableStore} from '@kelpstep/platform';
-import type {Address, Transport} from '@kelpstep/rpc';
+import {type Address, type Transport, acceptConnections} from '@kelpstep/rpc';
 import {
   type Milliseconds,
   type Runtime,
@@ -229,11 +229,11 @@
     update();
   }
 
-  const listening = options.transport.listen(self.address, server.accept);
-  listening.onSettled(result => {
-    if (result.err) {
-      events.onListenFailure(result.val.message);
-    }
+  const stopListening = acceptConnections({
+    transport: options.transport,
+    address: self.address,
+    accept: server.accept,
+    onFailure: events.onListenFailure,
   });
   runtime.spawn('read distributors', readDistributors());
   const stopTicks = timer.every(TICK_PERIOD, update);
@@ -244,11 +244,7 @@
       stopTicks();
       sources.close();
       server.close();
-      listening.onSettled(result => {
-        if (result.ok) {
-          result.val.close();
-        }
-      });
+      stopListening();
     },
   };
 }
--- a/packages/table-feed/src/distributor_duty.ts
+++ b/packages/table-feed/src/distributor_duty.ts
@@ -12,7 +12,7 @@
 } from '@kelpstep/runtime';
 import type {Result} from 'ts-results';
 
-import {findFreeSlot, slotOf} from './choose_sources';
+import {findFreeSlot, rowOf} from './choose_sources';
 import {
   type DistributorRow,
   type DistributorValue,
@@ -92,7 +92,8 @@
     const isNew =
       claim !== undefined && timer.now() - claim.at < CLAIM_KNOWN_WITHIN;
     return (
-      slotOf(self.proxy, options.rows()) ?? (isNew ? claim?.slot : undefined)
+      rowOf(self.proxy, options.rows())?.slot ??
+      (isNew ? claim?.slot : undefined)
     );
   }
 
@@ -112,10 +113,6 @@
     });
   }
 
-  function rowAt(number: number): DistributorRow | undefined {
-    return options.rows().find(row => row.slot === number);
-  }
-
   function pauseAfter(
     written: Result<number, StoreFailure>,
     version: number,
@@ -163,7 +160,8 @@
     if (free === undefined) {
       return;
     }
-    const subscribers = rowAt(free)?.subscribers ?? [];
+    const before = options.rows().find(row => row.slot === free);
+    const subscribers = before?.subscribers ?? [];
     if (yield* write(free, {distributor: self, subscribers})) {
       claim = {slot: free, at: timer.now()};
     }
@@ -204,9 +202,7 @@
   function* keepDuty(): Task<void> {
     for (;;) {
       yield* sleep(random.jitter(DUTY_PERIOD, PERIOD_JITTER));
-      const own = options
-        .rows()
-        .find(({distributor}) => distributor.proxy === self.proxy);
+      const own = rowOf(self.proxy, options.rows());
       if (own !== undefined) {
         yield* keepRow(own);
       } else {
--- a/packages/table-feed/src/distributor_row.ts
+++ b/packages/table-feed/src/distributor_row.ts
@@ -3,7 +3,6 @@
  * holds it and the proxies that subscribe to it. Together they tell which
  * proxies run.
  */
-import type {PlacedProxy} from '@kelpstep/membership';
 import type {TableRows} from '@kelpstep/platform';
 import {z} from 'zod';
 
@@ -18,10 +17,10 @@
   /** Where others send it statements; empty if they can't. */
   relayAddress: z.string(),
 });
-export type PresentProxy = z.infer<typeof presentProxySchema> & PlacedProxy;
+export type PresentProxy = z.infer<typeof presentProxySchema>;
 
 /** What a distributor writes of itself. */
-export const distributorValueSchema = z.object({
+const distributorValueSchema = z.object({
   distributor: presentProxySchema,
   subscribers: z.array(presentProxySchema).readonly(),
 });
--- a/packages/table-feed/src/feed_messages.ts
+++ b/packages/table-feed/src/feed_messages.ts
@@ -1,6 +1,7 @@
 /** Messages between a proxy that hands tables on and its subscribers. */
 import type {StoredRow} from '@kelpstep/platform';
 import {defineMethod} from '@kelpstep/protocol';
+import type {Milliseconds} from '@kelpstep/runtime';
 import {gunzipSync, gzipSync} from 'node:zlib';
 import {z} from 'zod';
 
@@ -53,6 +54,8 @@
 export const FEED_NEWS = 'feed.news';
 /** Notification of a subscriber: it lives. */
 export const FEED_HEARTBEAT = 'feed.heartbeat';
+/** Period of signs of life, both ways: news, and heartbeats of subscribers. */
+export const LIFE_PERIOD: Milliseconds = 600;
 
 /** Updates with a longer text are compressed. */
 const PACKED_FROM_CHARACTERS = 800;
--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -15,6 +15,7 @@
 import type {PresentProxy} from './distributor_row';
 import {
   FEED_NEWS,
+  LIFE_PERIOD,
   type News,
   feedSubscribe,
   packUpdates,
@@ -46,9 +47,7 @@
   readonly sent: Map<string, number>;
 }
 
-/** Period of signs of life; subscribers give a silent proxy up after several. */
-const NEWS_PERIOD: Milliseconds = 600;
-/** A subscriber sends a sign of life each `HEARTBEAT_PERIOD`. */
+/** A subscriber that sent no sign of life for so long is gone. */
 const GONE_AFTER: Milliseconds = 2000;
 
 /** Creates a server; connections are handed to it. */
@@ -119,7 +118,7 @@
     peer.closed.onSettled(() => subscribers.delete(peer));
   }
 
-  const stopTicks = timer.every(NEWS_PERIOD, () => {
+  const stopTicks = timer.every(LIFE_PERIOD, () => {
     dropSilent();
     publish();
   });
--- a/packages/table-feed/src/present_proxies.ts
+++ b/packages/table-feed/src/present_proxies.ts
@@ -6,6 +6,7 @@
   type DistributorRow,
   type PresentProxy,
   areSameProxies,
+  keyOfSlot,
   listPresentProxies,
   readDistributorRows,
 } from './distributor_row';
@@ -55,7 +56,7 @@
   let knownSince: Milliseconds | undefined;
 
   function isExpired({dataCentre, slot, version}: DistributorRow): boolean {
-    const key = `${dataCentre}/${slot}`;
+    const key = keyOfSlot(dataCentre, slot);
     const before = seen.get(key);
     if (before?.version === version) {
       return timer.now() - before.at > EXPIRY;
--- a/packages/table-feed/src/store_follower.ts
+++ b/packages/table-feed/src/store_follower.ts
@@ -5,6 +5,7 @@
   type Runtime,
   type Task,
   type TaskHandle,
+  retryPause,
   sleep,
   waitFor,
 } from '@kelpstep/runtime';
@@ -33,14 +34,11 @@
 export interface StoreFollower {
   start(): void;
   stop(): void;
-  /** True from an answer of the store until the next failure or stop. */
-  isFollowing(): boolean;
 }
 
 /** The first answer tells whether the store is there, and is not waited for. */
 const SHORTEST_WAIT: Milliseconds = 1;
 const FIRST_RETRY: Milliseconds = 50;
-const RETRY_JITTER = 0.3;
 
 /** Creates a follower that doesn't follow yet. */
 export function createStoreFollower(
@@ -52,7 +50,7 @@
   let isFollowing = false;
   let isFirst = true;
   let hasLostHistory = false;
-  let retry = FIRST_RETRY;
+  let failures = 0;
 
   function setFollowing(following: boolean, failure?: StoreFailure): void {
     if (following !== isFollowing) {
@@ -87,7 +85,7 @@
     const mustRead = version === undefined || hasLostHistory;
     const reply = yield* mustRead ? read() : awaitChanges(version);
     if (reply.ok) {
-      retry = FIRST_RETRY;
+      failures = 0;
       isFirst = false;
       options.onAnswer();
       setFollowing(true);
@@ -101,8 +99,9 @@
       return;
     }
     setFollowing(false, reply.val);
-    yield* sleep(random.jitter(retry, RETRY_JITTER));
-    retry = Math.min(options.longestRetry(), retry * 2);
+    const bounds = {first: FIRST_RETRY, longest: options.longestRetry()};
+    yield* sleep(retryPause(bounds, failures, random));
+    failures += 1;
   }
 
   function* follow(): Task<void> {
@@ -121,6 +120,5 @@
       isFollowing = false;
       isFirst = true;
     },
-    isFollowing: () => isFollowing,
   };
 }
--- a/packages/table-feed/src/subscription.ts
+++ b/packages/table-feed/src/subscription.ts
@@ -9,8 +9,10 @@
 } from '@kelpstep/rpc';
 import {
   type Milliseconds,
+  type RetryPauseBounds,
   type Runtime,
   type Task,
+  retryPause,
   sleep,
   waitAtMost,
   waitFor,
@@ -21,6 +23,7 @@
 import {
   FEED_HEARTBEAT,
   FEED_NEWS,
+  LIFE_PERIOD,
   type News,
   feedSubscribe,
   newsSchema,
@@ -45,21 +48,15 @@
    * if that isn't known.
    */
   age(): Milliseconds;
-  /** True while the other proxy answers. */
-  isSubscribed(): boolean;
   end(): void;
 }
 
 /** Time for a connection and its first answer: some round trips. */
 const CONNECT_TIMEOUT: Milliseconds = 400;
 const SUBSCRIBE_TIMEOUT: Milliseconds = 1000;
-/** Period of signs of life in the other direction. */
-const HEARTBEAT_PERIOD: Milliseconds = 600;
-/** News come each 600 ms; after so long without any the other one is silent. */
+/** News come at least each `LIFE_PERIOD`: after so long the other one is silent. */
 const SILENT_AFTER: Milliseconds = 1500;
-const FIRST_RETRY: Milliseconds = 80;
-const LONGEST_RETRY: Milliseconds = 800;
-const RETRY_JITTER = 0.3;
+const RETRIES: RetryPauseBounds = {first: 80, longest: 800};
 const NOT_NEEDED = 'not needed';
 
 /** Starts to subscribe. */
@@ -71,7 +68,7 @@
   let hasEnded = false;
   /** Time at which the store answered, by this proxy's clock. */
   let storeAnsweredAt = -Infinity;
-  let retry = FIRST_RETRY;
+  let failures = 0;
 
   function setSubscribed(subscribed: boolean, reason: string): void {
     if (subscribed !== isSubscribed) {
@@ -111,7 +108,7 @@
   function* stayConnected(peer: RpcPeer): Task<void> {
     while (!peer.closed.isSettled()) {
       peer.notify(FEED_HEARTBEAT, {});
-      yield* waitAtMost(peer.closed, HEARTBEAT_PERIOD);
+      yield* waitAtMost(peer.closed, LIFE_PERIOD);
       if (timer.now() - peer.lastHeardAt() > SILENT_AFTER) {
         peer.close('silent');
       }
@@ -148,7 +145,7 @@
       peer.close('not subscribed');
       return reply.val.failure.message;
     }
-    retry = FIRST_RETRY;
+    failures = 0;
     takeNews(peer, reply.val);
     setSubscribed(true, '');
     yield* stayConnected(peer);
@@ -158,8 +155,8 @@
   function* keepSubscribed(): Task<void> {
     for (;;) {
       setSubscribed(false, yield* subscribe());
-      yield* sleep(random.jitter(retry, RETRY_JITTER));
-      retry = Math.min(LONGEST_RETRY, retry * 2);
+      yield* sleep(retryPause(RETRIES, failures, random));
+      failures += 1;
     }
   }
 
@@ -170,7 +167,6 @@
 
   return {
     age: () => timer.now() - storeAnsweredAt,
-    isSubscribed: () => isSubscribed,
     end() {
       hasEnded = true;
       task.cancel();
