feat(observability): what tells the causes of a late configuration apart

A configuration that can't be read as a whole is reported; it was passed over in silence. No decision changes.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -52,10 +52,10 @@
   readonly successionTable: string;
   /** Rows of the proxies that hand the tables on. */
   readonly distributorTable: string;
-  /** Undefined while there is no configuration. */
+  /** Undefined while there is no configuration that can be read. */
   decodeConfiguration(
     rows: TableRows,
-  ): Decoded<GatewayConfiguration> | undefined;
+  ): Decoded<GatewayConfiguration | undefined>;
   decodeRegistrations(rows: TableRows): Decoded<readonly TargetRegistration[]>;
 }
 
@@ -201,12 +201,14 @@
   });
 
   function takeConfiguration(tableRows: TableRows): void {
-    const decoded = layout.decodeConfiguration(tableRows);
-    if (decoded === undefined || !gateway.configure(decoded.value)) {
-      return;
+    const {value, findings} = layout.decodeConfiguration(tableRows);
+    if (value !== undefined) {
+      if (!gateway.configure(value)) {
+        return;
+      }
+      events.onConfiguration(value.version);
     }
-    events.onConfiguration(decoded.value.version);
-    for (const message of decoded.findings) {
+    for (const message of findings) {
       events.onFinding('configuration', message);
     }
   }
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -23,6 +23,8 @@
   readonly address?: string;
   readonly term?: number;
   readonly version?: number;
+  /** Version that was known before. */
+  readonly known?: number;
   readonly count?: number;
   readonly milliseconds?: number;
   /** Targets that were tried. */
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -33,6 +33,7 @@
 } from '@kelpstep/stand-ins';
 import type {StatementAnswer, TargetStatus} from '@kelpstep/statements';
 import type {OrderPromotion, PromotionReply} from '@kelpstep/succession';
+import {IGNORED_FEED_EVENTS} from '@kelpstep/table-feed';
 import type {TargetRegistration} from '@kelpstep/targets';
 
 import {type RuleChecker, createRuleChecker} from './rule_checker';
@@ -133,12 +134,7 @@
   onConfiguration: () => {},
   onFinding: () => {},
   onListenFailure: () => {},
-  tables: {
-    onFeed: () => {},
-    onSubscription: () => {},
-    onDistributor: () => {},
-    onListenFailure: () => {},
-  },
+  tables: IGNORED_FEED_EVENTS,
 };
 
 function readStatus(answer: StatementAnswer): TargetStatus | undefined {
@@ -260,9 +256,10 @@
         distributorTable: DISTRIBUTOR_TABLE,
         decodeConfiguration: rows => {
           const value = rows.get('current')?.value;
-          return value === undefined
-            ? undefined
-            : {value: value as GatewayConfiguration, findings: []};
+          return {
+            value: value as GatewayConfiguration | undefined,
+            findings: [],
+          };
         },
         decodeRegistrations: rows => ({
           value: [...rows.values()].map(
--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -15,7 +15,12 @@
   createStandInStore,
 } from '@kelpstep/stand-ins';
 
-import {type PresentProxy, type TableFeed, createTableFeed} from '..';
+import {
+  IGNORED_FEED_EVENTS,
+  type PresentProxy,
+  type TableFeed,
+  createTableFeed,
+} from '..';
 
 /** Size of a fleet. */
 export interface FeedFleetOptions {
@@ -149,11 +154,10 @@
         },
       ],
       events: {
-        onFeed: () => {},
+        ...IGNORED_FEED_EVENTS,
         onSubscription: (unusedAddress, unusedState, reason) => {
           gaps += reason.includes('gap') ? 1 : 0;
         },
-        onDistributor: () => {},
         onListenFailure: message => {
           throw new Error(message);
         },
--- a/packages/table-feed/index.ts
+++ b/packages/table-feed/index.ts
@@ -1,4 +1,4 @@
 /** Copies of the platform's tables, handed on between proxies. */
 export * from './src/create_table_feed';
 export type {PresentProxy} from './src/distributor_row';
-export type {TableFeedEvents} from './src/feed_events';
+export * from './src/feed_events';
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -144,8 +144,7 @@
       longestRetry: () =>
         duty.slot() === undefined ? LONE_RETRY : DISTRIBUTOR_RETRY,
       onAnswer: noteAnswer,
-      onFeed: (isFollowing, failure) =>
-        events.onFeed(copy.table, isFollowing, failure),
+      events,
     });
   }
 
--- a/packages/table-feed/src/store_follower.ts
+++ b/packages/table-feed/src/store_follower.ts
@@ -11,6 +11,7 @@
 } from '@kelpstep/runtime';
 import type {Result} from 'ts-results';
 
+import type {FeedChange, TableFeedEvents} from './feed_events';
 import type {TableCopy} from './table_copy';
 
 /** What a follower is made of. */
@@ -26,8 +27,10 @@
   longestRetry(): Milliseconds;
   /** The store answered. */
   onAnswer(): void;
-  /** The feed was lost or is back; `failure` says why it was lost. */
-  onFeed(isFollowing: boolean, failure?: StoreFailure): void;
+  readonly events: Pick<
+    TableFeedEvents,
+    'onFeed' | 'onHistoryLost' | 'onOlderAnswer'
+  >;
 }
 
 /** Follows a table while it is told to. */
@@ -44,26 +47,33 @@
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): StoreFollower {
-  const {runtime, store, copy} = options;
-  const {random} = runtime;
+  const {runtime, store, copy, events} = options;
+  const {timer, random} = runtime;
+  const {table} = copy;
   let task: TaskHandle<void> | undefined;
   let isFollowing = false;
   let isFirst = true;
   let hasLostHistory = false;
   let failures = 0;
 
-  function setFollowing(following: boolean, failure?: StoreFailure): void {
-    if (following !== isFollowing) {
-      isFollowing = following;
-      options.onFeed(following, failure);
+  function setFollowing(change: Omit<FeedChange, 'table'>): void {
+    if (change.isFollowing !== isFollowing) {
+      isFollowing = change.isFollowing;
+      events.onFeed({table, ...change});
+    }
+  }
+
+  function noteVersion(version: number, known = version): void {
+    if (version < known) {
+      events.onOlderAnswer(table, version, known);
     }
   }
 
   function* read(): Task<Result<TableChanges, StoreFailure>> {
-    const reply = yield* waitFor(store.readTable(copy.table));
+    const reply = yield* waitFor(store.readTable(table));
     if (reply.ok) {
       hasLostHistory = false;
-      copy.take({table: copy.table, ...reply.val});
+      copy.take({table, ...reply.val});
     }
     return reply;
   }
@@ -72,10 +82,10 @@
     after: number,
   ): Task<Result<TableChanges, StoreFailure>> {
     const wait = isFirst ? SHORTEST_WAIT : options.wait;
-    const question = store.awaitChanges(copy.table, after, wait);
+    const question = store.awaitChanges(table, after, wait);
     const reply = yield* waitFor(question);
     if (reply.ok) {
-      copy.take({table: copy.table, after, ...reply.val});
+      copy.take({table, after, ...reply.val});
     }
     return reply;
   }
@@ -83,12 +93,15 @@
   function* step(): Task<void> {
     const version = copy.version();
     const mustRead = version === undefined || hasLostHistory;
+    const askedAt = timer.now();
     const reply = yield* mustRead ? read() : awaitChanges(version);
+    const waited = timer.now() - askedAt;
     if (reply.ok) {
       failures = 0;
       isFirst = false;
+      noteVersion(reply.val.version, version);
       options.onAnswer();
-      setFollowing(true);
+      setFollowing({isFollowing: true, waited});
       if (reply.val.rows.length > 0) {
         yield* sleep(options.pause);
       }
@@ -96,9 +109,10 @@
     }
     if (reply.val === 'history lost') {
       hasLostHistory = true;
+      events.onHistoryLost(table, version ?? 0);
       return;
     }
-    setFollowing(false, reply.val);
+    setFollowing({isFollowing: false, failure: reply.val, waited});
     const bounds = {first: FIRST_RETRY, longest: options.longestRetry()};
     yield* sleep(retryPause(bounds, failures, random));
     failures += 1;
@@ -112,7 +126,7 @@
 
   return {
     start() {
-      task ??= runtime.spawn(`follow ${copy.table}`, follow());
+      task ??= runtime.spawn(`follow ${table}`, follow());
     },
     stop() {
       task?.cancel();
