test(table-feed): open questions whose connections fall silent delay a configuration

The stand-in store told a client at once that a question would not be answered, as soon as a change came while the store was silent. That hid the fault from every test: a client learns it only when its own timeout is over. Questions asked in a silence are now lost, those open when it begins are answered once it ends, as seen on connections that are held up; and open questions can be lost.

--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -35,6 +35,11 @@
   remove(table: string, key: string): void;
   /** Forgets the history of changes. */
   compact(): void;
+  /**
+   * The connections of questions that are open now fall silent: none of them is
+   * answered. New questions are. All tables if none is named.
+   */
+  loseOpenQuestions(table?: string): void;
   /** Calls so far, refused ones too. */
   calls(): number;
   readonly faults: StoreFaults;
@@ -49,8 +54,17 @@
 
 /** Longest time after which a write without an answer is done. */
 const LONGEST_DELAY: Milliseconds = 6000;
-/** Time after which a silent store counts as away. */
+/** Time after which a client gives up a call. */
 const SILENCE_TIMEOUT: Milliseconds = 1200;
+/** The same for a question, beyond the wait that it asked for. */
+const QUESTION_SLACK: Milliseconds = 700;
+
+/** A question for changes that isn't answered yet. */
+interface OpenQuestion {
+  readonly table: string;
+  /** Answers if there is something to tell, or the wait is over. */
+  look(): void;
+}
 
 /** Creates an empty store. */
 export function createStandInStore(options: StandInStoreOptions): StandInStore {
@@ -66,7 +80,7 @@
   let calls = 0;
   let version = 0;
   let historyFrom = 0;
-  let waiters: Array<() => void> = [];
+  const questions = new Set<OpenQuestion>();
 
   function tableOf(name: string): Map<string, StoredRow> {
     const table = tables.get(name) ?? new Map<string, StoredRow>();
@@ -75,9 +89,7 @@
   }
 
   function changed(): void {
-    const woken = waiters;
-    waiters = [];
-    woken.forEach(wake => wake());
+    [...questions].forEach(({look}) => look());
   }
 
   function put(table: string, key: string, value: unknown): number {
@@ -124,6 +136,58 @@
       return result.future;
     }
 
+    /**
+     * Asked while the store is silent, a question is lost. One that is open then
+     * is answered once the silence ends.
+     */
+    function ask(
+      table: string,
+      after: number,
+      wait: Milliseconds,
+    ): Future<Result<TableChanges, StoreFailure>> {
+      const result = createDeferred<Result<TableChanges, StoreFailure>>();
+      const deadline = timer.now() + answerTime + wait;
+      const isSilent = () => hits(faults.silent, name);
+      calls += 1;
+
+      function end(reply: Result<TableChanges, StoreFailure>): void {
+        questions.delete(question);
+        cancelTimeout();
+        result.settle(reply);
+      }
+
+      function look(): void {
+        if (isSilent()) {
+          return;
+        }
+        if (after < historyFrom) {
+          end(Err('history lost'));
+        } else if (hits(faults.refused, name)) {
+          end(Err('unanswered'));
+        } else {
+          const rows = changesAfter(table, after);
+          if (rows.length > 0 || timer.now() >= deadline) {
+            end(Ok({rows, version}));
+          }
+        }
+      }
+
+      const question: OpenQuestion = {table, look};
+      const cancelTimeout = timer.after(wait + QUESTION_SLACK, () =>
+        end(Err('unanswered')),
+      );
+      timer.after(answerTime, () => {
+        if (hits(faults.refused, name)) {
+          end(Err('refused'));
+        } else if (!isSilent()) {
+          questions.add(question);
+          timer.after(wait, look);
+          look();
+        }
+      });
+      return result.future;
+    }
+
     function replace(
       table: string,
       key: string,
@@ -141,28 +205,7 @@
         call(settle =>
           settle(Ok({rows: [...tableOf(table).values()], version})),
         ),
-      awaitChanges: (table, after, wait) =>
-        call<TableChanges>(settle => {
-          const deadline = timer.now() + wait;
-          function look(): void {
-            if (after < historyFrom) {
-              settle(Err('history lost'));
-              return;
-            }
-            if (hits(faults.refused, name) || hits(faults.silent, name)) {
-              settle(Err('unanswered'));
-              return;
-            }
-            const rows = changesAfter(table, after);
-            if (rows.length > 0 || timer.now() >= deadline) {
-              settle(Ok({rows, version}));
-              return;
-            }
-            waiters.push(look);
-          }
-          timer.after(wait, changed);
-          look();
-        }),
+      awaitChanges: ask,
       replaceRow: (table, key, expected, value) =>
         call(settle => {
           if (random.fraction() < faults.lateWrites) {
@@ -190,6 +233,13 @@
       removed.clear();
       changed();
     },
+    loseOpenQuestions(table) {
+      for (const question of questions) {
+        if (table === undefined || question.table === table) {
+          questions.delete(question);
+        }
+      }
+    },
     calls: () => calls,
     faults,
   };
--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -117,6 +117,22 @@
   });
 });
 
+describe('connections to the store that fall silent', () => {
+  const PHASES = [0, 700, 1400, 2100, 2800, 3500, 4200, 4900];
+
+  test('delay no change beyond its bound', () => {
+    for (const phase of PHASES) {
+      const fleet = startFleet(1);
+      fleet.timer.advance(phase);
+      fleet.store.loseOpenQuestions();
+      expect({phase, outdated: configureAndWait(fleet)}).toEqual({
+        phase,
+        outdated: [],
+      });
+    }
+  });
+});
+
 describe('a distributor that fails', () => {
   const faults: Array<[string, (fleet: FeedFleet, name: string) => void]> = [
     ['is killed', (fleet, name) => fleet.kill(name)],
