fix(platform): a call after a lost one goes out on a fresh connection

Callers saw a database refused that a confirmed configuration had added. When all of an instance's connections fall silent for good, the idle ones kept for the next calls are dead too.

A call without an answer now closes the idle connections to that address. The own interface's client has the same pool and gains the same: its polls went through up to eight dead connections, 2 s each.

--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -73,6 +73,12 @@
     noDelay: true,
   });
 
+  /** Closes idle connections: they may have fallen silent with another one. */
+  function closeIdle(address: string): void {
+    const idle = agent.freeSockets[agent.getName(parseAddress(address))] ?? [];
+    [...idle].forEach(socket => socket.destroy());
+  }
+
   function exchange(
     address: string,
     {method, path, body, contentType, headers}: HttpRequest,
@@ -106,9 +112,10 @@
       });
     }
 
-    const cancelTimeout = timer.after(timeout, () =>
-      fail(`No answer of ${address} in ${timeout} ms.`, isConnected),
-    );
+    const cancelTimeout = timer.after(timeout, () => {
+      fail(`No answer of ${address} in ${timeout} ms.`, isConnected);
+      closeIdle(address);
+    });
     const call = request({
       agent,
       method,
