fix(table-feed): fresh is said of each table, against what is promised of it

Cause: a question to the store waited 5.5 s and was given up after 6.2 s, whatever was promised of its table. If its connection fell silent, or it was asked in a silence, nobody noticed for so long, also again after the first failure. And an answer about any table made all of them count as fresh, at the distributor and, with its news, at all subscribers: nobody looked elsewhere. Ruled out: lost history and reads of older states (no line of either kind came with an older version), writes whose answers are lost, a restart.

Each table now has the time within which a change is to be known; for the configuration and for targets it comes from the platform's bounds by the settings. The wait of a question, the limits of freshness and the choice of another source are shares of it. News carry an age for each table. After a failure a question isn't waited for until one is answered.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -59,6 +59,12 @@
   decodeRegistrations(rows: TableRows): Decoded<readonly TargetRegistration[]>;
 }
 
+/** Within what time a confirmed change is to be known by every proxy. */
+export interface TableDelays {
+  readonly configuration: Milliseconds;
+  readonly registrations: Milliseconds;
+}
+
 /** What a proxy tells of itself, for logs and metrics. */
 export interface StatementProxyEvents {
   readonly tables: TableFeedEvents;
@@ -82,6 +88,7 @@
   readonly transport: Transport;
   readonly store: TableStore;
   readonly layout: StoreLayout;
+  readonly delays: TableDelays;
   readonly open: OpenTargetConnection;
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
@@ -107,6 +114,9 @@
  */
 const HEARD_WITHIN: Milliseconds = 450;
 
+/** Targets tell themselves who leads; the rows only make it known sooner. */
+const SUCCESSION_KNOWN_WITHIN: Milliseconds = 12_000;
+
 const NOBODY: ReadonlySet<string> = new Set();
 
 /** A proxy by itself has nobody to ask. */
@@ -122,7 +132,8 @@
 export function createStatementProxy(
   options: StatementProxyOptions,
 ): StatementProxy {
-  const {runtime, self, store, layout, events, orderPromotion} = options;
+  const {runtime, self, store, layout, delays, events, orderPromotion} =
+    options;
   const {timer} = runtime;
   const rows = new Map<string, SeenRow>();
   const reported = new Set<string>();
@@ -253,9 +264,21 @@
     seeds: options.seeds,
     distributorTable: layout.distributorTable,
     tables: [
-      {table: layout.configurationTable, onRows: takeConfiguration},
-      {table: layout.registrationTable, onRows: takeRegistrations},
-      {table: layout.successionTable, onRows: takeSuccessions},
+      {
+        table: layout.configurationTable,
+        knownWithin: delays.configuration,
+        onRows: takeConfiguration,
+      },
+      {
+        table: layout.registrationTable,
+        knownWithin: delays.registrations,
+        onRows: takeRegistrations,
+      },
+      {
+        table: layout.successionTable,
+        knownWithin: SUCCESSION_KNOWN_WITHIN,
+        onRows: takeSuccessions,
+      },
     ],
     events: events.tables,
   });
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -111,6 +111,7 @@
 const REGISTRATION_TABLE = 'registrations';
 const SUCCESSION_TABLE = 'successions';
 const DISTRIBUTOR_TABLE = 'distributors';
+const TABLE_DELAYS = {configuration: 3000, registrations: 7000};
 /** A stopped target's entry goes after three missed heartbeats. */
 const ENTRY_LIFETIME: Milliseconds = 3600;
 const REGISTRATION_PERIOD: Milliseconds = 100;
@@ -249,6 +250,7 @@
       transport: relays.transportFor(hostOf(proxy)),
       capacity: 1,
       store: store.clientOf(proxy),
+      delays: TABLE_DELAYS,
       layout: {
         configurationTable: CONFIGURATION_TABLE,
         registrationTable: REGISTRATION_TABLE,
--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -20,6 +20,8 @@
   refused: Set<string> | 'all';
   /** Clients that get no answer at all. */
   silent: Set<string> | 'all';
+  /** Tables about which those get no answer. */
+  silentTables: Set<string> | 'all';
   /** Share of writes that are done and not answered. */
   lostAnswers: number;
   /** Share of writes that are not answered and done this much later. */
@@ -74,6 +76,7 @@
   const faults: StoreFaults = {
     refused: new Set(),
     silent: new Set(),
+    silentTables: 'all',
     lostAnswers: 0,
     lateWrites: 0,
   };
@@ -107,8 +110,12 @@
     changed();
   }
 
-  function hits(clients: Set<string> | 'all', name: string): boolean {
-    return clients === 'all' || clients.has(name);
+  function hits(names: Set<string> | 'all', name: string): boolean {
+    return names === 'all' || names.has(name);
+  }
+
+  function isSilentTo(client: string, table: string): boolean {
+    return hits(faults.silent, client) && hits(faults.silentTables, table);
   }
 
   function changesAfter(table: string, after: number): StoredRow[] {
@@ -120,12 +127,13 @@
   function clientOf(name: string): TableStore {
     /** Answers after the store's time, unless the store is away. */
     function call<T>(
+      table: string,
       answer: (settle: (reply: Result<T, StoreFailure>) => void) => void,
     ): Future<Result<T, StoreFailure>> {
       const result = createDeferred<Result<T, StoreFailure>>();
       calls += 1;
       timer.after(answerTime, () => {
-        if (hits(faults.silent, name)) {
+        if (isSilentTo(name, table)) {
           timer.after(SILENCE_TIMEOUT, () => result.settle(Err('unanswered')));
         } else if (hits(faults.refused, name)) {
           result.settle(Err('refused'));
@@ -147,7 +155,7 @@
     ): Future<Result<TableChanges, StoreFailure>> {
       const result = createDeferred<Result<TableChanges, StoreFailure>>();
       const deadline = timer.now() + answerTime + wait;
-      const isSilent = () => hits(faults.silent, name);
+      const isSilent = () => isSilentTo(name, table);
       calls += 1;
 
       function end(reply: Result<TableChanges, StoreFailure>): void {
@@ -202,12 +210,12 @@
 
     return {
       readTable: table =>
-        call(settle =>
+        call(table, settle =>
           settle(Ok({rows: [...tableOf(table).values()], version})),
         ),
       awaitChanges: ask,
       replaceRow: (table, key, expected, value) =>
-        call(settle => {
+        call(table, settle => {
           if (random.fraction() < faults.lateWrites) {
             const delay = LONGEST_DELAY * random.fraction();
             timer.after(delay, () => replace(table, key, expected, value));
--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -62,6 +62,7 @@
 }
 
 const CONFIGURATION_TABLE = 'configuration';
+const CONFIGURATION_KNOWN_WITHIN: Milliseconds = 3000;
 const FOREIGN_KEY = 'foreign';
 const DISTRIBUTOR_TABLE = 'distributors';
 const FEED_PORT = 7001;
@@ -150,6 +151,7 @@
       tables: [
         {
           table: CONFIGURATION_TABLE,
+          knownWithin: CONFIGURATION_KNOWN_WITHIN,
           onRows: rows => takeConfiguration(name, rows),
         },
       ],
--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -12,6 +12,8 @@
 const SETTLED = 5000;
 /** In which a configuration is to be in force everywhere. */
 const IN_FORCE = 3000;
+/** The same after the store was away, counted from its return. */
+const IN_FORCE_AFTER_RETURN = 4000;
 const SECOND = 1000;
 
 function startFleet(seed: number, size = FLEET): FeedFleet {
@@ -131,6 +133,17 @@
       });
     }
   });
+
+  test('and the store with them delay no change long after its return', () => {
+    for (const silence of [700, 2800, 5600, 7000, 9800]) {
+      const fleet = startFleet(2);
+      fleet.store.faults.silent = 'all';
+      fleet.timer.advance(silence);
+      fleet.store.faults.silent = new Set();
+      const outdated = configureAndWait(fleet, IN_FORCE_AFTER_RETURN);
+      expect({silence, outdated}).toEqual({silence, outdated: []});
+    }
+  });
 });
 
 describe('a distributor that fails', () => {
@@ -142,6 +155,13 @@
       'gets no answer of the store',
       ({store}, name) => (store.faults.silent as Set<string>).add(name),
     ],
+    [
+      'gets no answer of the store about the configuration',
+      ({store}, name) => {
+        store.faults.silentTables = new Set(['configuration']);
+        (store.faults.silent as Set<string>).add(name);
+      },
+    ],
     [
       'is refused by the store',
       ({store}, name) => (store.faults.refused as Set<string>).add(name),
--- a/packages/table-feed/src/choose_sources.ts
+++ b/packages/table-feed/src/choose_sources.ts
@@ -14,14 +14,21 @@
   SLOTS_PER_DATA_CENTRE,
 } from './distributor_row';
 
-/** News older than this may lack a change that is to be in force by now. */
-export const FRESH_WITHIN: Milliseconds = 2400;
+/**
+ * Staleness up to which news count as fresh. Beyond it another source is asked,
+ * with enough of the promised time left for an answer.
+ */
+export const FRESH_UP_TO = 0.75;
+/** Proxies that hear nothing fresh ask the store one after another. */
+const FRESH_SPREAD = 0.15;
 /** A proxy that starts waits so much for its peers, for each proxy that runs. */
 const START_PATIENCE_PER_PROXY: Milliseconds = 0.5;
 /** Time until a proxy of a whole new system gives up its seeds. */
 const FIRST_DISTRIBUTORS_WITHIN: Milliseconds = 400;
-/** Distributors elsewhere are asked if those of the own data centre are stale. */
-const STALE_AT_HOME: Milliseconds = 2000;
+/** Distributors elsewhere are asked if those of the own data centre are staler. */
+const FRESH_AT_HOME_UP_TO = 0.66;
+/** A proxy that starts waits so long for the distributors of its data centre. */
+const FIRST_NEWS_WITHIN: Milliseconds = 2000;
 /** A proxy that can't learn the distributors from the store asks others. */
 const UNKNOWN_PATIENCE: Milliseconds = 250;
 /** A distributor that isn't heard for so long has failed, or this proxy is cut. */
@@ -31,10 +38,10 @@
 
 /** What a proxy knows of its sources. */
 export interface SourceView {
-  /** Age of the newest news from another proxy; `Infinity` without any. */
-  readonly age: Milliseconds;
+  /** Staleness of the newest news from other proxies; `Infinity` without any. */
+  readonly staleness: number;
   /** The same for the distributors of the own data centre, of which it may be one. */
-  readonly homeAge: Milliseconds;
+  readonly homeStaleness: number;
   /** False while the own data centre has no distributor. */
   readonly hasHome: boolean;
   /** Time since this proxy started. */
@@ -50,12 +57,12 @@
 
 /** True if this proxy asks the store itself. */
 export function followsStore(view: SourceView): boolean {
-  const {age, uptime, isDistributor, isSeed, proxies, spread} = view;
+  const {staleness, uptime, isDistributor, isSeed, proxies, spread} = view;
   if (isDistributor || (isSeed && proxies === 1)) {
     return true;
   }
-  if (Number.isFinite(age)) {
-    return age > FRESH_WITHIN * (1 + spread / 4);
+  if (Number.isFinite(staleness)) {
+    return staleness > FRESH_UP_TO + FRESH_SPREAD * spread;
   }
   return proxies !== undefined && uptime > startPatience(view);
 }
@@ -75,11 +82,14 @@
 
 /** True if this proxy subscribes to one that is no distributor of its own. */
 export function needsDistantSource(view: SourceView): boolean {
-  const {homeAge, hasHome, uptime, proxies} = view;
+  const {homeStaleness, hasHome, uptime, proxies} = view;
   if (proxies === undefined) {
     return uptime > UNKNOWN_PATIENCE;
   }
-  return !hasHome || Math.min(homeAge, uptime) > STALE_AT_HOME;
+  if (!Number.isFinite(homeStaleness)) {
+    return !hasHome || uptime > FIRST_NEWS_WITHIN;
+  }
+  return !hasHome || homeStaleness > FRESH_AT_HOME_UP_TO;
 }
 
 /** What is known of the slots of a data centre. */
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -10,7 +10,7 @@
 } from '@kelpstep/runtime';
 
 import {
-  FRESH_WITHIN,
+  FRESH_UP_TO,
   type SourceView,
   followsStore,
   needsDistantSource,
@@ -20,14 +20,19 @@
 import type {PresentProxy} from './distributor_row';
 import type {TableFeedEvents} from './feed_events';
 import {createFeedServer} from './feed_server';
+import {
+  type TablePromise,
+  createConfirmations,
+  questionWait,
+  stalenessOf,
+} from './freshness';
 import {createPresentProxies} from './present_proxies';
 import {createSourceKeeper} from './source_keeper';
 import {createStoreFollower} from './store_follower';
 import {type TableCopy, createTableCopy} from './table_copy';
 
 /** A table whose rows are wanted. */
-export interface FedTable {
-  readonly table: string;
+export interface FedTable extends TablePromise {
   /** Called with all rows at first and after each change. */
   onRows(rows: TableRows): void;
 }
@@ -55,22 +60,20 @@
    * same. Undefined while they aren't known.
    */
   live(): readonly PresentProxy[] | undefined;
+  /**
+   * Time since the copy of a table was known to be complete; `Infinity` if it
+   * never was.
+   */
+  age(table: string): Milliseconds;
   /** Stops serving subscribers. */
   close(): void;
 }
 
 const TICK_PERIOD: Milliseconds = 100;
-/**
- * Longest wait of a question for the distributors' rows. Its answers tell how
- * old the news are, so that subscribers notice a distributor without the store.
- */
-const DISTRIBUTORS_WAIT: Milliseconds = 1200;
-/** Longest wait of the others: a connection that fell silent shows by then. */
-const TABLE_WAIT: Milliseconds = 5500;
+/** No request waits for a change of the distributors' rows. */
+const DISTRIBUTORS_KNOWN_WITHIN: Milliseconds = 12_000;
 /** Changes within such a time come with one answer. */
 const CHANGES_PAUSE: Milliseconds = 50;
-/** The same for distributors' rows, which nothing waits for. */
-const DISTRIBUTORS_PAUSE: Milliseconds = 50;
 /** Pauses after failures: few distributors try again soon, many others late. */
 const DISTRIBUTOR_RETRY: Milliseconds = 800;
 const LONE_RETRY: Milliseconds = 3200;
@@ -84,11 +87,13 @@
   const startedAt = timer.now();
   let spread = random.fraction();
   let reportedSlot: number | undefined;
-  let answeredAt = -Infinity;
+  /** By the store's answers to this proxy. */
+  const answered = createConfirmations(timer);
 
   const present = createPresentProxies({timer, self});
   const distributors = createTableCopy({
     table: distributorTable,
+    knownWithin: DISTRIBUTORS_KNOWN_WITHIN,
     onRows(rows) {
       present.takeRows(rows);
       server.publish();
@@ -118,14 +123,15 @@
     copy: distributors,
     rows: ownRows,
     subscribers: server.subscribers,
-    isFresh: () => age() <= FRESH_WITHIN,
-    hearsOthers: () => sources.age() <= FRESH_WITHIN,
+    isFresh: () => stalenessOf(copies, age) <= FRESH_UP_TO,
+    hearsOthers,
     silence: sources.silence,
   });
 
-  function copyOf({table, onRows}: FedTable): TableCopy {
+  function copyOf({table, knownWithin, onRows}: FedTable): TableCopy {
     return createTableCopy({
       table,
+      knownWithin,
       onRows(rows) {
         onRows(rows);
         server.publish();
@@ -134,46 +140,47 @@
   }
 
   function followerOf(copy: TableCopy) {
-    const isDistributors = copy === distributors;
     return createStoreFollower({
       runtime,
       store,
       copy,
-      wait: isDistributors ? DISTRIBUTORS_WAIT : TABLE_WAIT,
-      pause: isDistributors ? DISTRIBUTORS_PAUSE : CHANGES_PAUSE,
+      wait: questionWait(copy),
+      pause: CHANGES_PAUSE,
       longestRetry: () =>
         duty.slot() === undefined ? LONE_RETRY : DISTRIBUTOR_RETRY,
-      onAnswer: noteAnswer,
+      onComplete: () => answered.confirm(copy.table, timer.now()),
       events,
     });
   }
 
-  function isAnswered(): boolean {
-    return timer.now() - answeredAt <= FRESH_WITHIN;
-  }
-
-  function noteAnswer(): void {
-    answeredAt = timer.now();
-  }
-
   function ownRows() {
     return present
       .rows()
       .filter(({dataCentre}) => dataCentre === self.dataCentre);
   }
 
-  /** Time since the store answered this proxy, or whom it has the news from. */
-  function age(): Milliseconds {
-    return Math.min(timer.now() - answeredAt, sources.age());
+  function age(table: string): Milliseconds {
+    return Math.min(answered.age(table), sources.age(table));
+  }
+
+  /** By the news of other proxies alone. */
+  function newsStaleness(): number {
+    return stalenessOf(copies, sources.age);
+  }
+
+  function hearsOthers(): boolean {
+    return newsStaleness() <= FRESH_UP_TO;
   }
 
   function view(): SourceView {
     const isKnown = distributors.version() !== undefined;
     const isDistributor = duty.slot() !== undefined;
-    const ownAge = isDistributor ? timer.now() - answeredAt : Infinity;
+    const ownStaleness = isDistributor
+      ? stalenessOf(copies, answered.age)
+      : Infinity;
     return {
-      age: sources.age(),
-      homeAge: Math.min(ownAge, sources.homeAge()),
+      staleness: newsStaleness(),
+      homeStaleness: Math.min(ownStaleness, sources.homeStaleness()),
       hasHome: isDistributor || ownRows().length > 0,
       uptime: timer.now() - startedAt,
       isDistributor,
@@ -191,7 +198,7 @@
     }
     leading.start();
     // One question shows whether the store answers a lone proxy at all.
-    if (duty.slot() !== undefined || isAnswered()) {
+    if (duty.slot() !== undefined || leading.isFollowing()) {
       following.forEach(follower => follower.start());
     }
   }
@@ -206,7 +213,7 @@
 
   function update(): void {
     sources.update(needsDistantSource(view()));
-    if (sources.age() <= FRESH_WITHIN) {
+    if (hearsOthers()) {
       spread = random.fraction();
     }
     updateFollowers();
@@ -218,8 +225,8 @@
     while (distributors.version() === undefined) {
       const read = yield* waitFor(store.readTable(distributorTable));
       if (read.ok) {
-        noteAnswer();
         distributors.take({table: distributorTable, ...read.val});
+        answered.confirm(distributorTable, timer.now());
       } else {
         yield* sleep(random.jitter(FIRST_READ_RETRY, RETRY_JITTER));
       }
@@ -239,6 +246,7 @@
 
   return {
     live: present.live,
+    age,
     close() {
       stopTicks();
       sources.close();
--- a/packages/table-feed/src/feed_messages.ts
+++ b/packages/table-feed/src/feed_messages.ts
@@ -27,10 +27,13 @@
   }),
 );
 
-/** News of the tables, and how old the sender's knowledge is. */
+/** News of the tables, and how current the sender's copies are with them. */
 export const newsSchema = z.object({
-  /** Milliseconds since the store answered; left out if it never did. */
-  age: z.number().nonnegative().optional(),
+  /**
+   * Milliseconds since each table was known to be complete; a table is left out
+   * if it never was.
+   */
+  ages: z.record(z.string(), z.number().nonnegative()),
   updates: updatesSchema.optional(),
   /** The updates as text, compressed, in base64. */
   packed: z.string().optional(),
--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -26,8 +26,8 @@
 export interface FeedServerOptions {
   readonly runtime: Runtime;
   readonly copies: readonly TableCopy[];
-  /** Milliseconds since the store answered; `Infinity` if it never did. */
-  age(): Milliseconds;
+  /** Time since a table was known to be complete; `Infinity` if it never was. */
+  age(table: string): Milliseconds;
 }
 
 /** Serves subscribers. */
@@ -74,8 +74,16 @@
     return created;
   }
 
+  function ages(): News['ages'] {
+    const entries = copies.map(
+      ({table}) => [table, Math.ceil(options.age(table))] as const,
+    );
+    return Object.fromEntries(
+      entries.filter(([, age]) => Number.isFinite(age)),
+    );
+  }
+
   function newsFor({sent}: Subscriber): News {
-    const age = options.age();
     const news = packMissing(sent);
     for (const copy of copies) {
       const version = copy.version();
@@ -83,7 +91,7 @@
         sent.set(copy.table, Math.max(version, sent.get(copy.table) ?? 0));
       }
     }
-    return {...(Number.isFinite(age) && {age}), ...news};
+    return {ages: ages(), ...news};
   }
 
   function send(subscriber: Subscriber): void {
--- a/packages/table-feed/src/source_keeper.ts
+++ b/packages/table-feed/src/source_keeper.ts
@@ -2,8 +2,9 @@
 import type {Address, Transport} from '@kelpstep/rpc';
 import type {Milliseconds, Runtime} from '@kelpstep/runtime';
 
-import {FRESH_WITHIN} from './choose_sources';
+import {FRESH_UP_TO} from './choose_sources';
 import type {DistributorRow, PresentProxy} from './distributor_row';
+import {createConfirmations, stalenessOf} from './freshness';
 import {type Subscription, startSubscription} from './subscription';
 import type {TableCopy} from './table_copy';
 
@@ -25,10 +26,13 @@
 export interface SourceKeeper {
   /** Subscribes to whom it should be by now, and ends the other subscriptions. */
   update(needsDistant: boolean): void;
-  /** Age of the newest news of any source, also past ones; `Infinity` without any. */
-  age(): Milliseconds;
-  /** The same for the distributors of the own data centre. */
-  homeAge(): Milliseconds;
+  /**
+   * Time since a table was complete by the news of any source, also past ones;
+   * `Infinity` without any.
+   */
+  age(table: string): Milliseconds;
+  /** Staleness of the least stale distributor of the own data centre. */
+  homeStaleness(): number;
   /** How long a source hasn't given fresh news; 0 for one that isn't asked. */
   silence(address: Address): Milliseconds;
   close(): void;
@@ -44,12 +48,11 @@
 
 /** Creates a keeper without subscriptions. */
 export function createSourceKeeper(options: SourceKeeperOptions): SourceKeeper {
-  const {runtime, self} = options;
+  const {runtime, self, copies} = options;
   const {timer, random} = runtime;
   const sources = new Map<Address, Source>();
+  const newest = createConfirmations(timer);
   let distant: Address | undefined;
-  /** When the store had answered whom the newest news came from. */
-  let newestAt = -Infinity;
 
   function distributorsWhere(isWanted: (row: DistributorRow) => boolean) {
     return options
@@ -99,7 +102,7 @@
       transport: options.transport,
       self,
       address,
-      copies: options.copies,
+      copies,
       onSubscribed: (isSubscribed, reason) =>
         options.onSubscription(address, isSubscribed, reason),
     });
@@ -107,8 +110,13 @@
   }
 
   function noteNews({subscription}: Source): void {
-    const age = subscription.age();
-    newestAt = Math.max(newestAt, timer.now() - age);
+    for (const {table} of copies) {
+      newest.confirm(table, timer.now() - subscription.age(table));
+    }
+  }
+
+  function stalenessAt({subscription}: Source): number {
+    return stalenessOf(copies, subscription.age);
   }
 
   function update(needsDistant: boolean): void {
@@ -126,7 +134,7 @@
     for (const address of wanted) {
       const source = sources.get(address) ?? subscribe(address);
       sources.set(address, source);
-      if (source.subscription.age() <= FRESH_WITHIN) {
+      if (stalenessAt(source) <= FRESH_UP_TO) {
         source.freshAt = timer.now();
       }
     }
@@ -137,17 +145,20 @@
     return source === undefined ? 0 : timer.now() - source.freshAt;
   }
 
-  function youngest(addresses: Iterable<Address>): Milliseconds {
-    const ages = [...addresses].map(
-      address => sources.get(address)?.subscription.age() ?? Infinity,
-    );
-    return Math.min(...ages);
+  function age(table: string): Milliseconds {
+    sources.forEach(noteNews);
+    return newest.age(table);
+  }
+
+  function homeStaleness(): number {
+    const known = homes().flatMap(address => sources.get(address) ?? []);
+    return Math.min(...known.map(stalenessAt));
   }
 
   return {
     update,
-    age: () => Math.min(youngest(sources.keys()), timer.now() - newestAt),
-    homeAge: () => youngest(homes()),
+    age,
+    homeStaleness,
     silence,
     close() {
       sources.forEach(({subscription}) => subscription.end());
--- a/packages/table-feed/src/store_follower.ts
+++ b/packages/table-feed/src/store_follower.ts
@@ -19,14 +19,14 @@
   readonly runtime: Runtime;
   readonly store: TableStore;
   readonly copy: TableCopy;
-  /** Longest wait of one question. A connection that fell silent shows then. */
+  /** Longest wait of one question. */
   readonly wait: Milliseconds;
   /** Pause after changes, so that those in quick succession come together. */
   readonly pause: Milliseconds;
   /** Longest pause after failures. */
   longestRetry(): Milliseconds;
-  /** The store answered. */
-  onAnswer(): void;
+  /** The store answered: the copy is complete. */
+  onComplete(): void;
   readonly events: Pick<
     TableFeedEvents,
     'onFeed' | 'onHistoryLost' | 'onOlderAnswer'
@@ -37,9 +37,11 @@
 export interface StoreFollower {
   start(): void;
   stop(): void;
+  /** True while the store answers. */
+  isFollowing(): boolean;
 }
 
-/** The first answer tells whether the store is there, and is not waited for. */
+/** Wait of a question that is to tell whether the store is there. */
 const SHORTEST_WAIT: Milliseconds = 1;
 const FIRST_RETRY: Milliseconds = 50;
 
@@ -52,7 +54,6 @@
   const {table} = copy;
   let task: TaskHandle<void> | undefined;
   let isFollowing = false;
-  let isFirst = true;
   let hasLostHistory = false;
   let failures = 0;
 
@@ -63,16 +64,9 @@
     }
   }
 
-  function noteVersion(version: number, known = version): void {
-    if (version < known) {
-      events.onOlderAnswer(table, version, known);
-    }
-  }
-
   function* read(): Task<Result<TableChanges, StoreFailure>> {
     const reply = yield* waitFor(store.readTable(table));
     if (reply.ok) {
-      hasLostHistory = false;
       copy.take({table, ...reply.val});
     }
     return reply;
@@ -81,7 +75,7 @@
   function* awaitChanges(
     after: number,
   ): Task<Result<TableChanges, StoreFailure>> {
-    const wait = isFirst ? SHORTEST_WAIT : options.wait;
+    const wait = isFollowing ? options.wait : SHORTEST_WAIT;
     const question = store.awaitChanges(table, after, wait);
     const reply = yield* waitFor(question);
     if (reply.ok) {
@@ -90,32 +84,42 @@
     return reply;
   }
 
+  function* pauseAfterFailure(): Task<void> {
+    const bounds = {first: FIRST_RETRY, longest: options.longestRetry()};
+    yield* sleep(retryPause(bounds, failures, random));
+    failures += 1;
+  }
+
   function* step(): Task<void> {
-    const version = copy.version();
-    const mustRead = version === undefined || hasLostHistory;
+    const known = copy.version();
+    const mustRead = known === undefined || hasLostHistory;
     const askedAt = timer.now();
-    const reply = yield* mustRead ? read() : awaitChanges(version);
+    const reply = yield* mustRead ? read() : awaitChanges(known);
     const waited = timer.now() - askedAt;
-    if (reply.ok) {
-      failures = 0;
-      isFirst = false;
-      noteVersion(reply.val.version, version);
-      options.onAnswer();
-      setFollowing({isFollowing: true, waited});
-      if (reply.val.rows.length > 0) {
-        yield* sleep(options.pause);
-      }
+    if (reply.err && reply.val === 'history lost') {
+      hasLostHistory = true;
+      events.onHistoryLost(table, known ?? 0);
       return;
     }
-    if (reply.val === 'history lost') {
-      hasLostHistory = true;
-      events.onHistoryLost(table, version ?? 0);
+    if (reply.err) {
+      setFollowing({isFollowing: false, failure: reply.val, waited});
+      yield* pauseAfterFailure();
       return;
     }
-    setFollowing({isFollowing: false, failure: reply.val, waited});
-    const bounds = {first: FIRST_RETRY, longest: options.longestRetry()};
-    yield* sleep(retryPause(bounds, failures, random));
-    failures += 1;
+    const {version, rows} = reply.val;
+    if (known !== undefined && version < known) {
+      // It proves nothing of what has been confirmed since.
+      events.onOlderAnswer(table, version, known);
+      yield* pauseAfterFailure();
+      return;
+    }
+    hasLostHistory = false;
+    failures = 0;
+    options.onComplete();
+    setFollowing({isFollowing: true, waited});
+    if (rows.length > 0) {
+      yield* sleep(options.pause);
+    }
   }
 
   function* follow(): Task<void> {
@@ -132,7 +136,7 @@
       task?.cancel();
       task = undefined;
       isFollowing = false;
-      isFirst = true;
     },
+    isFollowing: () => isFollowing,
   };
 }
--- a/packages/table-feed/src/subscription.ts
+++ b/packages/table-feed/src/subscription.ts
@@ -29,6 +29,7 @@
   newsSchema,
   unpackUpdates,
 } from './feed_messages';
+import {createConfirmations} from './freshness';
 import type {TableCopy} from './table_copy';
 
 /** What a subscription is made of. */
@@ -43,11 +44,8 @@
 
 /** A subscription that is kept up until it is ended. */
 export interface Subscription {
-  /**
-   * Milliseconds since the store answered whoever the news come from; `Infinity`
-   * if that isn't known.
-   */
-  age(): Milliseconds;
+  /** Time since its news of a table were complete; `Infinity` without any. */
+  age(table: string): Milliseconds;
   end(): void;
 }
 
@@ -66,8 +64,7 @@
   let connected: RpcPeer | undefined;
   let isSubscribed = false;
   let hasEnded = false;
-  /** Time at which the store answered, by this proxy's clock. */
-  let storeAnsweredAt = -Infinity;
+  const confirmations = createConfirmations(timer);
   let failures = 0;
 
   function setSubscribed(subscribed: boolean, reason: string): void {
@@ -77,14 +74,18 @@
     }
   }
 
+  /** False if the copies lack what came before these news. */
   function take(news: News): boolean {
-    if (news.age !== undefined) {
-      storeAnsweredAt = Math.max(storeAnsweredAt, timer.now() - news.age);
-    }
-    return unpackUpdates(news).every(
+    const isWhole = unpackUpdates(news).every(
       update =>
         copies.find(({table}) => table === update.table)?.take(update) ?? true,
     );
+    if (isWhole) {
+      for (const [table, age] of Object.entries(news.ages)) {
+        confirmations.confirm(table, timer.now() - age);
+      }
+    }
+    return isWhole;
   }
 
   function takeNews(peer: RpcPeer, parameters: unknown): void {
@@ -166,7 +167,7 @@
   );
 
   return {
-    age: () => timer.now() - storeAnsweredAt,
+    age: confirmations.age,
     end() {
       hasEnded = true;
       task.cancel();
--- a/packages/table-feed/src/table_copy.ts
+++ b/packages/table-feed/src/table_copy.ts
@@ -1,6 +1,8 @@
 /** A copy of one of the store's tables, and what others lack of it. */
 import type {StoredRow, TableRows} from '@kelpstep/platform';
 
+import type {TablePromise} from './freshness';
+
 /** Rows of a table that take a copy from one version to another. */
 export interface TableUpdate {
   readonly table: string;
@@ -15,8 +17,7 @@
 }
 
 /** A copy of a table. Its version only rises. */
-export interface TableCopy {
-  readonly table: string;
+export interface TableCopy extends TablePromise {
   rows(): TableRows;
   /** Undefined while nothing is known. */
   version(): number | undefined;
@@ -27,8 +28,7 @@
 }
 
 /** What a copy is made of. */
-export interface TableCopyOptions {
-  readonly table: string;
+export interface TableCopyOptions extends TablePromise {
   /** Called after each update that brought rows. */
   onRows(rows: TableRows): void;
 }
@@ -40,7 +40,7 @@
 
 /** Creates a copy that knows nothing. */
 export function createTableCopy(options: TableCopyOptions): TableCopy {
-  const {table} = options;
+  const {table, knownWithin} = options;
   const rows = new Map<string, StoredRow>();
   /** Updates without a gap between them, the last one to this version. */
   let kept: PartialUpdate[] = [];
@@ -97,6 +97,7 @@
 
   return {
     table,
+    knownWithin,
     rows: () => rows,
     version: () => version,
     take,
