fix(gateway): a database isn't denied while the configuration may be out of date

Callers got NODB for a database that a confirmed configuration had added, from instances that couldn't know: with the store silent no instance had the newest configuration, and each still gave its denial as final. A denial is a promise about the configuration; it needs the same proof as the configuration itself.

A database that isn't found is now denied only while the copy of the configuration is known to have been complete within the time promised for it. Otherwise the session is refused for now, with the time to come back, so that the caller asks another instance or the same one a moment later. Databases that are found go on being served: a data centre that is cut off serves what it can.

--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -4,8 +4,11 @@
   type Milliseconds,
   createDeferred,
 } from '@kelpstep/runtime';
+import {type StatementAnswer, errorAnswer} from '@kelpstep/statements';
 import type {GroupSettings} from '@kelpstep/targets';
 
+import {DEFAULT_RETRY_AFTER, refusalAnswer} from './dispatch_types';
+
 /**
  * What reads must see. `primary`: every commit acknowledged before. `bounded`:
  * those older than the maximum staleness. `readYourWrites`: those, and all of
@@ -42,24 +45,50 @@
   current(): GatewayConfiguration | undefined;
   route(database: string): CallerRoute | undefined;
   group(name: string): GroupSettings | undefined;
+  /** Why sessions of a database are refused; undefined if they may be served. */
+  refusal(database: string): StatementAnswer | undefined;
+  /**
+   * The answer about a database that isn't found. It is denied only as long as
+   * no configuration can be missing that has it.
+   */
+  denial(): StatementAnswer;
   /** Settles once there is a configuration. */
   readonly first: Future<undefined>;
   /** Takes a newer one; false for one that isn't. */
   accept(configuration: GatewayConfiguration): boolean;
 }
 
+const OUT_OF_DATE = 'the configuration may be out of date';
+
+/** What a keeper is made of. */
+export interface ConfigurationKeeperOptions {
+  /** False if a configuration may be missing that is to be in force by now. */
+  isCurrent(): boolean;
+}
+
 /** Creates a keeper without a configuration. */
-export function createConfigurationKeeper(): ConfigurationKeeper {
+export function createConfigurationKeeper(
+  options: ConfigurationKeeperOptions,
+): ConfigurationKeeper {
   let current: GatewayConfiguration | undefined;
   let routes = new Map<string, CallerRoute>();
   let groups = new Map<string, GroupSettings>();
   const first = createDeferred<undefined>();
 
+  function denial(): StatementAnswer {
+    return options.isCurrent()
+      ? errorAnswer('noDatabase', 'idle')
+      : refusalAnswer(OUT_OF_DATE, DEFAULT_RETRY_AFTER);
+  }
+
   return {
     first: first.future,
     current: () => current,
     route: database => routes.get(database),
     group: name => groups.get(name),
+    refusal: database =>
+      current === undefined || routes.has(database) ? undefined : denial(),
+    denial,
     accept(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -43,6 +43,8 @@
   /** Proxies that hold some; `Infinity` while that isn't known. */
   holders(settings: GroupSettings): number;
   isChanging(group: string): boolean;
+  /** False if a configuration may be missing that is to be in force by now. */
+  isConfigurationCurrent(): boolean;
   /** Called for each new group, to watch its primary until it is let go. */
   onGroup(group: TargetGroup): GroupWatch;
   /** Puts what runs statements elsewhere over what runs them here. */
@@ -122,7 +124,9 @@
 /** Creates a gateway that knows no targets and no configuration. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {runtime} = options;
-  const configuration = createConfigurationKeeper();
+  const configuration = createConfigurationKeeper({
+    isCurrent: options.isConfigurationCurrent,
+  });
   const groups = new Map<string, HeldGroup>();
   const sessions = new Set<CallerConnection>();
   let registrations = new Map<string, TargetRegistration[]>();
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -159,6 +159,10 @@
     );
   }
 
+  function isConfigurationCurrent(): boolean {
+    return feed.age(layout.configurationTable) <= delays.configuration;
+  }
+
   function watch(group: TargetGroup): SuccessionWatch {
     return watchSuccession({
       runtime,
@@ -185,6 +189,7 @@
     holds: holders.holds,
     holders: holders.count,
     isChanging,
+    isConfigurationCurrent,
     onGroup: watch,
     createRelay(local, isStopping) {
       if (self.relayAddress === '') {
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -130,7 +130,7 @@
     }
     const route = configuration.route(caller.database);
     if (route === undefined) {
-      return [errorAnswer('noDatabase', 'idle'), LOCAL];
+      return [configuration.denial(), LOCAL];
     }
     const resolved = resolve(statement);
     if (resolved === undefined) {
--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -53,6 +53,8 @@
   /** Proxies that don't have the newest configuration. */
   outdated(): string[];
   live(name: string): readonly PresentProxy[] | undefined;
+  /** Time since a proxy's configuration was known to be the newest. */
+  age(name: string): Milliseconds;
   /** Distributors by the store's rows, by data centre. */
   distributors(dataCentre: string): string[];
   /** Subscriptions that ended as an update lacked what came before it. */
@@ -220,6 +222,7 @@
         version === newest ? [] : [name],
       ),
     live: name => running.get(name)?.feed.live(),
+    age: name => running.get(name)?.feed.age(CONFIGURATION_TABLE) ?? Infinity,
     distributors(dataCentre) {
       watchDistributors();
       timer.advance(ANSWER_TIME + 1);
--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -267,6 +267,29 @@
 });
 
 describe('all proxies', () => {
+  test('know how long a change may have escaped them', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const isAllAbove = (age: number) =>
+        fleet.names.every(name => fleet.age(name) > age);
+      const isAllWithin = (age: number) =>
+        fleet.names.every(name => fleet.age(name) <= age);
+      const isCalm = isAllWithin(IN_FORCE);
+      fleet.store.faults.silentTables = new Set(['configuration']);
+      fleet.store.faults.silent = 'all';
+      fleet.timer.advance(IN_FORCE + SETTLED);
+      const isUnsure = isAllAbove(IN_FORCE);
+      fleet.store.faults.silent = new Set();
+      fleet.timer.advance(IN_FORCE_AFTER_RETURN);
+      expect({seed, isCalm, isUnsure, isSure: isAllWithin(IN_FORCE)}).toEqual({
+        seed,
+        isCalm: true,
+        isUnsure: true,
+        isSure: true,
+      });
+    }
+  });
+
   test('that start at the same time have the tables soon and ask seldom', () => {
     for (const seed of SEEDS) {
       const fleet = startFleet(seed, LARGE_FLEET);
