--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -21,6 +21,7 @@
 } from '@kelpstep/succession';
 import {
   type PresentProxy,
+  type TableAge,
   type TableFeedEvents,
   createTableFeed,
 } from '@kelpstep/table-feed';
@@ -101,6 +102,8 @@
 /** A running proxy of statement sessions. */
 export interface StatementProxy {
   readonly gateway: Gateway;
+  /** How old the copies of the store's tables are. */
+  tableAges(): readonly TableAge[];
   /** Ends what other proxies are connected to; nothing is served any more. */
   close(): void;
 }
@@ -293,5 +296,5 @@
     gateway.close();
   }
 
-  return {gateway, close};
+  return {gateway, tableAges: feed.ages, close};
 }
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -53,6 +53,12 @@
   readonly events: TableFeedEvents;
 }
 
+/** Time since the copy of a table was known to be complete. */
+export interface TableAge {
+  readonly table: string;
+  readonly age: Milliseconds;
+}
+
 /** Copies of the tables that are kept current. */
 export interface TableFeed {
   /**
@@ -65,6 +71,8 @@
    * never was.
    */
   age(table: string): Milliseconds;
+  /** The same of all tables that are known. */
+  ages(): readonly TableAge[];
   /** Stops serving subscribers. */
   close(): void;
 }
@@ -247,6 +255,10 @@
   return {
     live: present.live,
     age,
+    ages: () =>
+      copies
+        .map(({table}) => ({table, age: age(table)}))
+        .filter(known => Number.isFinite(known.age)),
     close() {
       stopTicks();
       sources.close();
