fix(table-feed): a proxy without an address for others listens nowhere

It tried to listen on an empty address and logged a failure at each start. Nothing was served wrongly.

--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -1,6 +1,8 @@
+import {createRandom, createRuntime} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
+import {IGNORED_FEED_EVENTS, createTableFeed} from '..';
 import {type FeedFleet, createFeedFleet} from './feed_fleet';
 
 const SEEDS = [1, 2, 3];
@@ -212,6 +214,38 @@
 });
 
 describe('a proxy', () => {
+  test('without an address for others listens nowhere', () => {
+    const fleet = createFeedFleet({seed: 1, proxies: 1, dataCentres: 1});
+    const transport = fleet.network.transportFor('10.1.0.1');
+    const listened: string[] = [];
+    const feed = createTableFeed({
+      runtime: createRuntime({timer: fleet.timer, random: createRandom(1)}),
+      store: fleet.store.clientOf('lone'),
+      transport: {
+        ...transport,
+        listen(address, accept) {
+          listened.push(address);
+          return transport.listen(address, accept);
+        },
+      },
+      self: {
+        proxy: 'lone',
+        dataCentre: 'centre-0',
+        region: '',
+        address: '',
+        relayAddress: '',
+      },
+      capacity: 1,
+      seeds: [],
+      distributorTable: 'distributors',
+      tables: [],
+      events: IGNORED_FEED_EVENTS,
+    });
+    fleet.timer.advance(SECOND);
+    feed.close();
+    expect(listened).toEqual([]);
+  });
+
   test('that is cut off from all others takes no slot and asks the store', () => {
     for (const seed of SEEDS) {
       const fleet = startFleet(seed);
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -243,12 +243,19 @@
     update();
   }
 
-  const stopListening = acceptConnections({
-    transport: options.transport,
-    address: self.address,
-    accept: server.accept,
-    onFailure: events.onListenFailure,
-  });
+  function listen(): () => void {
+    if (self.address === '') {
+      return () => {};
+    }
+    return acceptConnections({
+      transport: options.transport,
+      address: self.address,
+      accept: server.accept,
+      onFailure: events.onListenFailure,
+    });
+  }
+
+  const stopListening = listen();
   runtime.spawn('read distributors', readDistributors());
   const stopTicks = timer.every(TICK_PERIOD, update);
 
