refactor(table-feed): a lone proxy asks about the most urgent table first

One table's questions tell a proxy that hears nobody whether the store answers at all. That was the distributors' table, which no request waits for: where the store is silent about it alone, the configuration was never asked for. Now it is the table with the least time.

--- a/packages/table-feed/src/choose_sources.ts
+++ b/packages/table-feed/src/choose_sources.ts
@@ -86,10 +86,12 @@
   if (proxies === undefined) {
     return uptime > UNKNOWN_PATIENCE;
   }
-  if (!Number.isFinite(homeStaleness)) {
-    return !hasHome || uptime > FIRST_NEWS_WITHIN;
+  if (!hasHome) {
+    return true;
   }
-  return !hasHome || homeStaleness > FRESH_AT_HOME_UP_TO;
+  return Number.isFinite(homeStaleness)
+    ? homeStaleness > FRESH_AT_HOME_UP_TO
+    : uptime > FIRST_NEWS_WITHIN;
 }
 
 /** What is known of the slots of a data centre. */
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -121,8 +121,10 @@
     proxies: present.listed,
     onSubscription: events.onSubscription,
   });
-  const leading = followerOf(distributors);
-  const following = tableCopies.map(followerOf);
+  /** Those of the most urgent tables first. */
+  const followers = [...copies]
+    .sort((left, right) => left.knownWithin - right.knownWithin)
+    .map(followerOf);
   const duty = startDistributorDuty({
     runtime,
     store,
@@ -200,15 +202,15 @@
 
   function updateFollowers(): void {
     if (!followsStore(view())) {
-      leading.stop();
-      following.forEach(follower => follower.stop());
+      followers.forEach(follower => follower.stop());
       return;
     }
-    leading.start();
-    // One question shows whether the store answers a lone proxy at all.
-    if (duty.slot() !== undefined || leading.isFollowing()) {
-      following.forEach(follower => follower.start());
-    }
+    // One table's questions show whether the store answers a lone proxy at all.
+    const asksAll =
+      duty.slot() !== undefined ||
+      followers.some(follower => follower.isFollowing());
+    const asking = asksAll ? followers : followers.slice(0, 1);
+    asking.forEach(follower => follower.start());
   }
 
   function report(): void {
--- a/packages/table-feed/src/subscription.ts
+++ b/packages/table-feed/src/subscription.ts
@@ -76,16 +76,16 @@
 
   /** False if the copies lack what came before these news. */
   function take(news: News): boolean {
-    const isWhole = unpackUpdates(news).every(
+    const isTaken = unpackUpdates(news).every(
       update =>
         copies.find(({table}) => table === update.table)?.take(update) ?? true,
     );
-    if (isWhole) {
+    if (isTaken) {
       for (const [table, age] of Object.entries(news.ages)) {
         confirmations.confirm(table, timer.now() - age);
       }
     }
-    return isWhole;
+    return isTaken;
   }
 
   function takeNews(peer: RpcPeer, parameters: unknown): void {
