fix(gateway): who waits for a proof of freshness looks up when the primary is lost

Cause: a peer that still believed its primary to be there, with nobody else to ask, waited for a proof of freshness until the statement's time was over in one piece. The loss didn't wake it, as without a primary nothing new is proved. The statements began 30 to 60 ms after the loss; the peer's line is 'no target may run it' with no attempt. Ruled out: the first guess of how long a primary is away (statements that begin 320 ms after the loss are refused at once).

It now looks again after each wait, as others do.

--- a/packages/gateway/src/find_place.ts
+++ b/packages/gateway/src/find_place.ts
@@ -119,13 +119,11 @@
   function* requiredPosition(
     search: PlaceSearch,
   ): Task<LogPosition | NoPlace | 'again' | 'elsewhere' | undefined> {
-    const {group, work, until, mayAskElsewhere} = search;
-    // Without a primary nothing new is proved: it is looked again now and then.
-    const isAlone = !mayAskElsewhere() && usablePrimary(group) !== undefined;
-    const patience = isAlone ? Infinity : PROOF_PATIENCE;
+    const {group, work, until} = search;
+    // Without a primary nothing new is proved, and it may be lost meanwhile.
     const covering = yield* group.awaitCovering(
       requiredTime(work),
-      Math.min(until, timer.now() + patience),
+      Math.min(until, timer.now() + PROOF_PATIENCE),
     );
     if (covering === undefined) {
       if (isElsewhere(search)) {
