--- /dev/null
+++ b/packages/table-feed/__tests__/store_follower.spec.ts
@@ -0,0 +1,81 @@
+import type {StoreFailure, TableChanges, TableStore} from '@kelpstep/platform';
+import {
+  type Future,
+  createDeferred,
+  createRandom,
+  createRuntime,
+  createVirtualTimer,
+} from '@kelpstep/runtime';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+import {Err, Ok, type Result} from 'ts-results';
+
+import {IGNORED_FEED_EVENTS} from '..';
+import {createStoreFollower} from '../src/store_follower';
+import {createTableCopy} from '../src/table_copy';
+
+const TABLE = 'configuration';
+const ANSWER_TIME = 4;
+const SECOND = 1000;
+const KNOWN_VERSION = 9;
+const OLDER_VERSION = 5;
+
+describe('a follower whose store has forgotten the history', () => {
+  test('takes no read of an older state as proof, and asks seldom', () => {
+    const timer = createVirtualTimer();
+    let calls = 0;
+    let completions = 0;
+    let olderAnswers = 0;
+
+    function reply(
+      result: Result<TableChanges, StoreFailure>,
+    ): Future<Result<TableChanges, StoreFailure>> {
+      const deferred = createDeferred<Result<TableChanges, StoreFailure>>();
+      calls += 1;
+      timer.after(ANSWER_TIME, () => deferred.settle(result));
+      return deferred.future;
+    }
+
+    const store: Pick<TableStore, 'readTable' | 'awaitChanges'> = {
+      readTable: () => reply(Ok({rows: [], version: OLDER_VERSION})),
+      awaitChanges: () => reply(Err('history lost')),
+    };
+    const copy = createTableCopy({
+      table: TABLE,
+      knownWithin: 3 * SECOND,
+      onRows: () => {},
+    });
+    copy.take({table: TABLE, version: KNOWN_VERSION, rows: []});
+    const follower = createStoreFollower({
+      runtime: createRuntime({timer, random: createRandom(1)}),
+      store: {...store, replaceRow: () => createDeferred<never>().future},
+      copy,
+      wait: SECOND,
+      pause: 0,
+      longestRetry: () => SECOND,
+      onComplete: () => {
+        completions += 1;
+      },
+      events: {
+        ...IGNORED_FEED_EVENTS,
+        onOlderAnswer: () => {
+          olderAnswers += 1;
+        },
+      },
+    });
+    follower.start();
+    timer.advance(5 * SECOND);
+    follower.stop();
+    expect({
+      completions,
+      version: copy.version(),
+      isReported: olderAnswers > 0,
+      isSeldom: calls < 25,
+    }).toEqual({
+      completions: 0,
+      version: KNOWN_VERSION,
+      isReported: true,
+      isSeldom: true,
+    });
+  });
+});
