fix(stand-ins): a question's wait ends with its timer, not by the clock

A whole check failed once: daemon.spec.ts, 'Tried to unwrap Error: unanswered' (698 of 699). A real timer may fire a fraction of a millisecond early. The end of the wait was compared with the clock, was not reached yet, and nothing looked again until the client's timeout. The timer itself now ends the wait. Only this stand-in and only with a real timer; virtual time never fires early.

--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -154,8 +154,8 @@
       wait: Milliseconds,
     ): Future<Result<TableChanges, StoreFailure>> {
       const result = createDeferred<Result<TableChanges, StoreFailure>>();
-      const deadline = timer.now() + answerTime + wait;
       const isSilent = () => isSilentTo(name, table);
+      let isWaitOver = false;
       calls += 1;
 
       function end(reply: Result<TableChanges, StoreFailure>): void {
@@ -174,12 +174,17 @@
           end(Err('unanswered'));
         } else {
           const rows = changesAfter(table, after);
-          if (rows.length > 0 || timer.now() >= deadline) {
+          if (rows.length > 0 || isWaitOver) {
             end(Ok({rows, version}));
           }
         }
       }
 
+      function endWait(): void {
+        isWaitOver = true;
+        look();
+      }
+
       const question: OpenQuestion = {table, look};
       const cancelTimeout = timer.after(wait + QUESTION_SLACK, () =>
         end(Err('unanswered')),
@@ -189,7 +194,7 @@
           end(Err('refused'));
         } else if (!isSilent()) {
           questions.add(question);
-          timer.after(wait, look);
+          timer.after(wait, endWait);
           look();
         }
       });
