fix(routing): a name isn't denied for good while a manifest may be missing that has it

Proxies that don't poll had no proof of their manifest's age at all.

The keeper now knows since when the platform was known to have no newer manifest. Beyond the time within which a manifest is to be in force, a name that isn't found is refused with NOT_READY and a time to come back, and the platform is asked, once at a time, so that the next answer is a definite one.

Failed before: reads.spec, 'deny a name for now while a manifest may be missing that has it' (UNKNOWN_KIND, UNKNOWN_GROUP at once).

--- a/packages/manifest/__tests__/manifest_keeper.spec.ts
+++ b/packages/manifest/__tests__/manifest_keeper.spec.ts
@@ -118,6 +118,37 @@
     expect(told).toEqual([1, 2]);
   });
 
+  test('knows whether it has the newest, where it polls or when it asks', () => {
+    const {timer, state, keepers, keeper, commit} = createBench(3);
+    const isKnown = () => keepers.map(each => each.age() <= 1000);
+    keepers.forEach(each => each.start());
+    commit(0);
+    timer.advance(5000);
+    expect(isKnown()).toEqual([true, true, false]);
+    keeper(2).confirm();
+    timer.advance(50);
+    expect(isKnown()).toEqual([true, true, true]);
+    state.platformOut = true;
+    timer.advance(20_000);
+    keepers.forEach(each => each.confirm());
+    timer.advance(20_000);
+    expect(isKnown()).toEqual([false, false, false]);
+  });
+
+  test('takes in a newer one that it finds when it asks', () => {
+    const {timer, keepers, keeper, commit} = createBench(3);
+    keepers.forEach(each => each.start());
+    commit(0);
+    timer.advance(5000);
+    commit(1);
+    timer.advance(1000);
+    expect(keeper(2).version()).toEqual(1);
+    keeper(2).confirm();
+    timer.advance(50);
+    expect(keeper(2).version()).toEqual(2);
+    expect(keeper(2).age() <= 50).toEqual(true);
+  });
+
   test('reads the platform no more often with more proxies', () => {
     const readsWith = (count: number) => {
       const {timer, platform, keepers, keeper} = createBench(count);
--- a/packages/manifest/src/manifest_keeper.ts
+++ b/packages/manifest/src/manifest_keeper.ts
@@ -57,6 +57,13 @@
   current(): AcceptedManifest | undefined;
   /** Version in force; 0 without one. */
   version(): number;
+  /**
+   * Time since the platform was known to have no newer manifest; `Infinity`
+   * before the first answer.
+   */
+  age(): Milliseconds;
+  /** Asks the platform whether there is a newer one, unless it is being asked. */
+  confirm(): void;
   /** Settles with the first manifest in force. */
   readonly ready: Future<AcceptedManifest>;
   /** Calls the listener with each manifest that comes into force. */
@@ -91,6 +98,8 @@
   const listeners = new Set<(manifest: AcceptedManifest) => void>();
   const fetching = new Set<string>();
   let current: AcceptedManifest | undefined;
+  let confirmedAt = -Infinity;
+  let isConfirming = false;
 
   function version(): number {
     return current?.version ?? 0;
@@ -135,9 +144,23 @@
   }
 
   function* askPlatform(): Task<void> {
+    const askedAt = runtime.timer.now();
     const row = yield* waitFor(readManifestRow(platform));
-    if (row.ok) {
-      yield* readBody(row.val);
+    if (row.err) {
+      return;
+    }
+    yield* readBody(row.val);
+    if (version() >= row.val.version) {
+      confirmedAt = Math.max(confirmedAt, askedAt);
+    }
+  }
+
+  function* confirmOnce(): Task<void> {
+    isConfirming = true;
+    try {
+      yield* askPlatform();
+    } finally {
+      isConfirming = false;
     }
   }
 
@@ -220,6 +243,12 @@
     },
     current: () => current,
     version,
+    age: () => runtime.timer.now() - confirmedAt,
+    confirm() {
+      if (!isConfirming) {
+        runtime.spawn('confirm manifest', confirmOnce());
+      }
+    },
     ready: ready.future,
     onChange(listener) {
       listeners.add(listener);
--- a/packages/proxy/src/create_proxy.ts
+++ b/packages/proxy/src/create_proxy.ts
@@ -50,6 +50,8 @@
 import {createResponsibilities} from './responsibilities';
 
 const INCARNATION_DIGITS = 16;
+/** A committed manifest is to be in force everywhere by then. */
+const MANIFEST_KNOWN_WITHIN: Milliseconds = 3000;
 const MANIFEST_FETCH_TIMEOUT: Milliseconds = 1000;
 /** New work is refused at least so long before ports close. */
 const REFUSAL_TIME: Milliseconds = 500;
@@ -156,6 +158,7 @@
     self,
     transport,
     manifest: () => manifests.current()?.manifest,
+    isManifestCurrent,
     groupView: group => groups.find(group),
     liveProxyCount: () => membership.liveProxies().length,
     findProxy: membership.find,
@@ -193,6 +196,14 @@
     return kinds.some(kind => kind.name === name);
   }
 
+  function isManifestCurrent(): boolean {
+    const isCurrent = manifests.age() <= MANIFEST_KNOWN_WITHIN;
+    if (!isCurrent) {
+      manifests.confirm();
+    }
+    return isCurrent;
+  }
+
   function peerAddresses(): string[] {
     const live = membership
       .liveProxies()
--- a/packages/routing/__tests__/deployment.ts
+++ b/packages/routing/__tests__/deployment.ts
@@ -168,6 +168,7 @@
       self,
       transport,
       manifest: () => inForce,
+      isManifestCurrent: () => true,
       groupView: group => views.find(group),
       liveProxyCount: () => proxyCount,
       findProxy: (proxy, incarnation) =>
--- a/packages/routing/__tests__/reads.spec.ts
+++ b/packages/routing/__tests__/reads.spec.ts
@@ -241,6 +241,24 @@
     ]);
   });
 
+  test('deny a name for now while a manifest may be missing that has it', () => {
+    let isCurrent = false;
+    const isManifestCurrent = () => isCurrent;
+    const {refuse} = startDeployment({service: {isManifestCurrent}});
+    const requests = [
+      {statement: count, kind: 'unheard-of'},
+      {statement: count, group: 'other'} as {statement: typeof count},
+    ];
+    const refuseAll = () =>
+      requests.map(request => refuse(0, callerRead, request));
+    expect(refuseAll()).toEqual(['NOT_READY not_run', 'NOT_READY not_run']);
+    isCurrent = true;
+    expect(refuseAll()).toEqual([
+      'UNKNOWN_KIND not_run',
+      'UNKNOWN_GROUP not_run',
+    ]);
+  });
+
   test('refuse all before there is a manifest', () => {
     const {refuse} = startDeployment({service: {manifest: () => undefined}});
     expect(refuse(0, callerRead, {statement: count})).toEqual(
--- a/packages/routing/__tests__/request_fault.spec.ts
+++ b/packages/routing/__tests__/request_fault.spec.ts
@@ -24,6 +24,7 @@
       manifest: () => {
         throw new Error('broken');
       },
+      isManifestCurrent: () => true,
       groupView: () => undefined,
       liveProxyCount: () => 1,
       findProxy: () => undefined,
--- a/packages/routing/src/request_intake.ts
+++ b/packages/routing/src/request_intake.ts
@@ -58,8 +58,13 @@
   readonly timer: TimerService;
   readonly limits: RequestLimits;
   manifest(): Manifest | undefined;
+  /** False while a newer manifest may be in force elsewhere. */
+  isManifestCurrent(): boolean;
 }
 
+/** Time in which a proxy learns whether there is a newer manifest. */
+const CONFIRMATION_TIME: Milliseconds = 300;
+
 /** Creates the checks; they index each manifest once. */
 export function createRequestIntake(
   options: RequestIntakeOptions,
@@ -104,6 +109,16 @@
     return decoded;
   }
 
+  /** A name is denied for good only if no manifest can be missing that has it. */
+  function denyName(name: 'UNKNOWN_GROUP' | 'UNKNOWN_KIND'): Failure {
+    return options.isManifestCurrent()
+      ? createFailure(name)
+      : createFailure('NOT_READY', {
+          message: 'The manifest may be out of date.',
+          retryAfter: CONFIRMATION_TIME,
+        });
+  }
+
   return fields => {
     const known = currentIndex();
     if (known === undefined) {
@@ -111,12 +126,12 @@
     }
     const group = known.groups.get(fields.group);
     if (group === undefined) {
-      return Err(createFailure('UNKNOWN_GROUP'));
+      return Err(denyName('UNKNOWN_GROUP'));
     }
     const kind =
       fields.kind === undefined ? undefined : known.kinds.get(fields.kind);
     if (fields.kind !== undefined && kind === undefined) {
-      return Err(createFailure('UNKNOWN_KIND'));
+      return Err(denyName('UNKNOWN_KIND'));
     }
     const deadline = deadlineOf(fields.deadline, kind);
     if (deadline.err) {
--- a/packages/routing/src/request_service.ts
+++ b/packages/routing/src/request_service.ts
@@ -84,6 +84,7 @@
     timer,
     limits,
     manifest: options.manifest,
+    isManifestCurrent: options.isManifestCurrent,
   });
   const onFault = options.onFault ?? rethrow;
   let inFlight = 0;
--- a/packages/routing/src/service_types.ts
+++ b/packages/routing/src/service_types.ts
@@ -53,6 +53,8 @@
   readonly transport: Transport;
   /** The manifest in force; undefined until there is one. */
   manifest(): Manifest | undefined;
+  /** False while a newer manifest may be in force elsewhere. */
+  isManifestCurrent(): boolean;
   /** The view of a group of the manifest; undefined for other names. */
   groupView(group: string): GroupView | undefined;
   /** How many proxies share the targets, this one included. */
