feat(accounts): sessions are served as the client account whose key they have

A session is known by the digest of its key. The configuration in force tells the account at each statement; a key that isn't found is denied only while no configuration can be missing that has it, and refused for now otherwise. A transaction whose key was taken away or moved is rolled back. A connection to a target belongs to the account that it was opened for; the idle one that was used least recently makes room for another account. The connection for questions is the proxy's own and is lent only where callers have no accounts.

Without accounts in the configuration all is as before.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -14,6 +14,8 @@
 export interface CallerConnection {
   /** Name that the caller asked for. */
   readonly database: string;
+  /** Digest of the key that the caller gave. */
+  readonly keyDigest: string;
   readonly messages: Mailbox<CallerMessage>;
   isClosed(): boolean;
   answer(answer: StatementAnswer): void;
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -1,4 +1,9 @@
 /** The configuration in force, as the gateway uses it. */
+import {
+  type AccountDirectory,
+  type ClientAccount,
+  createAccountDirectory,
+} from '@kelpstep/accounts';
 import {
   type Future,
   type Milliseconds,
@@ -28,6 +33,8 @@
   /** 0 is the highest. */
   readonly priority: number;
   readonly maximumStaleness: Milliseconds;
+  /** True: callers need no key. */
+  readonly isPublic: boolean;
 }
 
 /** A whole configuration. */
@@ -36,22 +43,42 @@
   readonly version: number;
   readonly routes: readonly CallerRoute[];
   readonly groups: readonly GroupSettings[];
+  /** Undefined: whoever comes is served. */
+  readonly accounts: readonly ClientAccount[] | undefined;
   /** A transaction that is idle for longer is rolled back. */
   readonly transactionIdle: Milliseconds;
 }
 
+/** What a session asks for, and by which key. */
+export interface SessionIdentity {
+  readonly database: string;
+  /** Digest of the key that the caller gave. */
+  readonly keyDigest: string;
+}
+
+/** Whether a session may be served now, and as whose. */
+export type SessionAdmission =
+  | {
+      readonly kind: 'admitted';
+      readonly route: CallerRoute;
+      /** Undefined where nobody needs a key, or none that was given is known. */
+      readonly account: ClientAccount | undefined;
+    }
+  | {readonly kind: 'refused'; readonly answer: StatementAnswer};
+
 /** Holds the newest configuration. */
 export interface ConfigurationKeeper {
   current(): GatewayConfiguration | undefined;
-  route(database: string): CallerRoute | undefined;
   group(name: string): GroupSettings | undefined;
-  /** Why sessions of a database are refused; undefined if they may be served. */
-  refusal(database: string): StatementAnswer | undefined;
+  account(name: string): ClientAccount | undefined;
   /**
-   * The answer about a database that isn't found. It is denied only as long as
-   * no configuration can be missing that has it.
+   * Judges a session by the configuration in force. What isn't found is denied
+   * only as long as no configuration can be missing that has it; it is refused
+   * for now otherwise.
    */
-  denial(): StatementAnswer;
+  admit(identity: SessionIdentity): SessionAdmission;
+  /** Name of the account that a key stands for; undefined in doubt. */
+  trustedHolder(keyDigest: string): string | undefined;
   /** Settles once there is a configuration. */
   readonly first: Future<undefined>;
   /** Takes a newer one; false for one that isn't. */
@@ -59,11 +86,23 @@
 }
 
 const OUT_OF_DATE = 'the configuration may be out of date';
+const KEYS_OUT_OF_DATE = 'the key may have been taken away';
+const NO_CONFIGURATION = 'no configuration yet';
 
 /** What a keeper is made of. */
 export interface ConfigurationKeeperOptions {
   /** False if a configuration may be missing that is to be in force by now. */
   isCurrent(): boolean;
+  /** False if nobody may be served by a key that may have been taken away. */
+  mayTrustKeys(): boolean;
+}
+
+function refuse(answer: StatementAnswer): SessionAdmission {
+  return {kind: 'refused', answer};
+}
+
+function refuseForNow(reason: string): SessionAdmission {
+  return refuse(refusalAnswer(reason, DEFAULT_RETRY_AFTER));
 }
 
 /** Creates a keeper without a configuration. */
@@ -73,22 +112,45 @@
   let current: GatewayConfiguration | undefined;
   let routes = new Map<string, CallerRoute>();
   let groups = new Map<string, GroupSettings>();
+  let accounts: AccountDirectory | undefined;
   const first = createDeferred<undefined>();
 
-  function denial(): StatementAnswer {
+  function deny(name: 'noDatabase' | 'notAuthorized'): SessionAdmission {
     return options.isCurrent()
-      ? errorAnswer('noDatabase', 'idle')
-      : refusalAnswer(OUT_OF_DATE, DEFAULT_RETRY_AFTER);
+      ? refuse(errorAnswer(name, 'idle'))
+      : refuseForNow(OUT_OF_DATE);
+  }
+
+  function admit({database, keyDigest}: SessionIdentity): SessionAdmission {
+    if (current === undefined) {
+      return refuseForNow(NO_CONFIGURATION);
+    }
+    const route = routes.get(database);
+    if (route === undefined) {
+      return deny('noDatabase');
+    }
+    const account = accounts?.holderOf(keyDigest);
+    if (accounts === undefined || route.isPublic) {
+      return {kind: 'admitted', route, account};
+    }
+    if (account === undefined) {
+      return deny('notAuthorized');
+    }
+    return options.mayTrustKeys()
+      ? {kind: 'admitted', route, account}
+      : refuseForNow(KEYS_OUT_OF_DATE);
   }
 
   return {
     first: first.future,
     current: () => current,
-    route: database => routes.get(database),
     group: name => groups.get(name),
-    refusal: database =>
-      current === undefined || routes.has(database) ? undefined : denial(),
-    denial,
+    account: name => accounts?.find(name),
+    admit,
+    trustedHolder: keyDigest =>
+      options.mayTrustKeys()
+        ? accounts?.holderOf(keyDigest)?.account
+        : undefined,
     accept(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
@@ -98,6 +160,9 @@
         configuration.routes.map(route => [route.database, route]),
       );
       groups = new Map(configuration.groups.map(group => [group.group, group]));
+      accounts =
+        configuration.accounts &&
+        createAccountDirectory(configuration.accounts);
       first.settle(undefined);
       return true;
     },
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -45,6 +45,8 @@
   isChanging(group: string): boolean;
   /** False if a configuration may be missing that is to be in force by now. */
   isConfigurationCurrent(): boolean;
+  /** False if nobody may be served by a key that may have been taken away. */
+  mayTrustKeys(): boolean;
   /** Called for each new group, to watch its primary until it is let go. */
   onGroup(group: TargetGroup): GroupWatch;
   /** Puts what runs statements elsewhere over what runs them here. */
@@ -126,6 +128,7 @@
   const {runtime} = options;
   const configuration = createConfigurationKeeper({
     isCurrent: options.isConfigurationCurrent,
+    mayTrustKeys: options.mayTrustKeys,
   });
   const groups = new Map<string, HeldGroup>();
   const sessions = new Set<CallerConnection>();
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -64,6 +64,11 @@
 export interface TableDelays {
   readonly configuration: Milliseconds;
   readonly registrations: Milliseconds;
+  /**
+   * A key that was taken away is not served for longer, even by a proxy that
+   * can't learn of it; undefined if such a proxy goes on with what it knows.
+   */
+  readonly revocation?: Milliseconds | undefined;
 }
 
 /** What a proxy tells of itself, for logs and metrics. */
@@ -166,6 +171,11 @@
     return feed.age(layout.configurationTable) <= delays.configuration;
   }
 
+  function mayTrustKeys(): boolean {
+    const {revocation = Infinity} = delays;
+    return feed.age(layout.configurationTable) <= revocation;
+  }
+
   function watch(group: TargetGroup): SuccessionWatch {
     return watchSuccession({
       runtime,
@@ -193,6 +203,7 @@
     holders: holders.count,
     isChanging,
     isConfigurationCurrent,
+    mayTrustKeys,
     onGroup: watch,
     createRelay(local, isStopping) {
       if (self.relayAddress === '') {
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -115,6 +115,7 @@
       kind: kindOf(work),
       worth: 1 / (1 + route.priority),
       deadline: work.arrivedAt + route.timeout,
+      user: work.account,
       settings,
       shape,
       request: {
--- a/packages/gateway/src/dispatch_types.ts
+++ b/packages/gateway/src/dispatch_types.ts
@@ -16,6 +16,8 @@
 export interface Dispatch {
   readonly id: string;
   readonly route: CallerRoute;
+  /** Account that targets are told; undefined if callers have none. */
+  readonly account: string | undefined;
   readonly statement: SessionStatement;
   readonly shape: PreparedShape | undefined;
   readonly settings: SessionSettings;
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -6,6 +6,8 @@
 export interface RequestEnd {
   readonly id: string;
   readonly group: string;
+  /** Client account of the caller; empty if it has none. */
+  readonly account: string;
   /** Freshness of its route and what it was. */
   readonly kind: string;
   readonly outcome: 'ok' | StatementErrorName;
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -163,13 +163,14 @@
     mayWait: boolean,
     remaining: Milliseconds,
   ): RelayedStatement {
-    const {id, route, statement, shape, settings, lastCommit} = work;
+    const {id, route, account, statement, shape, settings, lastCommit} = work;
     const {needsPrimary, isWrite} = work;
     return {
       work: number,
       sender: self,
       id,
       route: {...route, timeout: remaining},
+      ...(account === undefined ? {} : {account}),
       statement: asRelayed(statement),
       ...(shape === undefined ? {} : {shape}),
       values: [...settings.values],
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -37,6 +37,7 @@
   targetLatency: z.number(),
   priority: z.number(),
   maximumStaleness: z.number(),
+  isPublic: z.boolean(),
 });
 
 const ERROR_NAMES = Object.keys(STATEMENT_ERRORS) as StatementErrorName[];
@@ -59,6 +60,8 @@
   sender: z.string(),
   id: z.string(),
   route: routeSchema,
+  /** Client account that targets are told. */
+  account: z.string().optional(),
   statement: statementSchema,
   shape: shapeSchema.optional(),
   values: valuesSchema,
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -77,11 +77,12 @@
   const senders = new Set<ReadonlyMap<number, RelayedWork>>();
 
   function toDispatch(message: RelayedStatement, work: RelayedWork): Dispatch {
-    const {id, route, statement, shape, lastCommit} = message;
+    const {id, route, account, statement, shape, lastCommit} = message;
     const {needsPrimary, isWrite} = message;
     return {
       id,
       route,
+      account,
       statement,
       shape,
       settings: work.settings,
@@ -98,11 +99,12 @@
     result: DispatchResult,
     startedAt: Milliseconds,
   ): void {
-    const {id, route, statement, sender} = message;
+    const {id, route, account = '', statement, sender} = message;
     const {target, attempts, reason, answer} = result;
     events.onRequestEnd({
       id,
       group: route.group,
+      account,
       kind: `relayed ${route.freshness} ${statement.kind}`,
       target,
       attempts,
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -26,7 +26,11 @@
 import type {PinnedConnection} from '@kelpstep/targets';
 
 import type {CallerConnection, CallerMessage} from './caller_connection';
-import type {CallerRoute, ConfigurationKeeper} from './configuration';
+import type {
+  CallerRoute,
+  ConfigurationKeeper,
+  SessionAdmission,
+} from './configuration';
 import type {DispatchResult, Dispatcher} from './dispatch_types';
 import type {GatewayEvents, RequestEnd} from './gateway_events';
 
@@ -46,6 +50,8 @@
   /** Proxy that holds it; empty if this one does. */
   readonly via: string;
   readonly route: CallerRoute;
+  /** Account that it was begun for. */
+  readonly account: string | undefined;
   hasWritten: boolean;
 }
 
@@ -56,13 +62,16 @@
   readonly isWrite: boolean;
 }
 
+type Admitted = Extract<SessionAdmission, {kind: 'admitted'}>;
+
 type RequestFacts = Pick<
   RequestEnd,
-  'group' | 'kind' | 'target' | 'attempts' | 'reason' | 'via'
+  'group' | 'account' | 'kind' | 'target' | 'attempts' | 'reason' | 'via'
 >;
 
 const LOCAL: RequestFacts = {
   group: '',
+  account: '',
   kind: 'local',
   target: '',
   attempts: 0,
@@ -113,25 +122,31 @@
     return {statement: renamed, shape, isWrite: shape.access === 'write'};
   }
 
-  function factsOf(route: CallerRoute, result: DispatchResult, kind: string) {
+  function factsOf(
+    {route, account}: Admitted,
+    result: DispatchResult,
+    kind: string,
+  ): RequestFacts {
     const {target, attempts, reason, via} = result;
-    const name = `${route.freshness} ${kind}`;
-    return {group: route.group, kind: name, target, attempts, reason, via};
+    return {
+      group: route.group,
+      account: account?.account ?? '',
+      kind: `${route.freshness} ${kind}`,
+      target,
+      attempts,
+      reason,
+      via,
+    };
   }
 
   function* serveOutside(
     request: CallerRequest,
     statement: SessionStatement,
+    admitted: Admitted,
   ): Task<[StatementAnswer, RequestFacts]> {
     const arrivedAt = timer.now();
-    yield* waitAtMost(configuration.first, FIRST_CONFIGURATION_WAIT);
-    if (configuration.current() === undefined) {
-      return [errorAnswer('busy', 'idle', 'no configuration yet'), LOCAL];
-    }
-    const route = configuration.route(caller.database);
-    if (route === undefined) {
-      return [configuration.denial(), LOCAL];
-    }
+    const {route} = admitted;
+    const account = admitted.account?.account;
     const resolved = resolve(statement);
     if (resolved === undefined) {
       return [errorAnswer('notPrepared', 'idle'), LOCAL];
@@ -140,6 +155,7 @@
     const result = yield* dispatcher.dispatch({
       id: request.id,
       route,
+      account,
       ...resolved,
       settings,
       arrivedAt,
@@ -150,12 +166,18 @@
     });
     const {answer, pinned} = result;
     if (pinned !== undefined) {
-      transaction = {pinned, via: result.via, route, hasWritten: false};
+      transaction = {
+        pinned,
+        via: result.via,
+        route,
+        account,
+        hasWritten: false,
+      };
       state = 'open';
     } else if (resolved.isWrite && answer.error === undefined) {
       lastCommit = answer.position ?? lastCommit;
     }
-    const facts = factsOf(route, result, statement.kind);
+    const facts = factsOf(admitted, result, statement.kind);
     return [{...answer, state}, facts];
   }
 
@@ -188,9 +210,10 @@
     request: CallerRequest,
     statement: SessionStatement,
   ): Task<[StatementAnswer, RequestFacts]> {
-    const {pinned, route, via} = held;
+    const {pinned, route, account = '', via} = held;
     const facts = {
       group: route.group,
+      account,
       kind: `${route.freshness} ${statement.kind}`,
       target: pinned.target,
       attempts: 1,
@@ -265,6 +288,25 @@
     return errorAnswer('malformed', state);
   }
 
+  /** True if the caller's key still stands for the transaction's account. */
+  function mayGoOn({account}: Transaction): boolean {
+    return (
+      account === undefined ||
+      configuration.trustedHolder(caller.keyDigest) === account
+    );
+  }
+
+  /** Rolls back a transaction whose caller may not go on with it. */
+  function revoke(statement: SessionStatement): StatementAnswer {
+    endTransaction();
+    const isEnd = statement.kind === 'commit' || statement.kind === 'rollback';
+    state = isEnd ? 'idle' : 'failed';
+    const admission = configuration.admit(caller);
+    return admission.kind === 'refused'
+      ? {...admission.answer, state}
+      : errorAnswer('aborted', state, 'rolled back: another account');
+  }
+
   function* serve(
     request: CallerRequest,
   ): Task<[StatementAnswer, RequestFacts]> {
@@ -275,6 +317,9 @@
     if (state === 'failed') {
       return [serveFailed(statement), LOCAL];
     }
+    if (transaction !== undefined && !mayGoOn(transaction)) {
+      return [revoke(statement), LOCAL];
+    }
     switch (statement.kind) {
       case 'set':
       case 'prepare':
@@ -291,10 +336,16 @@
     if (statement.kind === 'commit' || statement.kind === 'rollback') {
       return [errorAnswer('malformed', state), LOCAL];
     }
-    return yield* serveOutside(request, statement);
+    yield* waitAtMost(configuration.first, FIRST_CONFIGURATION_WAIT);
+    const admission = configuration.admit(caller);
+    if (admission.kind === 'refused') {
+      return [admission.answer, LOCAL];
+    }
+    return yield* serveOutside(request, statement, admission);
   }
 
-  function* handle(request: CallerRequest): Task<void> {
+  /** Gives the answer, of which one ends the session: the key is no longer valid. */
+  function* handle(request: CallerRequest): Task<StatementAnswer> {
     const startedAt = timer.now();
     const [answer, facts] = yield* serve(request);
     // The position is the targets' own matter.
@@ -305,6 +356,7 @@
       outcome: answer.error?.name ?? 'ok',
       duration: timer.now() - startedAt,
     });
+    return answer;
   }
 
   try {
@@ -320,7 +372,10 @@
       } else if (message.kind === 'closed') {
         break;
       } else if (message.kind === 'request') {
-        yield* handle(message.request);
+        const {error} = yield* handle(message.request);
+        if (error?.name === 'notAuthorized') {
+          break;
+        }
       }
     }
   } finally {
--- a/packages/scenarios/src/statements/rule_checker.ts
+++ b/packages/scenarios/src/statements/rule_checker.ts
@@ -25,7 +25,10 @@
   | 'refused but committed'
   | 'wrong answer'
   | 'epoch used twice'
-  | 'not asked for';
+  | 'not asked for'
+  | 'wrong account'
+  | 'key taken away'
+  | 'quota exceeded';
 
 /** A broken promise. */
 export interface BrokenRule {
@@ -37,6 +40,8 @@
 /** A request as its caller sent it. */
 export interface SentRequest {
   readonly id: string;
+  /** Account whose key the caller has; undefined where nobody needs one. */
+  readonly account: string | undefined;
   readonly session: number;
   readonly kind: 'read' | 'write' | 'commit';
   readonly freshness: Freshness;
@@ -55,6 +60,8 @@
 export interface RuleChecker extends RunRecorder {
   onSent(request: SentRequest): void;
   onAnswer(request: SentRequest, answer: StatementAnswer): void;
+  /** Nothing that is sent from then on may run for the account. */
+  onKeysTakenAway(account: string, from: Milliseconds): void;
   /** The attempt to which these writes belong was given a promise. */
   onPromise(writes: readonly string[]): void;
   /** Judges what is left once all is quiet. */
@@ -76,6 +83,8 @@
 ): RuleChecker {
   const findings: BrokenRule[] = [];
   const sent = new Map<string, SentRequest>();
+  const sentAt = new Map<string, Milliseconds>();
+  const takenAwayAt = new Map<string, Milliseconds>();
   const acknowledged: Acknowledged[] = [];
   const promised = new Set<string>();
   const places = new Map<number, string>();
@@ -165,6 +174,16 @@
     }
   }
 
+  function checkAccount(run: StatementRun, {account}: SentRequest): void {
+    if (run.user !== account) {
+      report('wrong account', `${run.id}: ${run.user}, not ${account}`);
+    }
+    const limit = takenAwayAt.get(account ?? '') ?? Infinity;
+    if ((sentAt.get(run.id) ?? 0) > limit) {
+      report('key taken away', `${run.id} of ${account}`);
+    }
+  }
+
   function onRun(run: StatementRun): void {
     const request = sent.get(run.id);
     if (request === undefined || request.kind !== run.kind) {
@@ -172,6 +191,7 @@
       return;
     }
     checkTransaction(run, request);
+    checkAccount(run, request);
     if (run.kind === 'commit') {
       return;
     }
@@ -241,7 +261,11 @@
   }
 
   return {
-    onSent: request => void sent.set(request.id, request),
+    onSent(request) {
+      sent.set(request.id, request);
+      sentAt.set(request.id, timer.now());
+    },
+    onKeysTakenAway: (account, from) => void takenAwayAt.set(account, from),
     onAnswer,
     onPromise: writes => writes.forEach(id => promised.add(id)),
     onRun,
--- a/packages/scenarios/src/statements/session_callers.ts
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -1,4 +1,5 @@
 /** Callers with sessions, transactions and retries, in virtual time. */
+import type {ClientAccount} from '@kelpstep/accounts';
 import type {
   CallerConnection,
   CallerMessage,
@@ -25,6 +26,8 @@
   readonly random: Random;
   readonly checker: RuleChecker;
   readonly routes: readonly CallerRoute[];
+  /** Whose keys the callers have, in turn; without any they have none. */
+  readonly accounts?: readonly ClientAccount[];
   readonly sessions: number;
   /** Operations stop after this time. */
   readonly until: Milliseconds;
@@ -40,6 +43,7 @@
 interface Session {
   readonly number: number;
   readonly route: CallerRoute;
+  readonly account: string | undefined;
   readonly connection: CallerConnection;
   readonly values: Map<string, string>;
   readonly prepared: Map<string, string>;
@@ -53,22 +57,27 @@
 export function startSessionCallers(
   options: SessionCallersOptions,
 ): OperationCounts {
-  const {runtime, random, checker, routes} = options;
+  const {runtime, random, checker, routes, accounts = []} = options;
   const {timer} = runtime;
   const {counts, note} = createOperationLog();
   let nextNumber = 1;
 
-  function createSession(route: CallerRoute): Session | undefined {
+  function createSession(
+    route: CallerRoute,
+    account: ClientAccount | undefined,
+  ): Session | undefined {
     const messages = createMailbox<CallerMessage>();
     const session: Session = {
       number: nextNumber++,
       route,
+      account: account?.account,
       values: new Map(),
       prepared: new Map(),
       answer: () => {},
       isClosed: false,
       connection: {
         database: route.database,
+        keyDigest: account?.keyDigests[0] ?? '',
         messages,
         isClosed: () => session.isClosed,
         answer: answer => session.answer(answer),
@@ -105,6 +114,7 @@
     const {number, route} = session;
     return {
       id: `q${nextNumber++}`,
+      account: session.account,
       session: number,
       kind,
       freshness: route.freshness,
@@ -226,12 +236,15 @@
     return answer;
   }
 
-  function* live(route: CallerRoute): Task<void> {
+  function* live(
+    route: CallerRoute,
+    account: ClientAccount | undefined,
+  ): Task<void> {
     let session: Session | undefined;
     while (timer.now() < options.until) {
       yield* sleep(LONGEST_PAUSE * (0.2 + random.fraction()));
       if (session === undefined || session.isClosed) {
-        session = createSession(route);
+        session = createSession(route, account);
       }
       if (session === undefined) {
         continue;
@@ -259,7 +272,7 @@
   for (let number = 0; number < options.sessions; number++) {
     const route = routes[number % routes.length];
     if (route !== undefined) {
-      runtime.spawn('caller', live(route));
+      runtime.spawn('caller', live(route, accounts[number % accounts.length]));
     }
   }
   return counts;
--- a/packages/scenarios/src/statements/statement_routes.ts
+++ b/packages/scenarios/src/statements/statement_routes.ts
@@ -1,4 +1,5 @@
 /** Routes and group of a statement world. */
+import type {ClientAccount} from '@kelpstep/accounts';
 import type {CallerRoute, GatewayConfiguration} from '@kelpstep/gateway';
 import type {Milliseconds} from '@kelpstep/runtime';
 
@@ -26,17 +27,20 @@
     targetLatency: timeout,
     priority: 1,
     maximumStaleness,
+    isPublic: false,
   };
 }
 
 /** A configuration with these routes. */
 export function configurationWith(
   connectionLimit: number,
+  accounts: readonly ClientAccount[] | undefined,
 ): GatewayConfiguration {
   return {
     version: 1,
     routes: ROUTES,
     groups: [{group: GROUP, connectionLimit, synchronousReplicas: 1}],
+    accounts,
     transactionIdle: 3000,
   };
 }
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -1,4 +1,5 @@
 /** Proxies, a group, a store and callers together, in virtual time. */
+import type {ClientAccount} from '@kelpstep/accounts';
 import {
   type CallerConnection,
   type Gateway,
@@ -53,6 +54,10 @@
   readonly connectionLimit?: number;
   /** Statements that a target runs at a time. */
   readonly slots?: number;
+  /** Accounts of the callers; none by default, so that nobody has a key. */
+  readonly accounts?: readonly ClientAccount[];
+  /** Time of a target's slot that a new connection takes; none by default. */
+  readonly openingTime?: Milliseconds;
   /** False: proxies send no statements through each other. */
   readonly relays?: boolean;
 }
@@ -79,6 +84,8 @@
   startProxy(proxy: string): void;
   /** A proxy's host in the network among proxies. */
   hostOf(proxy: string): string;
+  /** Puts a changed configuration in the store. */
+  configure(change: Partial<GatewayConfiguration>): void;
   setLeaving(target: string, leaving: boolean): void;
   /** Share of promotions that are carried out late and not answered. */
   lateOrders: number;
@@ -183,6 +190,7 @@
     slots,
     connectionLimit,
     workTime: 12,
+    openingTime: options.openingTime ?? 0,
     promotionTime: options.promotionTime ?? 300,
     applyDelay: () => 4 + 20 * faultRandom.fraction(),
     orderDelay: () =>
@@ -270,8 +278,8 @@
           findings: [],
         }),
       },
-      open: (address, timeout, firstRequests) =>
-        group.open(place, address, timeout, firstRequests),
+      open: (address, user, timeout, firstRequests) =>
+        group.open(place, address, user, timeout, firstRequests),
       readStatus,
       orderPromotion,
       policies: {
@@ -346,7 +354,8 @@
     return true;
   }
 
-  store.put(CONFIGURATION_TABLE, 'current', configurationWith(connectionLimit));
+  let configuration = configurationWith(connectionLimit, options.accounts);
+  store.put(CONFIGURATION_TABLE, 'current', configuration);
   register();
   timer.every(REGISTRATION_PERIOD, register);
   proxies.forEach(startProxy);
@@ -356,6 +365,7 @@
     random: random.split(),
     checker,
     routes: ROUTES,
+    ...(options.accounts === undefined ? {} : {accounts: options.accounts}),
     sessions: options.sessions ?? 18,
     until: options.duration,
     connect,
@@ -380,6 +390,17 @@
     placeOf,
     startProxy,
     hostOf,
+    configure(change) {
+      const version = configuration.version + 1;
+      configuration = {...configuration, ...change, version};
+      const inForceAt = timer.now() + TABLE_DELAYS.configuration;
+      for (const {account, keyDigests} of change.accounts ?? []) {
+        if (keyDigests.length === 0) {
+          checker.onKeysTakenAway(account, inForceAt);
+        }
+      }
+      store.put(CONFIGURATION_TABLE, 'current', configuration);
+    },
     setLeaving(target, isLeaving) {
       if (isLeaving) {
         leaving.add(target);
--- a/packages/stand-ins/index.ts
+++ b/packages/stand-ins/index.ts
@@ -16,3 +16,4 @@
 export * from './src/statement_group/stand_in_group';
 export * from './src/statement_group/stand_in_store';
 export * from './src/statement_group/stand_in_target';
+export * from './src/statement_group/stand_in_target_types';
--- a/packages/stand-ins/src/statement_group/run_record.ts
+++ b/packages/stand-ins/src/statement_group/run_record.ts
@@ -8,6 +8,8 @@
   readonly id: string;
   readonly target: string;
   readonly group: string;
+  /** Who the connection was opened for; undefined: a proxy itself. */
+  readonly user: string | undefined;
   readonly at: Milliseconds;
   /** End of the applied log that the statement saw. */
   readonly position: LogPosition;
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -11,6 +11,7 @@
 } from '@kelpstep/runtime';
 import {
   type ConnectionLoss,
+  type ConnectionUser,
   type OpenFailure,
   type OpenedConnection,
   type StatementAnswer,
@@ -22,7 +23,8 @@
 
 import type {LinkNetwork} from './link_network';
 import type {LogRecord, RunRecorder} from './run_record';
-import {type StandInTarget, createStandInTarget} from './stand_in_target';
+import {createStandInTarget} from './stand_in_target';
+import type {StandInTarget} from './stand_in_target_types';
 
 /** How a group behaves. */
 export interface StandInGroupOptions {
@@ -34,6 +36,8 @@
   readonly slots: number;
   readonly connectionLimit: number;
   readonly workTime: Milliseconds;
+  /** Time of a slot that a new connection takes; none by default. */
+  readonly openingTime?: Milliseconds;
   readonly promotionTime: Milliseconds;
   applyDelay(): Milliseconds;
   /** How late an order to a target is carried out; 0: at once. */
@@ -52,6 +56,7 @@
   open(
     from: string,
     address: TargetAddress,
+    user: ConnectionUser,
     timeout: Milliseconds,
     firstRequests?: readonly TargetRequest[],
   ): Future<Result<OpenedConnection, OpenFailure>>;
@@ -108,6 +113,7 @@
       group,
       slots: options.slots,
       workTime: options.workTime,
+      openingTime: options.openingTime ?? 0,
       recorder,
       applyDelay: options.applyDelay,
       orderDelay: options.orderDelay,
@@ -187,8 +193,8 @@
   function createConnection(
     from: string,
     target: StandInTarget,
+    session: number,
   ): AcceptedConnection {
-    const session = target.open();
     const ends = closers.get(target.target) ?? new Set();
     const waiting = new Set<(loss: ConnectionLoss) => void>();
     const listeners: Array<() => void> = [];
@@ -296,6 +302,7 @@
   function open(
     from: string,
     address: TargetAddress,
+    user: ConnectionUser,
     timeout: Milliseconds,
     firstRequests: readonly TargetRequest[] = [],
   ): Future<Result<OpenedConnection, OpenFailure>> {
@@ -321,11 +328,13 @@
         reply(Err('tooManyConnections'));
         return;
       }
-      const {connection, run} = createConnection(from, target);
-      const position = target.applied();
-      run(firstRequests, firstAnswers =>
-        reply(Ok({connection, position, firstAnswers})),
-      );
+      target.open(user, session => {
+        const {connection, run} = createConnection(from, target, session);
+        const position = target.applied();
+        run(firstRequests, firstAnswers =>
+          reply(Ok({connection, position, firstAnswers})),
+        );
+      });
     });
     return result.future;
   }
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -4,7 +4,6 @@
   type LogPosition,
   compareLogPositions,
 } from '@kelpstep/protocol';
-import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import {
   type SessionStatement,
   type StatementAnswer,
@@ -15,7 +14,11 @@
 } from '@kelpstep/statements';
 
 import {createCommitWaits} from './commit_waits';
-import type {LogRecord, RunRecorder} from './run_record';
+import type {LogRecord} from './run_record';
+import type {
+  StandInTarget,
+  StandInTargetOptions,
+} from './stand_in_target_types';
 import {createTargetLog} from './target_log';
 import {
   type TargetSession,
@@ -26,59 +29,6 @@
 } from './target_session';
 import {createTargetSlots} from './target_slots';
 
-/** How a target behaves. */
-export interface StandInTargetOptions {
-  readonly timer: TimerService;
-  readonly target: string;
-  readonly group: string;
-  readonly slots: number;
-  readonly workTime: Milliseconds;
-  readonly recorder: RunRecorder;
-  /** Time between a record's arrival and its application. */
-  applyDelay(): Milliseconds;
-  /** How late an order is carried out, without an answer; 0: at once. */
-  orderDelay(): Milliseconds;
-  /** A primary's record is on its way to the replicas. */
-  onAppended(previous: LogPosition, record: LogRecord): void;
-}
-
-/** A target with what a test may do to it. */
-export interface StandInTarget {
-  readonly target: string;
-  role(): 'primary' | 'replica';
-  term(): number;
-  log(): readonly LogRecord[];
-  received(): LogPosition;
-  applied(): LogPosition;
-  isRunning(): boolean;
-  /** True if it was told to receive nothing. */
-  isPaused(): boolean;
-  /** Loses its connections; a wiped one starts empty. */
-  stop(): void;
-  start(wiped: boolean): void;
-  /** Receives nothing while it is deaf. */
-  setDeaf(deaf: boolean): void;
-  /** Takes records that follow a position; false if it lacks that one. */
-  receive(
-    term: number,
-    previous: LogPosition,
-    records: readonly LogRecord[],
-  ): boolean;
-  follow(term: number, log: readonly LogRecord[]): void;
-  lead(term: number): void;
-  /** A replica has received up to here. */
-  acknowledge(position: LogPosition): void;
-  open(): number;
-  /** Connections that are open. */
-  connections(): number;
-  endSession(session: number): void;
-  handle(
-    session: number,
-    request: TargetRequest,
-    answer: (answer: StatementAnswer) => void,
-  ): void;
-}
-
 /** Creates a target that follows term 1 with an empty log. */
 export function createStandInTarget(
   options: StandInTargetOptions,
@@ -144,6 +94,7 @@
       id,
       target,
       group,
+      user: session.user,
       shape,
       at: timer.now(),
       position: log.applied(),
@@ -409,10 +360,17 @@
       log.applyAll();
     },
     acknowledge: waitingCommits.acknowledge,
-    open() {
-      const number = nextNumber++;
-      sessions.set(number, createTargetSession(number));
-      return number;
+    open(user, done) {
+      function add(): void {
+        const number = nextNumber++;
+        sessions.set(number, createTargetSession(number, user));
+        done(number);
+      }
+      if (options.openingTime === 0) {
+        add();
+      } else {
+        slots.run(add, () => {}, options.openingTime);
+      }
     },
     connections: () => sessions.size,
     endSession: session => void sessions.delete(session),
--- a/packages/stand-ins/src/statement_group/target_session.ts
+++ b/packages/stand-ins/src/statement_group/target_session.ts
@@ -9,6 +9,8 @@
 /** A caller's connection as the target keeps it. */
 export interface TargetSession {
   readonly number: number;
+  /** Who it was opened for; undefined: a proxy itself. */
+  readonly user: string | undefined;
   readonly values: Map<string, string>;
   readonly prepared: Map<string, string>;
   transaction: OpenTransaction | undefined;
@@ -24,9 +26,13 @@
 }
 
 /** Creates a session with nothing set. */
-export function createTargetSession(number: number): TargetSession {
+export function createTargetSession(
+  number: number,
+  user: string | undefined,
+): TargetSession {
   return {
     number,
+    user,
     values: new Map(),
     prepared: new Map(),
     transaction: undefined,
--- a/packages/stand-ins/src/statement_group/target_slots.ts
+++ b/packages/stand-ins/src/statement_group/target_slots.ts
@@ -3,7 +3,8 @@
 
 /** Runs work in slots; what finds none waits in order. */
 export interface TargetSlots {
-  run(work: () => void, refuse: () => void): void;
+  /** Runs work that takes as long as statements do, or another time. */
+  run(work: () => void, refuse: () => void, time?: Milliseconds): void;
   busy(): number;
   /** Forgets all work, as when the process ends. */
   clear(): void;
@@ -22,10 +23,10 @@
   let life = 0;
   let waiting: Array<() => void> = [];
 
-  function start(work: () => void): void {
+  function start(work: () => void, time: Milliseconds): void {
     const startedIn = life;
     busy += 1;
-    timer.after(workTime, () => {
+    timer.after(time, () => {
       if (life === startedIn) {
         busy -= 1;
         work();
@@ -35,11 +36,11 @@
   }
 
   return {
-    run(work, refuse) {
+    run(work, refuse, time = workTime) {
       if (busy < slots) {
-        start(work);
+        start(work, time);
       } else if (waiting.length < QUEUE_CAPACITY) {
-        waiting.push(() => start(work));
+        waiting.push(() => start(work, time));
       } else {
         refuse();
       }
--- a/packages/statements/src/answer.ts
+++ b/packages/statements/src/answer.ts
@@ -17,6 +17,7 @@
   tooManyConnections: {notRun: true, meaning: 'At the connection limit.'},
   notPrepared: {notRun: true, meaning: 'No prepared statement of this name.'},
   aborted: {notRun: true, meaning: 'The transaction was rolled back.'},
+  notAuthorized: {notRun: true, meaning: 'No account holds this key.'},
   noDatabase: {notRun: true, meaning: 'No database of this name.'},
   malformed: {notRun: true, meaning: 'Not a statement that can run here.'},
   tooLarge: {notRun: true, meaning: 'The message is too large.'},
--- a/packages/statements/src/target_connection.ts
+++ b/packages/statements/src/target_connection.ts
@@ -84,12 +84,16 @@
   readonly target: string;
 }
 
+/** Who a connection is opened for; undefined: the proxy itself. */
+export type ConnectionUser = string | undefined;
+
 /**
- * Opens a connection whose start was answered. First requests go with the start,
+ * Opens a connection for one user alone, and settles when its start was answered. First requests go with the start,
  * in one write: their answers come a round trip earlier.
  */
 export type OpenTargetConnection = (
   target: TargetAddress,
+  user: ConnectionUser,
   timeout: Milliseconds,
   firstRequests?: readonly TargetRequest[],
 ) => Future<Result<OpenedConnection, OpenFailure>>;
--- a/packages/targets/src/question_connection.ts
+++ b/packages/targets/src/question_connection.ts
@@ -66,12 +66,21 @@
 
   function openWithStatus(): Future<Result<SharedConnection, OpenFailure>> {
     const askedAt = options.timer.now();
-    const opened = options.open(options.target, OPEN_TIMEOUT, FIRST_REQUESTS);
+    const opened = options.open(
+      options.target,
+      undefined,
+      OPEN_TIMEOUT,
+      FIRST_REQUESTS,
+    );
     return mapFuture(opened, result => {
       opening = undefined;
       return result.map(open => {
         const {connection} = open;
-        current = {connection, applied: createSessionSettings()};
+        current = {
+          user: undefined,
+          connection,
+          applied: createSessionSettings(),
+        };
         options.onOpened(askedAt, open);
         return current;
       });
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -1,5 +1,9 @@
-/** The connections to one target that sessions share. */
+/**
+ * The connections to one target that sessions share. Each was opened for one user
+ * and serves its sessions alone.
+ */
 import {
+  type ConnectionUser,
   type OpenFailure,
   type OpenTargetConnection,
   type OpenedConnection,
@@ -19,6 +23,7 @@
 
 /** A connection with what is applied to it. */
 export interface SharedConnection {
+  readonly user: ConnectionUser;
   readonly connection: TargetConnection;
   readonly applied: SessionSettings;
 }
@@ -38,12 +43,18 @@
 
 /** The connections to one target. */
 export interface SharedConnections {
-  /** Takes the idle connection that differs least from the settings. */
-  take(settings: SessionSettings): SharedConnection | undefined;
+  /** Takes the user's idle connection that differs least from the settings. */
+  take(
+    user: ConnectionUser,
+    settings: SessionSettings,
+  ): SharedConnection | undefined;
   hasIdle(): boolean;
+  hasIdleFor(user: ConnectionUser): boolean;
   mayOpen(): boolean;
+  /** Closes the idle connection that was used least recently; false without one. */
+  makeRoom(): boolean;
   /** Opens one, taken by who asked. */
-  open(): Future<Result<SharedConnection, OpenFailure>>;
+  open(user: ConnectionUser): Future<Result<SharedConnection, OpenFailure>>;
   /** Gives one back; one that is closed is forgotten. */
   giveBack(shared: SharedConnection): void;
   count(): number;
@@ -79,11 +90,12 @@
   let idleSince = -Infinity;
 
   function add(
+    user: ConnectionUser,
     askedAt: Milliseconds,
     opened: OpenedConnection,
   ): SharedConnection {
     const {connection} = opened;
-    const shared = {connection, applied: createSessionSettings()};
+    const shared = {user, connection, applied: createSessionSettings()};
     all.add(shared);
     connection.onClosed(() => {
       all.delete(shared);
@@ -94,17 +106,19 @@
     return shared;
   }
 
-  function open(): Future<Result<SharedConnection, OpenFailure>> {
+  function open(
+    user: ConnectionUser,
+  ): Future<Result<SharedConnection, OpenFailure>> {
     opening += 1;
     const askedAt = options.timer.now();
-    const opened = options.open(options.target, OPEN_TIMEOUT);
+    const opened = options.open(options.target, user, OPEN_TIMEOUT);
     return mapFuture(opened, result => {
       opening -= 1;
       if (result.err) {
         noteFailure(result.val);
         return result;
       }
-      return Ok(add(askedAt, result.val));
+      return Ok(add(user, askedAt, result.val));
     });
   }
 
@@ -132,10 +146,16 @@
     }
   }
 
-  function take(settings: SessionSettings): SharedConnection | undefined {
+  function take(
+    user: ConnectionUser,
+    settings: SessionSettings,
+  ): SharedConnection | undefined {
     let best: SharedConnection | undefined;
     let fewest = Infinity;
     for (const shared of idle) {
+      if (shared.user !== user) {
+        continue;
+      }
       const differences = countDifferences(shared.applied, settings);
       if (differences < fewest) {
         fewest = differences;
@@ -149,7 +169,13 @@
   return {
     take,
     hasIdle: () => idle.length > 0,
+    hasIdleFor: user => idle.some(shared => shared.user === user),
     mayOpen,
+    makeRoom() {
+      const [unused] = idle;
+      unused?.connection.close();
+      return unused !== undefined;
+    },
     open,
     giveBack(shared) {
       if (shared.connection.isOpen()) {
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -115,14 +115,14 @@
   }
 
   function* obtain(work: StatementWork): Task<Obtained> {
-    const idle = connections.take(work.settings);
+    const idle = connections.take(work.user, work.settings);
     if (idle !== undefined) {
       return Ok(idle);
     }
-    if (!connections.mayOpen()) {
+    if (!connections.mayOpen() && !connections.makeRoom()) {
       return lendQuestions(work);
     }
-    const opened = yield* waitFor(connections.open());
+    const opened = yield* waitFor(connections.open(work.user));
     if (opened.ok) {
       return opened;
     }
@@ -133,10 +133,13 @@
     return opened;
   }
 
-  /** A transaction would keep questions waiting: it gets none. */
-  function lendQuestions({request}: StatementWork): Obtained {
-    const isBegin = request.body.kind === 'begin';
-    const lent = isBegin ? undefined : questionConnection.lend();
+  /**
+   * The connection for questions is the proxy's own, and a transaction would keep
+   * questions waiting.
+   */
+  function lendQuestions({request, user}: StatementWork): Obtained {
+    const mayBorrow = user === undefined && request.body.kind !== 'begin';
+    const lent = mayBorrow ? questionConnection.lend() : undefined;
     return lent === undefined ? Err('tooManyConnections') : Ok(lent);
   }
 
--- a/packages/targets/src/statement_work.ts
+++ b/packages/targets/src/statement_work.ts
@@ -2,6 +2,7 @@
 import type {Future, Milliseconds} from '@kelpstep/runtime';
 import type {
   ConnectionLoss,
+  ConnectionUser,
   OpenFailure,
   PreparedShape,
   SessionSettings,
@@ -17,6 +18,8 @@
   readonly worth: number;
   /** Monotonic time by which the answer must be there. */
   readonly deadline: Milliseconds;
+  /** Who the connection must have been opened for. */
+  readonly user: ConnectionUser;
   readonly settings: SessionSettings;
   readonly shape: PreparedShape | undefined;
   readonly request: TargetRequest;
