feat(accounts): quotas hold over all proxies, whoever reaches whom

Each proxy owns an equal part of all quotas and lends it to one keeper at a time, by loans that end by the keeper's own clock; a keeper grants operations against what is lent to it. The sum holds for any cut, freeze, kill or start, without the store.

--- a/packages/accounts/index.ts
+++ b/packages/accounts/index.ts
@@ -1,3 +1,6 @@
 /** Client accounts: keys and quotas. */
 export * from './src/account_directory';
+export type {QuotaPeer} from './src/choose_keepers';
+export * from './src/create_quota';
 export * from './src/key_digest';
+export type {QuotaAnswer, VersionedLimit} from './src/quota_pool';
--- /dev/null
+++ b/packages/accounts/src/create_quota.ts
@@ -0,0 +1,267 @@
+/**
+ * Bounds what client accounts ask, over all proxies together. Each proxy lends its
+ * part of all quotas to one keeper, and asks keepers for each operation: its own
+ * first, then those elsewhere. The parts sum up to the whole, whoever reaches whom.
+ */
+import type {Method} from '@kelpstep/protocol';
+import type {HandlerTable} from '@kelpstep/rpc';
+import {
+  type Future,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  createSuspensionGuard,
+  settledFuture,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+import {Ok, type Result} from 'ts-results';
+
+import {type Keepers, type QuotaPeer, chooseKeepers} from './choose_keepers';
+import {LOAN_TIME, createPartLease} from './part_lease';
+import {quotaCharge, quotaLend, quotaTake} from './quota_messages';
+import {
+  type QuotaAnswer,
+  type VersionedLimit,
+  createQuotaPool,
+} from './quota_pool';
+
+/** What quotas are made of. */
+export interface QuotaOptions {
+  readonly runtime: Runtime;
+  readonly self: QuotaPeer;
+  /** Undefined for an account that may ask as much as it likes. */
+  limitOf(account: string): VersionedLimit | undefined;
+  /** True if any account has a limit. */
+  hasLimits(): boolean;
+  /** Proxies that may be keepers, in the same order everywhere. */
+  candidates(): readonly QuotaPeer[];
+  /** Proxies that share all quotas; undefined while that isn't known. */
+  fleetSize(): number | undefined;
+  isUsable(peer: QuotaPeer): boolean;
+  /** Asks another proxy. */
+  request<P, R>(
+    peer: QuotaPeer,
+    method: Method<P, R>,
+    parameters: P,
+    timeout: Milliseconds,
+  ): Future<Result<R, unknown>>;
+}
+
+/** Bounds what accounts ask. */
+export interface Quota {
+  /** Counts one operation of an account if it may run. */
+  take(account: string): Task<QuotaAnswer>;
+  /** Counts attempts beyond the one that was granted. */
+  charge(account: string, count: number): void;
+  /** Serves other proxies. */
+  serve(handlers: HandlerTable): void;
+  /** Part of all quotas that this proxy counts now. */
+  lentPart(): number;
+}
+
+/** How often a part is lent anew: some times in a loan's time. */
+const LEND_PERIOD: Milliseconds = 500;
+/** The same while it isn't lent: its quota is lost meanwhile. */
+const FIRST_LEND_PERIOD: Milliseconds = 100;
+const LEND_JITTER = 0.2;
+/** Time for an answer: a round trip between regions, and a busy keeper. */
+const REQUEST_TIMEOUT: Milliseconds = 150;
+/** Given while no keeper answers: others are chosen by then. */
+const UNANSWERED_RETRY_AFTER: Milliseconds = 300;
+const PROCESS_DIGITS = 12;
+
+const GRANTED: QuotaAnswer = {kind: 'granted'};
+
+/** Starts to lend this proxy's part; nothing is sent while nobody has a limit. */
+export function createQuota(options: QuotaOptions): Quota {
+  const {runtime, self} = options;
+  const {timer, random} = runtime;
+  const process = random.hexadecimal(PROCESS_DIGITS);
+  const pool = createQuotaPool();
+  const lease = createPartLease();
+  const suspension = createSuspensionGuard(timer);
+  /** When a keeper may have room for an account again, by both names. */
+  const fullUntil = new Map<string, Milliseconds>();
+
+  function keepers(): Keepers {
+    return chooseKeepers({
+      self,
+      candidates: options.candidates(),
+      isUsable: options.isUsable,
+    });
+  }
+
+  /** A suspended process has not seen its loans end. */
+  function checkedPool() {
+    if (suspension.hasSlept()) {
+      pool.reset(timer.now());
+    }
+    return pool;
+  }
+
+  function ownPart(): number {
+    const size = options.fleetSize();
+    return size === undefined ? 0 : 1 / Math.max(1, size);
+  }
+
+  /** True if the part was lent; the first time a keeper only tells its clock. */
+  function* lendTo(keeper: QuotaPeer): Task<boolean> {
+    const offer = lease.offerTo(keeper.proxy, timer.now());
+    if (offer === undefined) {
+      return false;
+    }
+    const message = {lender: self.proxy, part: ownPart()};
+    const {reading} = offer;
+    const reply = yield* waitFor(
+      options.request(
+        keeper,
+        quotaLend,
+        reading === undefined ? message : {...message, reading},
+        REQUEST_TIMEOUT,
+      ),
+    );
+    if (reply.err) {
+      return false;
+    }
+    lease.noteReading(keeper.proxy, reply.val.reading, timer.now());
+    return reading?.process === reply.val.reading.process;
+  }
+
+  function lendToSelf(): boolean {
+    const now = timer.now();
+    if (lease.offerTo(self.proxy, now) === undefined) {
+      return false;
+    }
+    lease.noteReading(self.proxy, {process, time: now}, now);
+    lease.offerTo(self.proxy, now);
+    checkedPool().lend(self.proxy, ownPart(), now + LOAN_TIME, now);
+    return true;
+  }
+
+  function* lend(): Task<boolean> {
+    if (options.fleetSize() === undefined) {
+      return false;
+    }
+    const {home} = keepers();
+    return home.proxy === self.proxy
+      ? lendToSelf()
+      : (yield* lendTo(home)) || (yield* lendTo(home));
+  }
+
+  function* keepLending(): Task<void> {
+    for (let period = FIRST_LEND_PERIOD; ;) {
+      yield* sleep(random.jitter(period, LEND_JITTER));
+      const isLent = !options.hasLimits() || (yield* lend());
+      period = isLent ? LEND_PERIOD : FIRST_LEND_PERIOD;
+    }
+  }
+
+  /** The newer configuration decides. */
+  function newerLimit(asked: VersionedLimit): VersionedLimit {
+    const own = options.limitOf(asked.account);
+    return own !== undefined && own.version >= asked.version ? own : asked;
+  }
+
+  function takeHere(asked: VersionedLimit): QuotaAnswer {
+    return checkedPool().take(newerLimit(asked), timer.now());
+  }
+
+  function* takeFrom(
+    keeper: QuotaPeer,
+    asked: VersionedLimit,
+  ): Task<QuotaAnswer> {
+    if (keeper.proxy === self.proxy) {
+      return takeHere(asked);
+    }
+    const reply = yield* waitFor(
+      options.request(keeper, quotaTake, asked, REQUEST_TIMEOUT),
+    );
+    if (reply.err) {
+      return {kind: 'refused', retryAfter: UNANSWERED_RETRY_AFTER};
+    }
+    const {isGranted, retryAfter} = reply.val;
+    return isGranted ? GRANTED : {kind: 'refused', retryAfter};
+  }
+
+  /** Asks one keeper, unless it said when to come back. */
+  function* tryKeeper(
+    keeper: QuotaPeer,
+    asked: VersionedLimit,
+  ): Task<QuotaAnswer> {
+    const key = `${keeper.proxy} ${asked.account}`;
+    const wait = (fullUntil.get(key) ?? -Infinity) - timer.now();
+    if (wait > 0) {
+      return {kind: 'refused', retryAfter: wait * (1 + random.fraction())};
+    }
+    const answer = yield* takeFrom(keeper, asked);
+    if (answer.kind === 'refused') {
+      fullUntil.set(key, timer.now() + answer.retryAfter);
+    } else {
+      fullUntil.delete(key);
+    }
+    return answer;
+  }
+
+  function* take(account: string): Task<QuotaAnswer> {
+    const asked = options.limitOf(account);
+    if (asked === undefined) {
+      return GRANTED;
+    }
+    const {home, others} = keepers();
+    let retryAfter = Infinity;
+    for (const keeper of [home, ...others]) {
+      const answer = yield* tryKeeper(keeper, asked);
+      if (answer.kind === 'granted') {
+        return answer;
+      }
+      retryAfter = Math.min(retryAfter, answer.retryAfter);
+    }
+    return {kind: 'refused', retryAfter};
+  }
+
+  function chargeHere(asked: VersionedLimit, count: number): void {
+    checkedPool().charge(newerLimit(asked), count, timer.now());
+  }
+
+  function charge(account: string, count: number): void {
+    const asked = options.limitOf(account);
+    if (asked === undefined || count <= 0) {
+      return;
+    }
+    const {home} = keepers();
+    if (home.proxy === self.proxy) {
+      chargeHere(asked, count);
+    } else {
+      const message = {...asked, count};
+      void options.request(home, quotaCharge, message, REQUEST_TIMEOUT);
+    }
+  }
+
+  runtime.spawn('lend quota', keepLending());
+  return {
+    take,
+    charge,
+    serve(handlers) {
+      handlers
+        .handle(quotaLend, ({lender, part, reading}) => {
+          const now = timer.now();
+          if (reading?.process === process) {
+            checkedPool().lend(lender, part, reading.time + LOAN_TIME, now);
+          }
+          return settledFuture(Ok({reading: {process, time: now}}));
+        })
+        .handle(quotaTake, asked => {
+          const answer = takeHere(asked);
+          const isGranted = answer.kind === 'granted';
+          const retryAfter = answer.kind === 'refused' ? answer.retryAfter : 0;
+          return settledFuture(Ok({isGranted, retryAfter}));
+        })
+        .handle(quotaCharge, asked => {
+          chargeHere(asked, asked.count);
+          return settledFuture(Ok({}));
+        });
+    },
+    lentPart: () => checkedPool().lentPart(timer.now()),
+  };
+}
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -1,4 +1,5 @@
 /** Wires the parts that serve statement sessions. */
+import type {Quota} from '@kelpstep/accounts';
 import type {AdmissionPolicies} from '@kelpstep/pool';
 import {
   type Milliseconds,
@@ -36,6 +37,7 @@
   readonly open: OpenTargetConnection;
   readonly readStatus: ReadTargetStatus;
   readonly policies: AdmissionPolicies;
+  readonly quota: Pick<Quota, 'take' | 'charge'>;
   readonly events: GatewayEvents;
   groupEvents(group: string): TargetGroupEvents;
   /** True if this proxy holds connections to the group's targets. */
@@ -250,6 +252,7 @@
           caller,
           configuration,
           dispatcher,
+          quota: options.quota,
           events,
           isStopping: () => isStopping,
         }),
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -2,10 +2,17 @@
  * Wires a proxy of statement sessions: what it follows in the platform's store,
  * the gateway, and the watch over each group's primary.
  */
+import {type VersionedLimit, createQuota} from '@kelpstep/accounts';
 import type {StoredRow, TableRows, TableStore} from '@kelpstep/platform';
 import type {AdmissionPolicies} from '@kelpstep/pool';
 import type {Transport} from '@kelpstep/rpc';
-import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
+import {createFailure} from '@kelpstep/protocol';
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  settledFuture,
+} from '@kelpstep/runtime';
 import type {
   OpenTargetConnection,
   ReadTargetStatus,
@@ -31,11 +38,12 @@
   TargetLink,
   TargetRegistration,
 } from '@kelpstep/targets';
+import {Err} from 'ts-results';
 
 import type {GatewayConfiguration} from './configuration';
 import {type Gateway, createGateway} from './create_gateway';
 import type {GatewayEvents} from './gateway_events';
-import {createRelay} from './relay/create_relay';
+import {type Relay, createRelay} from './relay/create_relay';
 import {createHolders} from './relay/holders';
 import type {LeaderCheck} from './relay/leader_check';
 
@@ -127,6 +135,9 @@
 
 const NOBODY: ReadonlySet<string> = new Set();
 
+/** A proxy by itself reaches no other. */
+const UNREACHED = createFailure('OUTCOME_UNKNOWN', {outcome: 'not_run'});
+
 /** A proxy by itself has nobody to ask. */
 function* nobodyAsked(): Task<boolean> {
   return false;
@@ -147,6 +158,7 @@
   const reported = new Set<string>();
   let isLeaderReached: LeaderCheck = nobodyAsked;
   let lostPeers: () => ReadonlySet<string> = () => NOBODY;
+  let relay: Relay | undefined;
   const holders = createHolders({
     self,
     live: () => feed.live(),
@@ -192,11 +204,43 @@
     });
   }
 
+  /** A proxy that others can't reach shares nothing with them. */
+  function fleetSize(): number | undefined {
+    return self.relayAddress === '' ? 1 : feed.fleetSize();
+  }
+
+  function limitOf(name: string): VersionedLimit | undefined {
+    const {configuration} = gateway;
+    const limit = configuration.account(name)?.quota;
+    const version = configuration.current()?.version;
+    return limit === undefined || version === undefined
+      ? undefined
+      : {account: name, version, ...limit};
+  }
+
+  const quota = createQuota({
+    runtime,
+    self,
+    limitOf,
+    hasLimits: () =>
+      gateway.configuration
+        .current()
+        ?.accounts?.some(account => account.quota !== undefined) ?? false,
+    candidates: () =>
+      feed.distributors().filter(({relayAddress}) => relayAddress !== ''),
+    fleetSize,
+    isUsable: ({relayAddress}) => relay?.isUsable(relayAddress) ?? false,
+    request: ({relayAddress}, method, parameters, timeout) =>
+      relay?.request(relayAddress, method, parameters, timeout) ??
+      settledFuture(Err(UNREACHED)),
+  });
+
   const gateway = createGateway({
     runtime,
     open: options.open,
     readStatus: options.readStatus,
     policies: options.policies,
+    quota,
     events: events.gateway,
     groupEvents: events.targets,
     holds: holders.holds,
@@ -209,7 +253,7 @@
       if (self.relayAddress === '') {
         return {dispatcher: local, pending: () => 0, close: () => {}};
       }
-      const relay = createRelay({
+      relay = createRelay({
         runtime,
         transport: options.transport,
         self,
@@ -222,6 +266,7 @@
           return leader !== undefined && isHeard(leader);
         },
         isStopping,
+        serveOthers: quota.serve,
         onListenFailure: events.onListenFailure,
       });
       isLeaderReached = relay.isLeaderReached;
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -1,6 +1,10 @@
 /** Wires what sends statements through other proxies, and serves theirs. */
 import type {PresentProxy} from '@kelpstep/table-feed';
-import {type Transport, acceptConnections} from '@kelpstep/rpc';
+import {
+  type HandlerTable,
+  type Transport,
+  acceptConnections,
+} from '@kelpstep/rpc';
 import type {Runtime} from '@kelpstep/runtime';
 import type {GroupSettings} from '@kelpstep/targets';
 
@@ -9,7 +13,7 @@
 import type {GatewayEvents} from '../gateway_events';
 import type {Holders} from './holders';
 import {type LeaderCheck, createLeaderCheck} from './leader_check';
-import {createRelayClient} from './relay_client';
+import {type RelayClient, createRelayClient} from './relay_client';
 import {createRelayServer} from './relay_server';
 import {createRelayingDispatcher} from './relaying_dispatcher';
 
@@ -25,6 +29,8 @@
   /** True if the group's primary answered this proxy a moment ago. */
   reachesLeader(group: string): boolean;
   isStopping(): boolean;
+  /** Adds what else is served to other proxies. */
+  serveOthers(handlers: HandlerTable): void;
   /** The relay address could not be listened on. */
   onListenFailure(message: string): void;
 }
@@ -33,6 +39,8 @@
 export interface Relay extends GatewayRelay {
   /** Whether another proxy reaches the group's primary. */
   readonly isLeaderReached: LeaderCheck;
+  readonly request: RelayClient['request'];
+  readonly isUsable: RelayClient['isUsable'];
   /** Relay addresses of proxies that were not reached for some time. */
   lost(): ReadonlySet<string>;
 }
@@ -52,6 +60,7 @@
     events,
     reachesLeader: options.reachesLeader,
     isStopping: options.isStopping,
+    serveOthers: options.serveOthers,
   });
 
   function peers(group: string): readonly PresentProxy[] {
@@ -87,6 +96,8 @@
   return {
     dispatcher,
     isLeaderReached,
+    request: client.request,
+    isUsable: client.isUsable,
     lost: client.lost,
     pending: server.pending,
     close,
--- a/packages/gateway/src/relay/holders.ts
+++ b/packages/gateway/src/relay/holders.ts
@@ -67,10 +67,8 @@
     };
   }
 
-  function choiceFor({
-    group,
-    connectionLimit,
-  }: GroupSettings): Choice | undefined {
+  function choiceFor(settings: GroupSettings): Choice | undefined {
+    const {group} = settings;
     const live = options.live();
     const lost = options.lost();
     if (live === undefined) {
@@ -83,7 +81,7 @@
       candidates = undefined;
       chosen.clear();
     }
-    const most = mostHolders(connectionLimit);
+    const most = mostHolders(settings);
     const key = `${group} ${most}`;
     const known = chosen.get(key) ?? choose(group, most);
     chosen.set(key, known);
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -1,4 +1,5 @@
 /** Has statements run by other proxies. */
+import type {Method} from '@kelpstep/protocol';
 import {
   type PeerLinks,
   type RequestFailure,
@@ -67,6 +68,13 @@
   ): Task<RelayOutcome>;
   /** Whether the other proxy reaches the group's primary; false in doubt. */
   reachesLeader(address: string, group: string): Future<boolean>;
+  /** Asks another proxy for something that is no statement. */
+  request<P, R>(
+    address: string,
+    method: Method<P, R>,
+    parameters: P,
+    timeout: Milliseconds,
+  ): Future<Result<R, RequestFailure>>;
   /** False from a failure until it answers again. */
   isUsable(address: string): boolean;
   /** Addresses not reached for some time; another set after each change. */
@@ -311,8 +319,24 @@
     );
   }
 
+  function request<P, R>(
+    address: string,
+    method: Method<P, R>,
+    parameters: P,
+    timeout: Milliseconds,
+  ): Future<Result<R, RequestFailure>> {
+    const reply = links.request(address, method, parameters, timeout);
+    reply.onSettled(result => {
+      if (result.err && result.val.kind !== 'refused') {
+        reachability.noteFailure(address);
+      }
+    });
+    return reply;
+  }
+
   return {
     dispatch,
+    request,
     reachesLeader,
     isUsable: reachability.isUsable,
     lost: reachability.lost,
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -1,6 +1,7 @@
 /** Runs statements for other proxies at targets that this one reaches. */
 import {
   type Connection,
+  type HandlerTable,
   createHandlerTable,
   createRpcPeer,
 } from '@kelpstep/rpc';
@@ -47,6 +48,8 @@
   reachesLeader(group: string): boolean;
   /** True once nothing new is taken, as this proxy is to end. */
   isStopping(): boolean;
+  /** Adds what else is served to other proxies. */
+  serveOthers(handlers: HandlerTable): void;
 }
 
 /** Serves other proxies. */
@@ -202,6 +205,7 @@
         settledFuture(Ok({isReached: options.reachesLeader(group)})),
       )
       .handle(relayPing, () => settledFuture(Ok({})));
+    options.serveOthers(handlers);
     const peer = createRpcPeer({connection, timer, handlers});
     peer.onNotification(RELAY_END, parameters => {
       // What can't be read ends nothing; the sender's silence does.
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -1,4 +1,5 @@
 /** One caller's session: its settings, its transaction, its answers in order. */
+import type {Quota} from '@kelpstep/accounts';
 import type {LogPosition} from '@kelpstep/protocol';
 import {
   type Milliseconds,
@@ -31,7 +32,11 @@
   ConfigurationKeeper,
   SessionAdmission,
 } from './configuration';
-import type {DispatchResult, Dispatcher} from './dispatch_types';
+import {
+  type DispatchResult,
+  type Dispatcher,
+  refusalAnswer,
+} from './dispatch_types';
 import type {GatewayEvents, RequestEnd} from './gateway_events';
 
 /** What a session is served with. */
@@ -40,6 +45,7 @@
   readonly caller: CallerConnection;
   readonly configuration: ConfigurationKeeper;
   readonly dispatcher: Dispatcher;
+  readonly quota: Pick<Quota, 'take' | 'charge'>;
   readonly events: GatewayEvents;
   /** True once idle sessions are to end. */
   isStopping(): boolean;
@@ -87,9 +93,11 @@
 /** Pause before a statement that found no room is sent again. */
 const BUSY_PAUSE: Milliseconds = 20;
 
+const OVER_QUOTA = 'over quota';
+
 /** Serves a session to its end. */
 export function* serveSession(options: SessionOptions): Task<void> {
-  const {runtime, caller, configuration, dispatcher, events} = options;
+  const {runtime, caller, configuration, dispatcher, quota, events} = options;
   const {timer} = runtime;
   const settings = createSessionSettings();
   let state: TransactionState = 'idle';
@@ -139,6 +147,25 @@
     };
   }
 
+  /** Counts an operation of the account; gives the refusal if it may not run. */
+  function* countOperation({
+    route,
+    account,
+  }: Admitted): Task<[StatementAnswer, RequestFacts] | undefined> {
+    if (account === undefined) {
+      return undefined;
+    }
+    const counted = yield* quota.take(account.account);
+    if (counted.kind === 'granted') {
+      return undefined;
+    }
+    const facts = {...LOCAL, group: route.group, account: account.account};
+    return [
+      refusalAnswer(OVER_QUOTA, counted.retryAfter),
+      {...facts, kind: route.freshness, reason: OVER_QUOTA},
+    ];
+  }
+
   function* serveOutside(
     request: CallerRequest,
     statement: SessionStatement,
@@ -151,6 +178,10 @@
     if (resolved === undefined) {
       return [errorAnswer('notPrepared', 'idle'), LOCAL];
     }
+    const refusal = yield* countOperation(admitted);
+    if (refusal !== undefined) {
+      return refusal;
+    }
     const isPlainBegin = statement.kind === 'begin' && !statement.readOnly;
     const result = yield* dispatcher.dispatch({
       id: request.id,
@@ -165,6 +196,9 @@
       isAbandoned: caller.isClosed,
     });
     const {answer, pinned} = result;
+    if (account !== undefined && result.attempts > 1) {
+      quota.charge(account, result.attempts - 1);
+    }
     if (pinned !== undefined) {
       transaction = {
         pinned,
--- a/packages/targets/__tests__/suspension_guard.spec.ts
+++ b/packages/runtime/__tests__/suspension_guard.spec.ts
@@ -1,8 +1,7 @@
-import {createVirtualTimer} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
-import {createSuspensionGuard} from '../src/suspension_guard';
+import {createSuspensionGuard, createVirtualTimer} from '..';
 
 describe('a suspension', () => {
   test('shows as wall-clock time that the monotonic clock lacks', () => {
--- a/packages/runtime/index.ts
+++ b/packages/runtime/index.ts
@@ -6,5 +6,6 @@
 export * from './src/real_timer';
 export * from './src/retry_pause';
 export * from './src/runtime';
+export * from './src/suspension_guard';
 export * from './src/timer';
 export * from './src/virtual_timer';
--- a/packages/targets/src/suspension_guard.ts
+++ b/packages/runtime/src/suspension_guard.ts
@@ -3,7 +3,7 @@
  * not show: a suspended machine. What was measured before is then older than
  * it seems.
  */
-import type {Milliseconds, TimerService} from '@kelpstep/runtime';
+import type {Milliseconds, TimerService} from './timer';
 
 /**
  * Difference between the advances of the two clocks that counts. Above what
--- a/packages/scenarios/src/statements/operation_counts.ts
+++ b/packages/scenarios/src/statements/operation_counts.ts
@@ -15,6 +15,8 @@
   readonly errors: Map<StatementErrorName | 'no answer', number>;
   /** Served ones among those that started after a time. */
   servedSince(time: Milliseconds): ServedOperations;
+  /** The same, of one account's callers. */
+  servedOf(account: string, time: Milliseconds): ServedOperations;
   /** Durations of the single statements among them that were served. */
   statementTimesSince(time: Milliseconds): readonly Milliseconds[];
   /** The same, of transactions alone. */
@@ -31,6 +33,7 @@
   /** Monotonic time of its start. */
   readonly at: Milliseconds;
   readonly duration: Milliseconds;
+  readonly account: string | undefined;
   readonly isTransaction: boolean;
   /** Undefined if it was served. */
   readonly failure: StatementErrorName | 'no answer' | undefined;
@@ -55,6 +58,8 @@
     served: 0,
     errors: new Map(),
     servedSince: time => count(log.filter(({at}) => at >= time)),
+    servedOf: (account, time) =>
+      count(log.filter(each => each.account === account && each.at >= time)),
     statementTimesSince: time =>
       statementTimes(({at, failure}) => at >= time && failure === undefined),
     transactionsSince: time =>
--- a/packages/scenarios/src/statements/rule_checker.ts
+++ b/packages/scenarios/src/statements/rule_checker.ts
@@ -27,8 +27,7 @@
   | 'epoch used twice'
   | 'not asked for'
   | 'wrong account'
-  | 'key taken away'
-  | 'quota exceeded';
+  | 'key taken away';
 
 /** A broken promise. */
 export interface BrokenRule {
@@ -66,10 +65,18 @@
   onPromise(writes: readonly string[]): void;
   /** Judges what is left once all is quiet. */
   finish(primary: StandInTarget | undefined): void;
+  /** When operations of an account were sent, and when targets ran them. */
+  operationsOf(account: string): readonly RunOperation[];
   broken(): readonly BrokenRule[];
   acknowledged(): number;
 }
 
+/** An operation as quotas count it: a transaction is one. */
+export interface RunOperation {
+  readonly sentAt: Milliseconds;
+  readonly ranAt: Milliseconds;
+}
+
 interface Acknowledged {
   readonly writes: readonly string[];
   readonly session: number;
@@ -84,6 +91,7 @@
   const findings: BrokenRule[] = [];
   const sent = new Map<string, SentRequest>();
   const sentAt = new Map<string, Milliseconds>();
+  const operations = new Map<string, RunOperation[]>();
   const takenAwayAt = new Map<string, Milliseconds>();
   const acknowledged: Acknowledged[] = [];
   const promised = new Set<string>();
@@ -174,10 +182,18 @@
     }
   }
 
-  function checkAccount(run: StatementRun, {account}: SentRequest): void {
+  function checkAccount(run: StatementRun, request: SentRequest): void {
+    const {account} = request;
     if (run.user !== account) {
       report('wrong account', `${run.id}: ${run.user}, not ${account}`);
     }
+    const isFirst =
+      request.transaction === undefined || !places.has(request.transaction);
+    if (account !== undefined && isFirst) {
+      const known = operations.get(account) ?? [];
+      known.push({sentAt: request.since, ranAt: run.at});
+      operations.set(account, known);
+    }
     const limit = takenAwayAt.get(account ?? '') ?? Infinity;
     if ((sentAt.get(run.id) ?? 0) > limit) {
       report('key taken away', `${run.id} of ${account}`);
@@ -190,8 +206,8 @@
       report('not asked for', run.id);
       return;
     }
-    checkTransaction(run, request);
     checkAccount(run, request);
+    checkTransaction(run, request);
     if (run.kind === 'commit') {
       return;
     }
@@ -271,6 +287,7 @@
     onRun,
     onPromotion,
     finish,
+    operationsOf: account => operations.get(account) ?? [],
     broken: () => findings,
     acknowledged: () => acknowledged.length,
   };
--- a/packages/scenarios/src/statements/session_callers.ts
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -262,6 +262,7 @@
       note({
         at,
         duration: timer.now() - at,
+        account: account?.account,
         isTransaction,
         failure: outcome === undefined ? 'no answer' : outcome.error?.name,
       });
--- a/packages/scenarios/src/statements/statement_routes.ts
+++ b/packages/scenarios/src/statements/statement_routes.ts
@@ -39,7 +39,14 @@
   return {
     version: 1,
     routes: ROUTES,
-    groups: [{group: GROUP, connectionLimit, synchronousReplicas: 1}],
+    groups: [
+      {
+        group: GROUP,
+        connectionLimit,
+        synchronousReplicas: 1,
+        isPerAccount: accounts !== undefined,
+      },
+    ],
     accounts,
     transactionIdle: 3000,
   };
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -66,6 +66,12 @@
    * same. Undefined while they aren't known.
    */
   live(): readonly PresentProxy[] | undefined;
+  /**
+   * How many run, with those that were lost lately; undefined as long as `live` is.
+   */
+  fleetSize(): number | undefined;
+  /** Proxies that hand the tables on, in the same order in every proxy's view. */
+  distributors(): readonly PresentProxy[];
   /**
    * Time since the copy of a table was known to be complete; `Infinity` if it
    * never was.
@@ -263,6 +269,8 @@
 
   return {
     live: present.live,
+    fleetSize: present.fleetSize,
+    distributors: present.distributors,
     age,
     ages: () =>
       copies
--- a/packages/table-feed/src/distributor_duty.ts
+++ b/packages/table-feed/src/distributor_duty.ts
@@ -22,6 +22,7 @@
   keyOfSlot,
 } from './distributor_row';
 import {RENEWAL_PERIOD} from './present_proxies';
+import {createRecentMaximum} from './recent_maximum';
 import type {TableCopy} from './table_copy';
 
 /** What the duty is made of. */
@@ -70,6 +71,12 @@
 /** After a write without an answer: it may yet be done. */
 const UNANSWERED_PAUSE: Milliseconds = 1500;
 
+/**
+ * Proxies that are lost may be cut off, and go on with their part of what all share,
+ * for so long at most.
+ */
+const LOST_KEPT_FOR: Milliseconds = 600_000;
+
 interface Claim {
   readonly slot: number;
   readonly at: Milliseconds;
@@ -85,6 +92,7 @@
   let claimAt: Milliseconds | undefined;
   let heldSince: Milliseconds | undefined;
   let earlier: readonly PresentProxy[] = [];
+  const most = createRecentMaximum(timer, LOST_KEPT_FOR);
   let nextWriteAt = -Infinity;
   let renewAt = Infinity;
 
@@ -161,8 +169,8 @@
       return;
     }
     const before = options.rows().find(row => row.slot === free);
-    const subscribers = before?.subscribers ?? [];
-    if (yield* write(free, {distributor: self, subscribers})) {
+    const {subscribers = [], most = 1} = before ?? {};
+    if (yield* write(free, {distributor: self, subscribers, most})) {
       claim = {slot: free, at: timer.now()};
     }
   }
@@ -186,16 +194,20 @@
     if (heldSince === undefined) {
       heldSince = timer.now();
       earlier = row.subscribers;
+      most.note(row.most);
       renewAt = timer.now() + random.jitter(RENEWAL_PERIOD, PERIOD_JITTER);
     }
     const subscribers = present();
+    const latelyMost = most.note(subscribers.length + 1);
     const isChanged =
+      latelyMost !== row.most ||
       !isSameProxy(self, row.distributor) ||
       !areSameProxies(subscribers, row.subscribers);
     const now = timer.now();
     if (now >= nextWriteAt && (isChanged || now >= renewAt)) {
       renewAt = now + random.jitter(RENEWAL_PERIOD, PERIOD_JITTER);
-      yield* write(row.slot, {distributor: self, subscribers});
+      const value = {distributor: self, subscribers, most: latelyMost};
+      yield* write(row.slot, value);
     }
   }
 
--- a/packages/table-feed/src/distributor_row.ts
+++ b/packages/table-feed/src/distributor_row.ts
@@ -23,6 +23,8 @@
 const distributorValueSchema = z.object({
   distributor: presentProxySchema,
   subscribers: z.array(presentProxySchema).readonly(),
+  /** The most proxies that the row told of lately, this one included. */
+  most: z.number().int().nonnegative().default(0),
 });
 export type DistributorValue = z.infer<typeof distributorValueSchema>;
 
@@ -66,6 +68,19 @@
   return present;
 }
 
+/**
+ * How many proxies there are, with those that were lost lately: a data centre that is
+ * cut off may go on with all that it had.
+ */
+export function countLatelyPresent(rows: readonly DistributorRow[]): number {
+  const most = new Map<string, number>();
+  for (const row of rows) {
+    const count = Math.max(row.most, row.subscribers.length + 1);
+    most.set(row.dataCentre, Math.max(count, most.get(row.dataCentre) ?? 0));
+  }
+  return [...most.values()].reduce((sum, count) => sum + count, 0);
+}
+
 /** True if two entries tell the same of a proxy. */
 export function isSameProxy(
   left: PresentProxy,
--- a/packages/table-feed/src/present_proxies.ts
+++ b/packages/table-feed/src/present_proxies.ts
@@ -6,6 +6,7 @@
   type DistributorRow,
   type PresentProxy,
   areSameProxies,
+  countLatelyPresent,
   keyOfSlot,
   listPresentProxies,
   readDistributorRows,
@@ -16,6 +17,8 @@
   /** Takes the rows after each change. */
   takeRows(rows: TableRows): void;
   rows(): readonly DistributorRow[];
+  /** Those that hand the tables on, in the same order in every proxy's view. */
+  distributors(): readonly PresentProxy[];
   /** Proxies that are known to run, this one included. */
   listed(): readonly PresentProxy[];
   /**
@@ -24,6 +27,10 @@
    * then others that start with it are listed too.
    */
   live(): readonly PresentProxy[] | undefined;
+  /**
+   * How many run, with those that were lost lately; undefined as long as `live` is.
+   */
+  fleetSize(): number | undefined;
 }
 
 /** What it is made of. */
@@ -44,6 +51,11 @@
   readonly at: Milliseconds;
 }
 
+function bySlot(left: DistributorRow, right: DistributorRow): number {
+  const byCentre = left.dataCentre < right.dataCentre ? -1 : 1;
+  return left.slot - right.slot || byCentre;
+}
+
 /** Creates a list that knows no proxies. */
 export function createPresentProxies(
   options: PresentProxiesOptions,
@@ -51,6 +63,7 @@
   const {timer, self} = options;
   const seen = new Map<string, Seen>();
   let rows: readonly DistributorRow[] = [];
+  let distributors: readonly PresentProxy[] = [];
   let list: readonly PresentProxy[] = [self];
   let isListed = false;
   let knownSince: Milliseconds | undefined;
@@ -68,6 +81,7 @@
   function takeRows(tableRows: TableRows): void {
     knownSince ??= timer.now();
     rows = readDistributorRows(tableRows).filter(row => !isExpired(row));
+    distributors = [...rows].sort(bySlot).map(row => row.distributor);
     const present = listPresentProxies(rows);
     isListed ||= present.has(self.proxy);
     present.delete(self.proxy);
@@ -83,7 +97,10 @@
   return {
     takeRows,
     rows: () => rows,
+    distributors: () => distributors,
     listed: () => list,
     live: () => (isKnown() ? list : undefined),
+    fleetSize: () =>
+      isKnown() ? Math.max(list.length, countLatelyPresent(rows)) : undefined,
   };
 }
--- a/packages/targets/index.ts
+++ b/packages/targets/index.ts
@@ -5,7 +5,6 @@
 export * from './src/registration';
 export * from './src/shared_connections';
 export * from './src/statement_work';
-export * from './src/suspension_guard';
 export * from './src/target_group';
 export * from './src/target_link';
 export * from './src/target_questions';
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -8,6 +8,7 @@
   type Milliseconds,
   type Runtime,
   type Task,
+  createSuspensionGuard,
   waitAtMost,
 } from '@kelpstep/runtime';
 import type {
@@ -19,7 +20,6 @@
 import {shareOfHolder} from './connection_shares';
 import {type GroupPositions, createGroupPositions} from './group_positions';
 import type {GroupSettings, TargetRegistration} from './registration';
-import {createSuspensionGuard} from './suspension_guard';
 import {type TargetLink, createTargetLink} from './target_link';
 
 /** What a group tells of itself, for the log. */
@@ -104,12 +104,13 @@
     group: options.group,
     connectionLimit: 1,
     synchronousReplicas: 0,
+    isPerAccount: false,
   };
   let roundStartedAt = -Infinity;
   let knownLeader = '';
 
   function share(): number {
-    return shareOfHolder(settings.connectionLimit, options.holders());
+    return shareOfHolder(settings, options.holders());
   }
 
   function noteLeader(): void {
