feat(routing): the own interface knows client accounts by their keys

A manifest may list accounts with the digests of their keys; every request then needs the key of one, and is refused at once with UNKNOWN_ACCOUNT, or with NOT_READY while the manifest may be out of date. A key stays in the proxy that the caller reached: a request of a transaction that is held elsewhere is handed over without it. 'kelpstep account NAME' makes a key and its digest.

Metrics: requests of the largest accounts, the others together; the part of all quotas that a proxy counts against.

--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -3,6 +3,7 @@
 
 import cliPackage from '../package.json';
 import type {CommandBuilder, CommandContext} from './command';
+import {addAccountCommand} from './commands/account';
 import {addAuditCommand} from './commands/audit';
 import {addCallCommands} from './commands/call';
 import {addDemoCommand} from './commands/demo';
@@ -16,6 +17,7 @@
 const COMMANDS: readonly CommandBuilder[] = [
   addProxyCommand,
   addManifestCommands,
+  addAccountCommand,
   addStatusCommand,
   addAuditCommand,
   addRequestsCommand,
--- /dev/null
+++ b/packages/cli/src/commands/account.ts
@@ -0,0 +1,27 @@
+/** `kelpstep account`: makes a key of a client account. */
+import {digestKey} from '@kelpstep/accounts';
+import {randomBytes} from 'node:crypto';
+import type {Argv} from 'yargs';
+
+import {type CommandContext} from '../command';
+
+const KEY_BYTES = 24;
+
+/** Adds the command. */
+export function addAccountCommand(yargs: Argv, context: CommandContext): Argv {
+  return yargs.command(
+    'account <name>',
+    'Make a key: it goes to the caller, its digest into the manifest',
+    builder =>
+      builder.positional('name', {
+        type: 'string',
+        demandOption: true,
+        describe: 'Name of the account',
+      }),
+    ({name}) => {
+      const key = randomBytes(KEY_BYTES).toString('base64url');
+      const keyDigest = digestKey(Buffer.from(key));
+      context.output.result({name, key, keyDigest});
+    },
+  );
+}
--- a/packages/cli/src/commands/call_options.ts
+++ b/packages/cli/src/commands/call_options.ts
@@ -9,6 +9,7 @@
   readonly kind: string | undefined;
   readonly token: string | undefined;
   readonly deadline: number | undefined;
+  readonly accountKey: string | undefined;
 }
 
 /** Options of a statement. */
@@ -18,6 +19,8 @@
   readonly transaction: string | undefined;
 }
 
+/** So that a key needn't stand among a command's parameters. */
+const ACCOUNT_KEY_VARIABLE = 'KELPSTEP_ACCOUNT_KEY';
 const DEFAULT_PROXY = '127.0.0.1:7101';
 
 /** Adds the options of all requests. */
@@ -41,6 +44,11 @@
     .option('deadline', {
       type: 'number',
       describe: 'Time for the answer, milliseconds from now',
+    })
+    .option('account-key', {
+      type: 'string',
+      describe: `Key of an account; by default that of ${ACCOUNT_KEY_VARIABLE}`,
+      defaultDescription: 'none',
     });
 }
 
@@ -86,11 +94,13 @@
 /** The fields that all requests have. */
 export function requestFieldsOf(options: RequestOptions, wallClock: number) {
   const {group, kind, token, deadline} = options;
+  const accountKey = options.accountKey ?? process.env[ACCOUNT_KEY_VARIABLE];
   return {
     group,
     ...(kind === undefined ? {} : {kind}),
     ...(token === undefined ? {} : {token}),
     ...(deadline === undefined ? {} : {deadline: wallClock + deadline}),
+    ...(accountKey === undefined ? {} : {accountKey}),
   };
 }
 
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -117,6 +117,8 @@
   readonly gateway: Gateway;
   /** How old the copies of the store's tables are. */
   tableAges(): readonly TableAge[];
+  /** Part of all quotas that this proxy counts against. */
+  quotaPart(): number;
   /** Ends what other proxies are connected to; nothing is served any more. */
   close(): void;
 }
@@ -352,5 +354,10 @@
     gateway.close();
   }
 
-  return {gateway, tableAges: feed.ages, close};
+  return {
+    gateway,
+    tableAges: feed.ages,
+    quotaPart: quota.lentPart,
+    close,
+  };
 }
--- a/packages/manifest/__tests__/read_manifest.spec.ts
+++ b/packages/manifest/__tests__/read_manifest.spec.ts
@@ -21,6 +21,17 @@
     expect(manifest.groups[0]?.members[0]?.state).toEqual('serving');
   });
 
+  test('with accounts takes digests of keys, each once', () => {
+    const digest = 'A'.repeat(22);
+    const accounts = (...digests: string[]) =>
+      `accounts: [{name: office, keyDigests: [${digests.join()}]}]\n`;
+    expect(linesFor(OFFICE_MANIFEST + accounts(digest))).toEqual([]);
+    const [short] = linesFor(OFFICE_MANIFEST + accounts('secret'));
+    expect(short?.includes('accounts[0].keyDigests[0]')).toEqual(true);
+    const [again] = linesFor(OFFICE_MANIFEST + accounts(digest, digest));
+    expect(again?.includes('a distinct key')).toEqual(true);
+  });
+
   test('reports all findings together, each at its place', () => {
     const text = editedOfficeManifest(
       ['slots: 3', 'slots: many'],
--- a/packages/manifest/src/manifest_checks.ts
+++ b/packages/manifest/src/manifest_checks.ts
@@ -30,6 +30,10 @@
 
 const kindOutlineSchema = z.object({name: text, deadline: number}).catch({});
 
+const accountOutlineSchema = z
+  .object({name: text, keyDigests: list(text)})
+  .catch({keyDigests: []});
+
 const stopOutlineSchema = z
   .object({drainTime: number, acceptTime: number})
   .catch({});
@@ -38,6 +42,7 @@
   dataCentres: list(text),
   groups: list(groupOutlineSchema),
   kinds: list(kindOutlineSchema),
+  accounts: list(accountOutlineSchema),
   stop: stopOutlineSchema,
   keyRetention: number,
 });
@@ -108,6 +113,22 @@
         value: kind.name,
       })),
     ),
+    ...findDuplicates(
+      'account name',
+      outline.accounts.map((account, index) => ({
+        path: ['accounts', index, 'name'],
+        value: account.name,
+      })),
+    ),
+    ...findDuplicates(
+      'key',
+      outline.accounts.flatMap((account, index) =>
+        account.keyDigests.map((value, place) => ({
+          path: ['accounts', index, 'keyDigests', place],
+          value,
+        })),
+      ),
+    ),
     ...findDuplicates(
       'member id',
       members.map(({path, member}) => ({
--- a/packages/manifest/src/manifest_schema.ts
+++ b/packages/manifest/src/manifest_schema.ts
@@ -59,6 +59,19 @@
 });
 export type RequestKind = z.infer<typeof requestKindSchema>;
 
+const KEY_DIGEST_TEXT = 'the digest of a key, as `kelpstep account` prints it';
+
+/** A client account, known by its keys. */
+export const accountSchema = z.strictObject({
+  name: nameSchema,
+  keyDigests: z.array(
+    z
+      .string({error: KEY_DIGEST_TEXT})
+      .regex(/^[A-Za-z0-9_-]{22}$/, {error: KEY_DIGEST_TEXT}),
+  ),
+});
+export type Account = z.infer<typeof accountSchema>;
+
 /** How members and proxies are stopped. */
 export const stopPolicySchema = z.strictObject({
   /** Time that transactions get to end, milliseconds. */
@@ -75,6 +88,8 @@
   dataCentres: z.array(nameSchema).min(1),
   groups: z.array(groupSchema).min(1),
   kinds: z.array(requestKindSchema).min(1),
+  /** With accounts every request needs the key of one. */
+  accounts: z.array(accountSchema).optional(),
   stop: stopPolicySchema.default({drainTime: 10_000, acceptTime: 5_000}),
   /** How long targets remember idempotency keys, milliseconds. */
   keyRetention: milliseconds(1, LONGEST_KEY_RETENTION).default(86_400_000),
--- a/packages/observability/index.ts
+++ b/packages/observability/index.ts
@@ -1,5 +1,6 @@
 /** Logs, metrics and the audit trail. */
 export * from './src/audit_trail';
+export * from './src/largest_counts';
 export * from './src/logger';
 export * from './src/metrics_registry';
 export * from './src/proxy_metrics';
--- a/packages/protocol/src/caller_messages.ts
+++ b/packages/protocol/src/caller_messages.ts
@@ -7,6 +7,9 @@
 /** Longest session token that is read, in characters. */
 export const MAXIMUM_TOKEN_LENGTH = 4096;
 
+/** Longest key of an account that is read, in characters. */
+const MAXIMUM_ACCOUNT_KEY_LENGTH = 200;
+
 /** A session token; opaque to callers. */
 export const sessionTokenSchema = z.string().max(MAXIMUM_TOKEN_LENGTH);
 
@@ -24,6 +27,8 @@
   token: sessionTokenSchema.optional(),
   /** Wall clock in milliseconds since 1970 after which no answer is wanted. */
   deadline: z.number().int().positive().optional(),
+  /** Key of the caller's account, where the manifest has accounts. */
+  accountKey: z.string().max(MAXIMUM_ACCOUNT_KEY_LENGTH).optional(),
 };
 
 /** Which target answered, and how old its data was at most. */
--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -53,6 +53,7 @@
   STATEMENT_FAILED: define(1008, 'not_run', false, 'The statement is faulty.'),
   BODY_TOO_LARGE: define(1009, 'not_run', false, 'The body is too large.'),
   KEY_FROM_FUTURE: define(1010, 'not_run', false, 'Issue time lies ahead.'),
+  UNKNOWN_ACCOUNT: define(1011, 'not_run', false, 'No account has this key.'),
 
   OVERLOADED: define(1101, 'not_run', true, 'No room before the deadline.'),
   NO_PRIMARY: define(1102, 'not_run', true, 'The group has no primary now.'),
--- a/packages/routing/__tests__/deployment.ts
+++ b/packages/routing/__tests__/deployment.ts
@@ -207,6 +207,16 @@
     }
   }
 
+  /** All that proxies send each other from now on. */
+  function recordForwarded(): string[] {
+    const sent: string[] = [];
+    network.loseMessages(({message}) => {
+      sent.push(JSON.stringify(message));
+      return false;
+    });
+    return sent;
+  }
+
   /** Sends a caller's request; the list gets its outcome. */
   function send<P, R>(
     index: number,
@@ -320,5 +330,6 @@
     start,
     entries,
     killProxy,
+    recordForwarded,
   };
 }
--- a/packages/routing/src/request_intake.ts
+++ b/packages/routing/src/request_intake.ts
@@ -1,4 +1,5 @@
 /** The first checks of a request: names, deadline, token. */
+import {digestKey} from '@kelpstep/accounts';
 import type {Group, Manifest, RequestKind} from '@kelpstep/manifest';
 import {Failure, LogPosition, createFailure} from '@kelpstep/protocol';
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
@@ -19,8 +20,15 @@
   readonly kind?: string | undefined;
   readonly token?: string | undefined;
   readonly deadline?: number | undefined;
+  readonly accountKey?: string | undefined;
 }
 
+/** Who sends a request. */
+export type RequestSource =
+  | 'caller'
+  /** Another proxy, which has checked the caller's key. */
+  | 'proxy';
+
 /** A request whose fields make sense. */
 export interface CheckedRequest {
   readonly manifest: Manifest;
@@ -38,6 +46,8 @@
   readonly manifest: Manifest;
   readonly groups: ReadonlyMap<string, Group>;
   readonly kinds: ReadonlyMap<string, RequestKind>;
+  /** Undefined if callers need no key. */
+  readonly keyDigests: ReadonlySet<string> | undefined;
 }
 
 function indexManifest(manifest: Manifest): ManifestIndex {
@@ -45,12 +55,20 @@
     manifest,
     groups: new Map(manifest.groups.map(group => [group.name, group])),
     kinds: new Map(manifest.kinds.map(kind => [kind.name, kind])),
+    keyDigests:
+      manifest.accounts &&
+      new Set(manifest.accounts.flatMap(({keyDigests}) => keyDigests)),
   };
 }
 
+function hasAccount({keyDigests}: ManifestIndex, accountKey: string): boolean {
+  return keyDigests?.has(digestKey(Buffer.from(accountKey))) ?? true;
+}
+
 /** Checks the fields that all requests have. */
 export type RequestIntake = (
   fields: RequestFields,
+  source: RequestSource,
 ) => Result<CheckedRequest, Failure>;
 
 /** What the checks need. */
@@ -110,7 +128,9 @@
   }
 
   /** A name is denied for good only if no manifest can be missing that has it. */
-  function denyName(name: 'UNKNOWN_GROUP' | 'UNKNOWN_KIND'): Failure {
+  function denyName(
+    name: 'UNKNOWN_ACCOUNT' | 'UNKNOWN_GROUP' | 'UNKNOWN_KIND',
+  ): Failure {
     return options.isManifestCurrent()
       ? createFailure(name)
       : createFailure('NOT_READY', {
@@ -119,11 +139,14 @@
         });
   }
 
-  return fields => {
+  return (fields, source) => {
     const known = currentIndex();
     if (known === undefined) {
       return Err(createFailure('NOT_READY'));
     }
+    if (source === 'caller' && !hasAccount(known, fields.accountKey ?? '')) {
+      return Err(denyName('UNKNOWN_ACCOUNT'));
+    }
     const group = known.groups.get(fields.group);
     if (group === undefined) {
       return Err(denyName('UNKNOWN_GROUP'));
--- a/packages/routing/src/request_service.ts
+++ b/packages/routing/src/request_service.ts
@@ -37,7 +37,11 @@
 import {DEFAULT_REQUEST_LIMITS} from './limits';
 import {createLocalTransactions} from './local_transactions';
 import {DEFAULT_REQUEST_POLICIES} from './policies';
-import {RequestFields, createRequestIntake} from './request_intake';
+import {
+  RequestFields,
+  RequestSource,
+  createRequestIntake,
+} from './request_intake';
 import type {
   ForwardedMethod,
   RequestService,
@@ -93,10 +97,11 @@
 
   function activate(
     fields: RequestFields,
+    source: RequestSource,
     method: string,
     notes: RequestNotes,
   ): Result<ActiveRequest, Failure> {
-    const checked = checkFields(fields);
+    const checked = checkFields(fields, source);
     if (checked.err) {
       return checked;
     }
@@ -125,6 +130,7 @@
   function start<P extends RequestFields, R>(
     method: string,
     parameters: P,
+    source: RequestSource,
     serve: Serve<P, R>,
     onEnd: (result: Result<R, Failure>, notes: RequestNotes) => void,
   ): Future<Reply<R>> {
@@ -133,7 +139,7 @@
 
     function* task(): Task<Result<R, Failure>> {
       try {
-        const request = activate(parameters, method, notes);
+        const request = activate(parameters, source, method, notes);
         const result = request.ok
           ? yield* serve(parameters, request.val)
           : request;
@@ -189,7 +195,7 @@
         reportEnd(name, parameters, startedAt, refusal, createRequestNotes());
         return settledFuture(refusal);
       }
-      return start(name, parameters, serve, (result, notes) =>
+      return start(name, parameters, 'caller', serve, (result, notes) =>
         reportEnd(name, parameters, startedAt, result, notes),
       );
     });
@@ -219,6 +225,7 @@
     return start(
       method,
       parsed.data as TransactionFields,
+      'proxy',
       (parameters: TransactionFields, request) =>
         transactionRequests.serveForwarded(method, parameters, request),
       () => {},
--- a/packages/routing/src/transaction_requests.ts
+++ b/packages/routing/src/transaction_requests.ts
@@ -41,6 +41,7 @@
   readonly group: string;
   readonly transaction?: string | undefined;
   readonly key?: IdempotencyKey | undefined;
+  readonly accountKey?: string | undefined;
 }
 
 /** Part of the time that a commit's owner gets; the rest is for settling. */
@@ -69,10 +70,11 @@
     return isHere ? undefined : service.findProxy(proxy, incarnation);
   }
 
+  /** The caller's key stays here: it was checked. */
   function* forward(
     owner: ProxyIdentity,
     method: ForwardedMethod,
-    parameters: TransactionFields,
+    {accountKey: unusedKey, ...parameters}: TransactionFields,
     request: ActiveRequest,
   ): Task<Result<unknown, RequestFailure>> {
     const remaining = remainingTime(request.context);
