perf(targets): groups of accounts have as many holders as others

Tried: three holders a group with five connections for statements each, so that an account's connections are found open more often.

--- a/packages/gateway/src/relay/holders.ts
+++ b/packages/gateway/src/relay/holders.ts
@@ -67,8 +67,10 @@
     };
   }
 
-  function choiceFor(settings: GroupSettings): Choice | undefined {
-    const {group} = settings;
+  function choiceFor({
+    group,
+    connectionLimit,
+  }: GroupSettings): Choice | undefined {
     const live = options.live();
     const lost = options.lost();
     if (live === undefined) {
@@ -81,7 +83,7 @@
       candidates = undefined;
       chosen.clear();
     }
-    const most = mostHolders(settings);
+    const most = mostHolders(connectionLimit);
     const key = `${group} ${most}`;
     const known = chosen.get(key) ?? choose(group, most);
     chosen.set(key, known);
--- a/packages/scenarios/src/statements/statement_routes.ts
+++ b/packages/scenarios/src/statements/statement_routes.ts
@@ -39,14 +39,7 @@
   return {
     version: 1,
     routes: ROUTES,
-    groups: [
-      {
-        group: GROUP,
-        connectionLimit,
-        synchronousReplicas: 1,
-        isPerAccount: accounts !== undefined,
-      },
-    ],
+    groups: [{group: GROUP, connectionLimit, synchronousReplicas: 1}],
     accounts,
     transactionIdle: 3000,
   };
--- a/packages/targets/src/registration.ts
+++ b/packages/targets/src/registration.ts
@@ -24,6 +24,4 @@
   readonly connectionLimit: number;
   /** Replicas that hold a commit before it is acknowledged. */
   readonly synchronousReplicas: number;
-  /** True if each connection serves the sessions of one account alone. */
-  readonly isPerAccount: boolean;
 }
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -104,13 +104,12 @@
     group: options.group,
     connectionLimit: 1,
     synchronousReplicas: 0,
-    isPerAccount: false,
   };
   let roundStartedAt = -Infinity;
   let knownLeader = '';
 
   function share(): number {
-    return shareOfHolder(settings, options.holders());
+    return shareOfHolder(settings.connectionLimit, options.holders());
   }
 
   function noteLeader(): void {
