--- a/packages/accounts/__tests__/quota_pool.spec.ts
+++ b/packages/accounts/__tests__/quota_pool.spec.ts
@@ -9,10 +9,14 @@
 const LONG = 1_000_000;
 const SECOND = 1000;
 
+function createEmptyPool(startAllowance = 0) {
+  return createQuotaPool({startAllowance: () => startAllowance});
+}
+
 /** A pool to which a part of all quotas is lent for long. */
 function createPool(part = 1, now = 0) {
-  const pool = createQuotaPool();
-  pool.lend('a', part, now + LONG, now);
+  const pool = createEmptyPool();
+  pool.lend({lender: 'a', part, until: now + LONG}, now);
 
   /** How many of so many operations are granted at once. */
   function grant(count: number, at: number, limit = LIMIT): number {
@@ -89,7 +93,7 @@
   });
 
   test('are not sent away for long, also where nothing is granted', () => {
-    const none = createQuotaPool().take(LIMIT, 0);
+    const none = createEmptyPool().take(LIMIT, 0);
     const zero = createPool().take({...LIMIT, rate: 0, burst: 0}, LONG - 1);
     for (const answer of [none, zero]) {
       const wait = answer.kind === 'refused' ? answer.retryAfter : Infinity;
@@ -98,6 +102,34 @@
   });
 });
 
+describe('processes that start', () => {
+  const START = {lender: 'a', part: 0.5, until: LONG, startOf: 'first'};
+
+  function grant(pool: ReturnType<typeof createEmptyPool>, at: number): number {
+    const answers = Array.from({length: 100}, () => pool.take(LIMIT, at));
+    return answers.filter(({kind}) => kind === 'granted').length;
+  }
+
+  test('bring their part of an allowance, at most the burst', () => {
+    const pool = createEmptyPool(4);
+    pool.lend(START, 0);
+    expect(grant(pool, 0)).toEqual(2);
+    const generous = createEmptyPool(1000);
+    generous.lend({...START, part: 1}, 0);
+    expect(grant(generous, 0)).toEqual(LIMIT.burst);
+  });
+
+  test('bring it once', () => {
+    const pool = createEmptyPool(4);
+    pool.lend(START, 0);
+    grant(pool, 0);
+    pool.lend(START, 0);
+    expect(grant(pool, 0)).toEqual(0);
+    pool.lend({...START, startOf: 'second'}, 0);
+    expect(grant(pool, 0)).toEqual(2);
+  });
+});
+
 describe('parts of a quota', () => {
   test('grant their share, and the rest of an operation is rounded up', () => {
     const {grant} = createPool(0.25);
@@ -107,8 +139,8 @@
   });
 
   test('grant nothing after the loan has ended', () => {
-    const pool = createQuotaPool();
-    pool.lend('a', 1, 1000, 0);
+    const pool = createEmptyPool();
+    pool.lend({lender: 'a', part: 1, until: 1000}, 0);
     expect(pool.lentPart(999)).toEqual(1);
     expect(pool.lentPart(1000)).toEqual(0);
     expect(pool.take(LIMIT, 60_000).kind).toEqual('refused');
@@ -116,17 +148,17 @@
 
   test('gain only for the time that they were lent', () => {
     const {lend, grant} = createPool(0.001);
-    lend('b', 0.999, 60_200, 60_000);
+    lend({lender: 'b', part: 0.999, until: 60_200}, 60_000);
     expect(grant(100, 60_100) <= 2).toEqual(true);
   });
 
   test('that leave take along what they had saved up', () => {
-    const pool = createQuotaPool();
-    pool.lend('a', 0.2, LONG, 0);
-    pool.lend('b', 0.8, 60_000, 0);
+    const pool = createEmptyPool();
+    pool.lend({lender: 'a', part: 0.2, until: LONG}, 0);
+    pool.lend({lender: 'b', part: 0.8, until: 60_000}, 0);
     expect(pool.take(LIMIT, 59_999).kind).toEqual('granted');
     // The other part saves up its burst elsewhere, and comes back.
-    pool.lend('b', 0.8, LONG, 70_000);
+    pool.lend({lender: 'b', part: 0.8, until: LONG}, 70_000);
     const granted = Array.from({length: 9}, () =>
       pool.take(LIMIT, 70_001),
     ).filter(({kind}) => kind === 'granted').length;
@@ -142,7 +174,7 @@
   test('together grant no more than the whole, whoever has them', () => {
     for (let seed = 1; seed <= 50; seed++) {
       const random = createRandom(seed);
-      const pools = [createQuotaPool(), createQuotaPool(), createQuotaPool()];
+      const pools = [createEmptyPool(), createEmptyPool(), createEmptyPool()];
       const lenders = ['a', 'b', 'c', 'd', 'e'];
       const until = new Map<string, number>();
       const grants: number[] = [];
@@ -151,7 +183,8 @@
           if (now >= (until.get(lender) ?? 0)) {
             const end = now + random.integer(1, 2000);
             until.set(lender, end);
-            random.pick(pools).lend(lender, 1 / lenders.length, end, now);
+            const loan = {lender, part: 1 / lenders.length, until: end};
+            random.pick(pools).lend(loan, now);
           }
         }
         for (const pool of pools) {
--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -18,6 +18,7 @@
 import {Ok, type Result} from 'ts-results';
 
 import {type Keepers, type QuotaPeer, chooseKeepers} from './choose_keepers';
+import type {QuotaLimit} from './account_directory';
 import {LOAN_TIME, createPartLease} from './part_lease';
 import {quotaCharge, quotaLend, quotaTake} from './quota_messages';
 import {
@@ -34,6 +35,8 @@
   limitOf(account: string): VersionedLimit | undefined;
   /** True if any account has a limit. */
   hasLimits(): boolean;
+  /** Operations beyond the limit that are allowed when all proxies start at once. */
+  startAllowance(limit: QuotaLimit): number;
   /** Proxies that may be keepers, in the same order everywhere. */
   candidates(): readonly QuotaPeer[];
   /** Proxies that share all quotas; undefined while that isn't known. */
@@ -78,9 +81,10 @@
   const {runtime, self} = options;
   const {timer, random} = runtime;
   const process = random.hexadecimal(PROCESS_DIGITS);
-  const pool = createQuotaPool();
+  const pool = createQuotaPool({startAllowance: options.startAllowance});
   const lease = createPartLease();
   const suspension = createSuspensionGuard(timer);
+  let hasLent = false;
   /** When a keeper may have room for an account again, by both names. */
   const fullUntil = new Map<string, Milliseconds>();
 
@@ -111,21 +115,23 @@
     if (offer === undefined) {
       return false;
     }
-    const message = {lender: self.proxy, part: ownPart()};
     const {reading} = offer;
+    const message = {
+      lender: self.proxy,
+      part: ownPart(),
+      ...(hasLent ? {} : {startOf: process}),
+      ...(reading === undefined ? {} : {reading}),
+    };
     const reply = yield* waitFor(
-      options.request(
-        keeper,
-        quotaLend,
-        reading === undefined ? message : {...message, reading},
-        REQUEST_TIMEOUT,
-      ),
+      options.request(keeper, quotaLend, message, REQUEST_TIMEOUT),
     );
     if (reply.err) {
       return false;
     }
     lease.noteReading(keeper.proxy, reply.val.reading, timer.now());
-    return reading?.process === reply.val.reading.process;
+    const isLent = reading?.process === reply.val.reading.process;
+    hasLent ||= isLent;
+    return isLent;
   }
 
   function lendToSelf(): boolean {
@@ -135,7 +141,11 @@
     }
     lease.noteReading(self.proxy, {process, time: now}, now);
     lease.offerTo(self.proxy, now);
-    checkedPool().lend(self.proxy, ownPart(), now + LOAN_TIME, now);
+    const startOf = hasLent ? undefined : process;
+    const until = now + LOAN_TIME;
+    const loan = {lender: self.proxy, part: ownPart(), until, startOf};
+    checkedPool().lend(loan, now);
+    hasLent = true;
     return true;
   }
 
@@ -244,10 +254,11 @@
     charge,
     serve(handlers) {
       handlers
-        .handle(quotaLend, ({lender, part, reading}) => {
+        .handle(quotaLend, ({reading, ...loan}) => {
           const now = timer.now();
           if (reading?.process === process) {
-            checkedPool().lend(lender, part, reading.time + LOAN_TIME, now);
+            const until = reading.time + LOAN_TIME;
+            checkedPool().lend({...loan, until}, now);
           }
           return settledFuture(Ok({reading: {process, time: now}}));
         })
--- a/packages/accounts/src/quota_messages.ts
+++ b/packages/accounts/src/quota_messages.ts
@@ -11,6 +11,8 @@
     lender: z.string(),
     /** From 0 to 1. */
     part: z.number().min(0).max(1),
+    /** The sender's process, until its first loan was taken. */
+    startOf: z.string().optional(),
     reading: clockReadingSchema.optional(),
   }),
   z.object({reading: clockReadingSchema}),
--- a/packages/accounts/src/quota_pool.ts
+++ b/packages/accounts/src/quota_pool.ts
@@ -22,15 +22,20 @@
   | {readonly kind: 'granted'}
   | {readonly kind: 'refused'; readonly retryAfter: Milliseconds};
 
+/** A proxy's part of all quotas, as it lends it. */
+export interface LentPart {
+  readonly lender: string;
+  /** From 0 to 1. */
+  readonly part: number;
+  /** Time at which the loan ends. */
+  readonly until: Milliseconds;
+  /** Set if the lender's process has just started and lends for the first time. */
+  readonly startOf?: string | undefined;
+}
+
 /** Counts for all accounts; of two limits of one account the newer is in force. */
 export interface QuotaPool {
-  /** A proxy lends its part of all quotas, from 0 to 1, up to a time. */
-  lend(
-    lender: string,
-    part: number,
-    until: Milliseconds,
-    now: Milliseconds,
-  ): void;
+  lend(loan: LentPart, now: Milliseconds): void;
   /** Part of all quotas that is lent now. */
   lentPart(now: Milliseconds): number;
   /** Counts one operation if the account may have it run. */
@@ -52,6 +57,8 @@
   tokens: number;
   /** `lentTime` when the tokens were counted last. */
   countedAt: number;
+  /** `startedParts` then. */
+  startedParts: number;
   /** When the last caller that was refused is to come back. */
   promisedUntil: Milliseconds;
 }
@@ -60,13 +67,26 @@
 const LONGEST_RETRY_AFTER: Milliseconds = 2000;
 const SECOND: Milliseconds = 1000;
 
+/** What a pool is made of. */
+export interface QuotaPoolOptions {
+  /**
+   * Operations that an account may have run beyond its limit when all proxies start
+   * at once, and callers come back together. Each process that starts brings its part
+   * of them, once.
+   */
+  startAllowance(limit: QuotaLimit): number;
+}
+
 /** Creates a pool to which nothing is lent. */
-export function createQuotaPool(): QuotaPool {
+export function createQuotaPool(options: QuotaPoolOptions): QuotaPool {
   const loans = new Map<string, Loan>();
+  const startedProcesses = new Map<string, string>();
   const buckets = new Map<string, Bucket>();
   let lentPart = 0;
   /** The lent part summed up over time. */
   let lentTime = 0;
+  /** Parts of processes that started, summed up. */
+  let startedParts = 0;
   let countedUntil: Milliseconds = -Infinity;
   let nextExpiry: Milliseconds = Infinity;
 
@@ -113,8 +133,19 @@
   function refill(bucket: Bucket): void {
     const {rate, burst} = bucket.limit;
     const gained = (rate * (lentTime - bucket.countedAt)) / SECOND;
-    bucket.tokens = Math.min(burst * lentPart, bucket.tokens + gained);
+    const started = startedParts - bucket.startedParts;
+    const allowed = started * options.startAllowance(bucket.limit);
+    const tokens = bucket.tokens + gained + allowed;
+    bucket.tokens = Math.min(burst * lentPart, tokens);
     bucket.countedAt = lentTime;
+    bucket.startedParts = startedParts;
+  }
+
+  function noteStart({lender, part, startOf}: LentPart): void {
+    if (startOf !== undefined && startedProcesses.get(lender) !== startOf) {
+      startedProcesses.set(lender, startOf);
+      startedParts += part;
+    }
   }
 
   /** A higher burst can be used at once, and no more than a lower one. */
@@ -130,6 +161,7 @@
       limit,
       tokens: 0,
       countedAt: 0,
+      startedParts: 0,
       promisedUntil: -Infinity,
     };
     buckets.set(account, bucket);
@@ -154,10 +186,12 @@
   }
 
   return {
-    lend(lender, part, until, now) {
+    lend(loan, now) {
+      const {lender, part, until} = loan;
       advance(now);
       loans.set(lender, {part, until});
       sumUp();
+      noteStart(loan);
     },
     lentPart(now) {
       advance(now);
@@ -182,6 +216,7 @@
       buckets.clear();
       sumUp();
       lentTime = 0;
+      startedParts = 0;
       countedUntil = now;
     },
   };
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -2,7 +2,12 @@
  * Wires a proxy of statement sessions: what it follows in the platform's store,
  * the gateway, and the watch over each group's primary.
  */
-import {type VersionedLimit, createQuota} from '@kelpstep/accounts';
+import {
+  type QuotaTolerance,
+  type VersionedLimit,
+  createQuota,
+  createStartAllowance,
+} from '@kelpstep/accounts';
 import type {StoredRow, TableRows, TableStore} from '@kelpstep/platform';
 import type {AdmissionPolicies} from '@kelpstep/pool';
 import type {Transport} from '@kelpstep/rpc';
@@ -103,6 +108,8 @@
   readonly store: TableStore;
   readonly layout: StoreLayout;
   readonly delays: TableDelays;
+  /** How quotas are judged; without it they are never exceeded. */
+  readonly quotaTolerance?: QuotaTolerance | undefined;
   readonly open: OpenTargetConnection;
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
@@ -228,6 +235,7 @@
       gateway.configuration
         .current()
         ?.accounts?.some(account => account.quota !== undefined) ?? false,
+    startAllowance: createStartAllowance(options.quotaTolerance),
     candidates: () =>
       feed.distributors().filter(({relayAddress}) => relayAddress !== ''),
     fleetSize,
--- a/packages/scenarios/__tests__/quotas.spec.ts
+++ b/packages/scenarios/__tests__/quotas.spec.ts
@@ -1,4 +1,4 @@
-import type {QuotaLimit} from '@kelpstep/accounts';
+import {type QuotaLimit, createStartAllowance} from '@kelpstep/accounts';
 import type {Milliseconds} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
@@ -153,6 +153,34 @@
     }
   });
 
+  test('gets its part of the tolerance when all proxies start, and no more', () => {
+    const quotaTolerance = {window: WINDOW, overage: 0.1, slack: 10};
+    const allowance = createStartAllowance(quotaTolerance)(QUOTA);
+    for (const seed of SEEDS) {
+      const served = [undefined, quotaTolerance].map(tolerance => {
+        const world = createWorld(
+          seed,
+          tolerance === undefined ? {} : {quotaTolerance: tolerance},
+        );
+        const {timer, proxies} = world;
+        timer.advance(WARM_UP);
+        proxies.forEach(world.killProxy);
+        timer.advance(800);
+        const from = timer.now();
+        proxies.forEach(world.startProxy);
+        timer.advance(1500);
+        const early = world.checker
+          .operationsOf(HOT)
+          .filter(({ranAt}) => ranAt >= from).length;
+        // Keepers of before and after may each round one up.
+        expectWithin(seed, world, bound(QUOTA, 2 * KEEPERS) + allowance);
+        return early;
+      }) as [number, number];
+      const isMore = served[1] >= served[0] + allowance / 2;
+      expect({seed, isMore, served}).toEqual({seed, isMore: true, served});
+    }
+  });
+
   test('is bound by a lower limit, and served at once by a higher one', () => {
     for (const seed of SEEDS) {
       const world = createWorld(seed);
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -1,5 +1,5 @@
 /** Proxies, a group, a store and callers together, in virtual time. */
-import type {ClientAccount} from '@kelpstep/accounts';
+import type {ClientAccount, QuotaTolerance} from '@kelpstep/accounts';
 import {
   type CallerConnection,
   type Gateway,
@@ -56,6 +56,7 @@
   readonly slots?: number;
   /** Accounts of the callers; none by default, so that nobody has a key. */
   readonly accounts?: readonly ClientAccount[];
+  readonly quotaTolerance?: QuotaTolerance;
   /** Time of a target's slot that a new connection takes; none by default. */
   readonly openingTime?: Milliseconds;
   /** False: proxies send no statements through each other. */
@@ -259,6 +260,7 @@
       capacity: 1,
       store: store.clientOf(proxy),
       delays: TABLE_DELAYS,
+      quotaTolerance: options.quotaTolerance,
       layout: {
         configurationTable: CONFIGURATION_TABLE,
         registrationTable: REGISTRATION_TABLE,
