perf(gateway): statements go to a holder that has connections

After a loss of power targets hold the connections of the dead for seconds. Where callers have accounts the connection for questions can't be lent, so a holder that came too late had none at all, and statements waited there until their time was over, though other holders had some.

A holder without a connection, whose target just refused one, says so: the sender asks another, it sends its own elsewhere, and readers are chosen among targets that take connections first. Nothing changes without accounts.

--- a/packages/gateway/src/choose_reader.ts
+++ b/packages/gateway/src/choose_reader.ts
@@ -1,6 +1,7 @@
 /** Which target serves a read: a function of what is known of all of them. */
 import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
+import type {ConnectionUser} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
 /** What the choice goes by. */
@@ -8,6 +9,8 @@
   readonly group: TargetGroup;
   /** Names statements that take about the same time. */
   readonly kind: string;
+  /** Who the connection is for. */
+  readonly user: ConnectionUser;
   /** The target's log must hold it. */
   readonly position: LogPosition;
   /** When targets were tried for this statement. */
@@ -26,6 +29,9 @@
  */
 const PRIMARY_RELUCTANCE: Milliseconds = 10;
 
+/** A target that takes no connection may take one soon. */
+const SHUT_OUT_COST: Milliseconds = 300;
+
 /** Time by which the target is worse than an idle one that is near. */
 function lagCost(
   {group, position, now}: ReaderChoice,
@@ -52,7 +58,12 @@
 function costOf(choice: ReaderChoice, link: TargetLink): Milliseconds {
   const time = link.expectedTime(choice.kind) + (link.roundTrip() ?? 0);
   const isPrimary = link === choice.group.leader();
-  return time + (isPrimary ? PRIMARY_RELUCTANCE : lagCost(choice, link));
+  const shutOutCost = link.isShutOut(choice.user) ? SHUT_OUT_COST : 0;
+  return (
+    time +
+    shutOutCost +
+    (isPrimary ? PRIMARY_RELUCTANCE : lagCost(choice, link))
+  );
 }
 
 /** The target that is expected to answer first; undefined if none may. */
--- a/packages/gateway/src/find_place.ts
+++ b/packages/gateway/src/find_place.ts
@@ -77,6 +77,14 @@
   return typeof after === 'object' && 'term' in after;
 }
 
+/** True if no place takes a connection of this proxy for the statement. */
+function isShutOut(
+  places: ReadonlyArray<TargetLink | undefined>,
+  {account}: Dispatch,
+): boolean {
+  return places.every(link => link?.isShutOut(account) ?? true);
+}
+
 /** Creates a finder. */
 export function createPlaceFinder(options: PlaceFinderOptions): PlaceFinder {
   const {timer} = options.runtime;
@@ -179,6 +187,9 @@
         );
         continue;
       }
+      if (link.isShutOut(work.account) && isElsewhere(search)) {
+        return 'elsewhere';
+      }
       if (work.isWrite) {
         return {link, after: undefined};
       }
@@ -208,6 +219,7 @@
       const link = chooseReader({
         group,
         kind: kindOf(work),
+        user: work.account,
         position: after,
         triedAt,
         now: timer.now(),
@@ -215,6 +227,9 @@
       if (link !== undefined) {
         return {link, after};
       }
+      if (isShutOut(group.links(), work) && isElsewhere(search)) {
+        return 'elsewhere';
+      }
       const remaining = until - timer.now();
       if (remaining <= 0) {
         return undefined;
@@ -234,11 +249,15 @@
       const {after} = place;
       const now = timer.now();
       const kind = kindOf(work);
-      const link = chooseReader({group, kind, position: after, triedAt, now});
+      const user = work.account;
+      const position = after;
+      const link = chooseReader({group, kind, user, position, triedAt, now});
       return link && {link, after};
     },
     isExpected(group, work) {
-      if (work.needsPrimary && usablePrimary(group) === undefined) {
+      const primary = usablePrimary(group);
+      const places = work.needsPrimary ? [primary] : group.links();
+      if (isShutOut(places, work)) {
         return false;
       }
       const proofAge = timer.now() - group.positions.coveredAt();
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -49,8 +49,9 @@
     settings: SessionSettings,
   ): SharedConnection | undefined;
   hasIdle(): boolean;
-  hasIdleFor(user: ConnectionUser): boolean;
   mayOpen(): boolean;
+  /** True while there is none, and the target takes no other. */
+  isShutOut(): boolean;
   /** Closes the idle connection that was used least recently; false without one. */
   makeRoom(): boolean;
   /** Opens one, taken by who asked. */
@@ -169,8 +170,8 @@
   return {
     take,
     hasIdle: () => idle.length > 0,
-    hasIdleFor: user => idle.some(shared => shared.user === user),
     mayOpen,
+    isShutOut: () => all.size === 0 && options.timer.now() < atLimitUntil,
     makeRoom() {
       const [unused] = idle;
       unused?.connection.close();
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -13,6 +13,7 @@
   settledFuture,
 } from '@kelpstep/runtime';
 import type {
+  ConnectionUser,
   OpenTargetConnection,
   OpenedConnection,
   ReadTargetStatus,
@@ -78,6 +79,8 @@
   /** Since when no question was answered; undefined while they are. */
   silentSince(): Milliseconds | undefined;
   lastAskedAt(): Milliseconds;
+  /** True while this proxy has no connection for the user and gets none. */
+  isShutOut(user: ConnectionUser): boolean;
   /** Since when writes wait and none is answered; undefined if none waits. */
   writesStalledSince(): Milliseconds | undefined;
   /** Closes what is open beyond need; call it a few times a second. */
@@ -228,6 +231,8 @@
     isReached: () => silentSince === undefined,
     silentSince: () => silentSince,
     lastAskedAt: () => lastAskedAt,
+    // The connection for questions is lent to the proxy itself alone.
+    isShutOut: user => user !== undefined && connections.isShutOut(),
     writesStalledSince: writes.stalledSince,
     trim: connections.trim,
     close() {
