perf(accounts): a keeper without room is asked again within 200 ms

A proxy asked no keeper about an account before the time at which the refused caller was to come back, up to two seconds: with one account hot most proxies were silent while its bucket filled up.

--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -72,8 +72,20 @@
 const REQUEST_TIMEOUT: Milliseconds = 150;
 /** Given while no keeper answers: others are chosen by then. */
 const UNANSWERED_RETRY_AFTER: Milliseconds = 300;
+/**
+ * A keeper without room is asked again about an account this soon: what it saves up
+ * would be lost.
+ */
+const LONGEST_PAUSE: Milliseconds = 200;
 const PROCESS_DIGITS = 12;
 
+/** What a keeper without room for an account said. */
+interface FullKeeper {
+  /** It isn't asked before. */
+  readonly until: Milliseconds;
+  readonly retryAfter: Milliseconds;
+}
+
 const GRANTED: QuotaAnswer = {kind: 'granted'};
 
 /** Starts to lend this proxy's part; nothing is sent while nobody has a limit. */
@@ -85,8 +97,8 @@
   const lease = createPartLease();
   const suspension = createSuspensionGuard(timer);
   let hasLent = false;
-  /** When a keeper may have room for an account again, by both names. */
-  const fullUntil = new Map<string, Milliseconds>();
+  /** Keepers that had no room for an account, by both names. */
+  const full = new Map<string, FullKeeper>();
 
   function keepers(): Keepers {
     return chooseKeepers({
@@ -194,21 +206,27 @@
     return isGranted ? GRANTED : {kind: 'refused', retryAfter};
   }
 
+  /** Callers that are refused without asking don't come back together. */
+  function spread(retryAfter: Milliseconds): Milliseconds {
+    return retryAfter * (1 + random.fraction());
+  }
+
   /** Asks one keeper, unless it said when to come back. */
   function* tryKeeper(
     keeper: QuotaPeer,
     asked: VersionedLimit,
   ): Task<QuotaAnswer> {
     const key = `${keeper.proxy} ${asked.account}`;
-    const wait = (fullUntil.get(key) ?? -Infinity) - timer.now();
-    if (wait > 0) {
-      return {kind: 'refused', retryAfter: wait * (1 + random.fraction())};
+    const known = full.get(key);
+    if (known !== undefined && timer.now() < known.until) {
+      return {kind: 'refused', retryAfter: spread(known.retryAfter)};
     }
     const answer = yield* takeFrom(keeper, asked);
     if (answer.kind === 'refused') {
-      fullUntil.set(key, timer.now() + answer.retryAfter);
+      const pause = Math.min(answer.retryAfter, LONGEST_PAUSE);
+      full.set(key, {until: timer.now() + pause, ...answer});
     } else {
-      fullUntil.delete(key);
+      full.delete(key);
     }
     return answer;
   }
