--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -2,6 +2,7 @@
 import {
   type AccountDirectory,
   type ClientAccount,
+  type VersionedLimit,
   createAccountDirectory,
 } from '@kelpstep/accounts';
 import {
@@ -70,7 +71,10 @@
 export interface ConfigurationKeeper {
   current(): GatewayConfiguration | undefined;
   group(name: string): GroupSettings | undefined;
-  account(name: string): ClientAccount | undefined;
+  /** An account's quota; undefined if it may ask as much as it likes. */
+  limitOf(account: string): VersionedLimit | undefined;
+  /** True if any account has a quota. */
+  hasLimits(): boolean;
   /**
    * Judges a session by the configuration in force. What isn't found is denied
    * only as long as no configuration can be missing that has it; it is refused
@@ -141,11 +145,20 @@
       : refuseForNow(KEYS_OUT_OF_DATE);
   }
 
+  function limitOf(account: string): VersionedLimit | undefined {
+    const quota = accounts?.find(account)?.quota;
+    return quota === undefined || current === undefined
+      ? undefined
+      : {account, version: current.version, ...quota};
+  }
+
   return {
     first: first.future,
     current: () => current,
     group: name => groups.get(name),
-    account: name => accounts?.find(name),
+    limitOf,
+    hasLimits: () =>
+      current?.accounts?.some(({quota}) => quota !== undefined) ?? false,
     admit,
     trustedHolder: keyDigest =>
       options.mayTrustKeys()
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -4,7 +4,6 @@
  */
 import {
   type QuotaTolerance,
-  type VersionedLimit,
   createQuota,
   createStartAllowance,
 } from '@kelpstep/accounts';
@@ -218,23 +217,11 @@
     return self.relayAddress === '' ? 1 : feed.fleetSize();
   }
 
-  function limitOf(name: string): VersionedLimit | undefined {
-    const {configuration} = gateway;
-    const limit = configuration.account(name)?.quota;
-    const version = configuration.current()?.version;
-    return limit === undefined || version === undefined
-      ? undefined
-      : {account: name, version, ...limit};
-  }
-
   const quota = createQuota({
     runtime,
     self,
-    limitOf,
-    hasLimits: () =>
-      gateway.configuration
-        .current()
-        ?.accounts?.some(account => account.quota !== undefined) ?? false,
+    limitOf: account => gateway.configuration.limitOf(account),
+    hasLimits: () => gateway.configuration.hasLimits(),
     startAllowance: createStartAllowance(options.quotaTolerance),
     candidates: () =>
       feed.distributors().filter(({relayAddress}) => relayAddress !== ''),
