--- a/packages/scenarios/__tests__/client_accounts.spec.ts
+++ b/packages/scenarios/__tests__/client_accounts.spec.ts
@@ -103,6 +103,48 @@
     }
   });
 
+  /** Cuts two proxies off from the store and from the others; gives the runs. */
+  function playCutOff(seed: number, revocation: number | undefined) {
+    const world = createWorld(
+      seed,
+      revocation === undefined ? {} : {revocation},
+    );
+    const {timer, relays, proxies} = world;
+    timer.advance(WARM_UP);
+    const hosts = proxies.map(world.hostOf);
+    const [first = '', second = ''] = hosts;
+    hosts.slice(2).forEach(host => {
+      relays.cut(first, host);
+      relays.cut(second, host);
+    });
+    relays.cut(first, second);
+    world.store.faults.refused = new Set(proxies.slice(0, 2));
+    world.configure({accounts: without});
+    timer.advance(6000);
+    const {broken} = world.checker;
+    return {
+      isServedByLostKey: broken().some(({rule}) => rule === 'key taken away'),
+      refused: world.counts.errors.get('busy') ?? 0,
+    };
+  }
+
+  test('serve nothing through a cut-off proxy where that is strict', () => {
+    for (const seed of SEEDS) {
+      const strict = playCutOff(seed, 2500);
+      expect({seed, ...strict, isRefused: strict.refused > 0}).toEqual({
+        seed,
+        ...strict,
+        isServedByLostKey: false,
+        isRefused: true,
+      });
+    }
+  });
+
+  test('are served by a cut-off proxy where it goes on with what it knows', () => {
+    const plays = SEEDS.map(seed => playCutOff(seed, undefined));
+    expect(plays.some(play => play.isServedByLostKey)).toEqual(true);
+  });
+
   test('serve nothing through a proxy that the store refuses', () => {
     for (const seed of SEEDS) {
       const world = createWorld(seed);
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -4,7 +4,6 @@
   type CallerConnection,
   type Gateway,
   type GatewayConfiguration,
-  type StatementProxyEvents,
   createStatementProxy,
 } from '@kelpstep/gateway';
 import {
@@ -32,14 +31,13 @@
   createStandInGroup,
   createStandInStore,
 } from '@kelpstep/stand-ins';
-import type {StatementAnswer, TargetStatus} from '@kelpstep/statements';
 import type {OrderPromotion, PromotionReply} from '@kelpstep/succession';
-import {IGNORED_FEED_EVENTS} from '@kelpstep/table-feed';
 import type {TargetRegistration} from '@kelpstep/targets';
 
 import {type RuleChecker, createRuleChecker} from './rule_checker';
 import {GROUP, ROUTES, configurationWith} from './statement_routes';
 import type {OperationCounts} from './operation_counts';
+import {SILENT_EVENTS, readStatus} from './proxy_edges';
 import {startSessionCallers} from './session_callers';
 
 /** Size and pace of a world; the figures are those of a small deployment. */
@@ -57,6 +55,8 @@
   /** Accounts of the callers; none by default, so that nobody has a key. */
   readonly accounts?: readonly ClientAccount[];
   readonly quotaTolerance?: QuotaTolerance;
+  /** Without proof of the configuration keys are trusted for no longer. */
+  readonly revocation?: Milliseconds;
   /** Time of a target's slot that a new connection takes; none by default. */
   readonly openingTime?: Milliseconds;
   /** False: proxies send no statements through each other. */
@@ -128,38 +128,6 @@
 const LATEST_ORDER: Milliseconds = 5000;
 const ORDER_TIMEOUT: Milliseconds = 2500;
 
-const SILENT_EVENTS: StatementProxyEvents = {
-  gateway: {onRequestEnd: () => {}, onSession: () => {}},
-  targets: () => ({
-    onReachability: () => {},
-    onLeader: () => {},
-    onTarget: () => {},
-  }),
-  succession: () => ({
-    onStart: () => {},
-    onStep: () => {},
-    onEnd: () => {},
-  }),
-  onConfiguration: () => {},
-  onFinding: () => {},
-  onListenFailure: () => {},
-  tables: IGNORED_FEED_EVENTS,
-};
-
-function readStatus(answer: StatementAnswer): TargetStatus | undefined {
-  const [role, term, end = '', termHeld] = answer.rows[0]?.split(' ') ?? [];
-  if (role !== 'primary' && role !== 'replica') {
-    return undefined;
-  }
-  const [receivedTerm, position] = end.split('.');
-  return {
-    role,
-    term: Number(term),
-    received: {term: Number(receivedTerm), position: Number(position)},
-    termHeld: Number(termHeld),
-  };
-}
-
 /** Creates a world in which callers already run. */
 export function createStatementWorld(
   options: StatementWorldOptions,
@@ -259,7 +227,7 @@
       transport: relays.transportFor(hostOf(proxy)),
       capacity: 1,
       store: store.clientOf(proxy),
-      delays: TABLE_DELAYS,
+      delays: {...TABLE_DELAYS, revocation: options.revocation},
       quotaTolerance: options.quotaTolerance,
       layout: {
         configurationTable: CONFIGURATION_TABLE,
