--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -16,7 +16,6 @@
   type PreparedShape,
   type SessionStatement,
   type StatementAnswer,
-  type StatementErrorName,
   type TransactionState,
   applyLocally,
   createSessionSettings,
@@ -38,6 +37,13 @@
   refusalAnswer,
 } from './dispatch_types';
 import type {GatewayEvents, RequestEnd} from './gateway_events';
+import {
+  type FailureReason,
+  type SessionStep,
+  answerInFailed,
+  failTransaction,
+  stateAfterFailure,
+} from './transaction_end';
 
 /** What a session is served with. */
 export interface SessionOptions {
@@ -285,41 +291,18 @@
     endTransaction();
   }
 
-  /**
-   * A transaction that failed before its commit was sent is rolled back by
-   * closing its connection. A commit that wrote may have taken effect.
-   */
   function fail(
     held: Transaction,
     statement: SessionStatement,
-    reason: StatementErrorName | 'answer lost',
+    reason: FailureReason,
   ): StatementAnswer {
     endTransaction();
-    const isEnd = statement.kind === 'commit' || statement.kind === 'rollback';
-    state = isEnd ? 'idle' : 'failed';
-    if (statement.kind === 'rollback') {
-      return localAnswer(state);
-    }
-    const isInDoubt =
-      statement.kind === 'commit' &&
-      held.hasWritten &&
-      reason !== 'readOnly' &&
-      reason !== 'busy';
-    return isInDoubt
-      ? errorAnswer('inDoubt', state)
-      : errorAnswer('aborted', state, `rolled back: ${reason}`);
+    return take(failTransaction(statement, reason, held.hasWritten));
   }
 
-  function serveFailed(statement: SessionStatement): StatementAnswer {
-    if (statement.kind === 'rollback') {
-      state = 'idle';
-      return localAnswer(state);
-    }
-    if (statement.kind === 'commit') {
-      state = 'idle';
-      return errorAnswer('aborted', state);
-    }
-    return errorAnswer('malformed', state);
+  function take(step: SessionStep): StatementAnswer {
+    state = step.state;
+    return step.answer;
   }
 
   /** True if the caller's key still stands for the transaction's account. */
@@ -333,8 +316,7 @@
   /** Rolls back a transaction whose caller may not go on with it. */
   function revoke(statement: SessionStatement): StatementAnswer {
     endTransaction();
-    const isEnd = statement.kind === 'commit' || statement.kind === 'rollback';
-    state = isEnd ? 'idle' : 'failed';
+    state = stateAfterFailure(statement);
     const admission = configuration.admit(caller);
     return admission.kind === 'refused'
       ? {...admission.answer, state}
@@ -349,7 +331,7 @@
       return [errorAnswer('malformed', state), LOCAL];
     }
     if (state === 'failed') {
-      return [serveFailed(statement), LOCAL];
+      return [take(answerInFailed(statement)), LOCAL];
     }
     if (transaction !== undefined && !mayGoOn(transaction)) {
       return [revoke(statement), LOCAL];
