--- a/packages/accounts/src/account_directory.ts
+++ b/packages/accounts/src/account_directory.ts
@@ -10,7 +10,7 @@
 
 /** A client account. */
 export interface ClientAccount {
-  readonly account: string;
+  readonly name: string;
   readonly keyDigests: readonly string[];
   /** Undefined: it may ask as much as it likes. */
   readonly quota: QuotaLimit | undefined;
@@ -27,7 +27,7 @@
 export function createAccountDirectory(
   accounts: readonly ClientAccount[],
 ): AccountDirectory {
-  const byName = new Map(accounts.map(each => [each.account, each]));
+  const byName = new Map(accounts.map(each => [each.name, each]));
   const byKey = new Map(
     accounts.flatMap(each =>
       each.keyDigests.map(digest => [digest, each] as const),
--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -172,7 +172,8 @@
   }
 
   function* keepLending(): Task<void> {
-    for (let period = FIRST_LEND_PERIOD; ;) {
+    let period = FIRST_LEND_PERIOD;
+    for (;;) {
       yield* sleep(random.jitter(period, LEND_JITTER));
       const isLent = !options.hasLimits() || (yield* lend());
       period = isLent ? LEND_PERIOD : FIRST_LEND_PERIOD;
--- a/packages/gateway/__tests__/configuration.spec.ts
+++ b/packages/gateway/__tests__/configuration.spec.ts
@@ -20,11 +20,11 @@
 };
 const PUBLIC: CallerRoute = {...ROUTE, database: 'notices', isPublic: true};
 const OFFICE: ClientAccount = {
-  account: 'office',
+  name: 'office',
   keyDigests: ['office-1', 'office-2'],
   quota: undefined,
 };
-const DEPOT: ClientAccount = {...OFFICE, account: 'depot', keyDigests: ['d']};
+const DEPOT: ClientAccount = {...OFFICE, name: 'depot', keyDigests: ['d']};
 
 function configuration(
   version: number,
@@ -41,7 +41,7 @@
   function judge(database: string, keyDigest = ''): string | undefined {
     const admission = keeper.admit({database, keyDigest});
     return admission.kind === 'admitted'
-      ? (admission.account?.account ?? 'anyone')
+      ? (admission.account?.name ?? 'anyone')
       : admission.answer.error?.name;
   }
 
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -161,9 +161,7 @@
       current?.accounts?.some(({quota}) => quota !== undefined) ?? false,
     admit,
     trustedHolder: keyDigest =>
-      options.mayTrustKeys()
-        ? accounts?.holderOf(keyDigest)?.account
-        : undefined,
+      options.mayTrustKeys() ? accounts?.holderOf(keyDigest)?.name : undefined,
     accept(configuration) {
       if (current !== undefined && configuration.version <= current.version) {
         return false;
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -144,7 +144,7 @@
     const {target, attempts, reason, via} = result;
     return {
       group: route.group,
-      account: account?.account ?? '',
+      account: account?.name ?? '',
       kind: `${route.freshness} ${kind}`,
       target,
       attempts,
@@ -161,11 +161,11 @@
     if (account === undefined) {
       return undefined;
     }
-    const counted = yield* quota.take(account.account);
+    const counted = yield* quota.take(account.name);
     if (counted.kind === 'granted') {
       return undefined;
     }
-    const facts = {...LOCAL, group: route.group, account: account.account};
+    const facts = {...LOCAL, group: route.group, account: account.name};
     return [
       refusalAnswer(OVER_QUOTA, counted.retryAfter),
       {...facts, kind: route.freshness, reason: OVER_QUOTA},
@@ -175,16 +175,20 @@
   function* serveOutside(
     request: CallerRequest,
     statement: SessionStatement,
-    admitted: Admitted,
   ): Task<[StatementAnswer, RequestFacts]> {
     const arrivedAt = timer.now();
-    const {route} = admitted;
-    const account = admitted.account?.account;
+    yield* waitAtMost(configuration.first, FIRST_CONFIGURATION_WAIT);
+    const admission = configuration.admit(caller);
+    if (admission.kind === 'refused') {
+      return [admission.answer, LOCAL];
+    }
+    const {route} = admission;
+    const account = admission.account?.name;
     const resolved = resolve(statement);
     if (resolved === undefined) {
       return [errorAnswer('notPrepared', 'idle'), LOCAL];
     }
-    const refusal = yield* countOperation(admitted);
+    const refusal = yield* countOperation(admission);
     if (refusal !== undefined) {
       return refusal;
     }
@@ -217,7 +221,7 @@
     } else if (resolved.isWrite && answer.error === undefined) {
       lastCommit = answer.position ?? lastCommit;
     }
-    const facts = factsOf(admitted, result, statement.kind);
+    const facts = factsOf(admission, result, statement.kind);
     return [{...answer, state}, facts];
   }
 
@@ -352,12 +356,7 @@
     if (statement.kind === 'commit' || statement.kind === 'rollback') {
       return [errorAnswer('malformed', state), LOCAL];
     }
-    yield* waitAtMost(configuration.first, FIRST_CONFIGURATION_WAIT);
-    const admission = configuration.admit(caller);
-    if (admission.kind === 'refused') {
-      return [admission.answer, LOCAL];
-    }
-    return yield* serveOutside(request, statement, admission);
+    return yield* serveOutside(request, statement);
   }
 
   /** Gives the answer, of which one ends the session: the key is no longer valid. */
--- a/packages/scenarios/__tests__/quotas.spec.ts
+++ b/packages/scenarios/__tests__/quotas.spec.ts
@@ -40,7 +40,7 @@
     sessions: 24,
     connectionLimit: 30,
     accounts: accounts.map(each =>
-      each.account === COOL ? {...each, quota: AMPLE} : each,
+      each.name === COOL ? {...each, quota: AMPLE} : each,
     ),
     ...options,
   });
--- a/packages/scenarios/src/statements/session_callers.ts
+++ b/packages/scenarios/src/statements/session_callers.ts
@@ -70,7 +70,7 @@
     const session: Session = {
       number: nextNumber++,
       route,
-      account: account?.account,
+      account: account?.name,
       values: new Map(),
       prepared: new Map(),
       answer: () => {},
@@ -262,7 +262,7 @@
       note({
         at,
         duration: timer.now() - at,
-        account: account?.account,
+        account: account?.name,
         isTransaction,
         failure: outcome === undefined ? 'no answer' : outcome.error?.name,
       });
--- a/packages/scenarios/src/statements/statement_accounts.ts
+++ b/packages/scenarios/src/statements/statement_accounts.ts
@@ -7,7 +7,7 @@
   quota: QuotaLimit | undefined,
 ): ClientAccount[] {
   return Array.from({length: count}, (unused, index) => ({
-    account: `account-${index + 1}`,
+    name: `account-${index + 1}`,
     keyDigests: [`digest-${index + 1}`],
     quota,
   }));
--- a/packages/scenarios/src/statements/statement_world.ts
+++ b/packages/scenarios/src/statements/statement_world.ts
@@ -364,9 +364,9 @@
       const version = configuration.version + 1;
       configuration = {...configuration, ...change, version};
       const inForceAt = timer.now() + TABLE_DELAYS.configuration;
-      for (const {account, keyDigests} of change.accounts ?? []) {
+      for (const {name, keyDigests} of change.accounts ?? []) {
         if (keyDigests.length === 0) {
-          checker.onKeysTakenAway(account, inForceAt);
+          checker.onKeysTakenAway(name, inForceAt);
         }
       }
       store.put(CONFIGURATION_TABLE, 'current', configuration);
