--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -33,8 +33,8 @@
   readonly self: QuotaPeer;
   /** Undefined for an account that may ask as much as it likes. */
   limitOf(account: string): VersionedLimit | undefined;
-  /** True if any account has a limit. */
-  hasLimits(): boolean;
+  /** True if any account has a limit; undefined while that isn't known. */
+  hasLimits(): boolean | undefined;
   /** Operations beyond the limit that are allowed when all proxies start at once. */
   startAllowance(limit: QuotaLimit): number;
   /** Proxies that may be keepers, in the same order everywhere. */
@@ -92,7 +92,7 @@
 export function createQuota(options: QuotaOptions): Quota {
   const {runtime, self} = options;
   const {timer, random} = runtime;
-  const process = random.hexadecimal(PROCESS_DIGITS);
+  let ownProcess = '';
   const pool = createQuotaPool({startAllowance: options.startAllowance});
   const lease = createPartLease();
   const suspension = createSuspensionGuard(timer);
@@ -100,6 +100,12 @@
   /** Keepers that had no room for an account, by both names. */
   const full = new Map<string, FullKeeper>();
 
+  /** Drawn when it is first needed: without limits nothing is. */
+  function process(): string {
+    ownProcess ||= random.hexadecimal(PROCESS_DIGITS);
+    return ownProcess;
+  }
+
   function keepers(): Keepers {
     return chooseKeepers({
       self,
@@ -131,7 +137,7 @@
     const message = {
       lender: self.proxy,
       part: ownPart(),
-      ...(hasLent ? {} : {startOf: process}),
+      ...(hasLent ? {} : {startOf: process()}),
       ...(reading === undefined ? {} : {reading}),
     };
     const reply = yield* waitFor(
@@ -151,9 +157,9 @@
     if (lease.offerTo(self.proxy, now) === undefined) {
       return false;
     }
-    lease.noteReading(self.proxy, {process, time: now}, now);
+    lease.noteReading(self.proxy, {process: process(), time: now}, now);
     lease.offerTo(self.proxy, now);
-    const startOf = hasLent ? undefined : process;
+    const startOf = hasLent ? undefined : process();
     const until = now + LOAN_TIME;
     const loan = {lender: self.proxy, part: ownPart(), until, startOf};
     checkedPool().lend(loan, now);
@@ -172,11 +178,15 @@
   }
 
   function* keepLending(): Task<void> {
-    let period = FIRST_LEND_PERIOD;
+    yield* sleep(FIRST_LEND_PERIOD);
     for (;;) {
-      yield* sleep(random.jitter(period, LEND_JITTER));
-      const isLent = !options.hasLimits() || (yield* lend());
-      period = isLent ? LEND_PERIOD : FIRST_LEND_PERIOD;
+      const hasLimits = options.hasLimits();
+      if (hasLimits) {
+        const period = (yield* lend()) ? LEND_PERIOD : FIRST_LEND_PERIOD;
+        yield* sleep(random.jitter(period, LEND_JITTER));
+      } else {
+        yield* sleep(hasLimits === false ? LEND_PERIOD : FIRST_LEND_PERIOD);
+      }
     }
   }
 
@@ -275,11 +285,11 @@
       handlers
         .handle(quotaLend, ({reading, ...loan}) => {
           const now = timer.now();
-          if (reading?.process === process) {
+          if (reading?.process === process()) {
             const until = reading.time + LOAN_TIME;
             checkedPool().lend({...loan, until}, now);
           }
-          return settledFuture(Ok({reading: {process, time: now}}));
+          return settledFuture(Ok({reading: {process: process(), time: now}}));
         })
         .handle(quotaTake, asked => {
           const answer = takeHere(asked);
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -73,8 +73,8 @@
   group(name: string): GroupSettings | undefined;
   /** An account's quota; undefined if it may ask as much as it likes. */
   limitOf(account: string): VersionedLimit | undefined;
-  /** True if any account has a quota. */
-  hasLimits(): boolean;
+  /** True if any account has a quota; undefined without a configuration. */
+  hasLimits(): boolean | undefined;
   /**
    * Judges a session by the configuration in force. What isn't found is denied
    * only as long as no configuration can be missing that has it; it is refused
@@ -158,7 +158,8 @@
     group: name => groups.get(name),
     limitOf,
     hasLimits: () =>
-      current?.accounts?.some(({quota}) => quota !== undefined) ?? false,
+      current &&
+      (current.accounts ?? []).some(({quota}) => quota !== undefined),
     admit,
     trustedHolder: keyDigest =>
       options.mayTrustKeys() ? accounts?.holderOf(keyDigest)?.name : undefined,
