refactor(table-feed): ages are worked out once, and only those that are asked for

Each subscriber of one publish got its own, equal, list of ages; the age of one table noted the news of all tables at all sources.

--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -83,7 +83,7 @@
     );
   }
 
-  function newsFor({sent}: Subscriber): News {
+  function newsFor({sent}: Subscriber, knownAges: News['ages']): News {
     const news = packMissing(sent);
     for (const copy of copies) {
       const version = copy.version();
@@ -91,16 +91,15 @@
         sent.set(copy.table, Math.max(version, sent.get(copy.table) ?? 0));
       }
     }
-    return {ages: ages(), ...news};
-  }
-
-  function send(subscriber: Subscriber): void {
-    subscriber.peer.notify(FEED_NEWS, newsFor(subscriber));
+    return {ages: knownAges, ...news};
   }
 
   function publish(): void {
     packed.clear();
-    subscribers.forEach(send);
+    const knownAges = ages();
+    for (const subscriber of subscribers.values()) {
+      subscriber.peer.notify(FEED_NEWS, newsFor(subscriber, knownAges));
+    }
     packed.clear();
   }
 
@@ -119,7 +118,7 @@
         const sent = new Map(Object.entries(versions));
         const subscriber: Subscriber = {peer: from, proxy, sent};
         subscribers.set(from, subscriber);
-        return settledFuture(Ok(newsFor(subscriber)));
+        return settledFuture(Ok(newsFor(subscriber, ages())));
       },
     );
     const peer = createRpcPeer({connection, timer, handlers});
--- a/packages/table-feed/src/source_keeper.ts
+++ b/packages/table-feed/src/source_keeper.ts
@@ -109,10 +109,14 @@
     return {subscription, freshAt: timer.now()};
   }
 
-  function noteNews({subscription}: Source): void {
-    for (const {table} of copies) {
-      newest.confirm(table, timer.now() - subscription.age(table));
-    }
+  function noteNews({subscription}: Source, table: string): void {
+    newest.confirm(table, timer.now() - subscription.age(table));
+  }
+
+  /** What it told counts also when it is asked no more. */
+  function end(source: Source): void {
+    copies.forEach(({table}) => noteNews(source, table));
+    source.subscription.end();
   }
 
   function stalenessAt({subscription}: Source): number {
@@ -120,15 +124,14 @@
   }
 
   function update(needsDistant: boolean): void {
-    sources.forEach(noteNews);
     updateDistant(needsDistant);
     const wanted = new Set(
       distant === undefined ? homes() : [...homes(), distant],
     );
-    for (const [address, {subscription}] of [...sources]) {
+    for (const [address, source] of [...sources]) {
       if (!wanted.has(address)) {
         sources.delete(address);
-        subscription.end();
+        end(source);
       }
     }
     for (const address of wanted) {
@@ -146,7 +149,7 @@
   }
 
   function age(table: string): Milliseconds {
-    sources.forEach(noteNews);
+    sources.forEach(source => noteNews(source, table));
     return newest.age(table);
   }
 
