refactor(accounts): one type for a keeper's answer and for an asked limit

The answer was translated into a message's form and back, and the limit stood as a schema and as an interface. Both types now come from the messages' schemas. A part is worked out once for a loan, where the fleet's size is looked at. An unused type of the manifest goes.

--- a/packages/accounts/index.ts
+++ b/packages/accounts/index.ts
@@ -4,4 +4,4 @@
 export * from './src/create_quota';
 export * from './src/key_digest';
 export {type QuotaTolerance, createStartAllowance} from './src/start_allowance';
-export type {QuotaAnswer, VersionedLimit} from './src/quota_pool';
+export type {QuotaAnswer, VersionedLimit} from './src/quota_messages';
--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -20,12 +20,14 @@
 import {type Keepers, type QuotaPeer, chooseKeepers} from './choose_keepers';
 import type {QuotaLimit} from './account_directory';
 import {LOAN_TIME, createPartLease} from './part_lease';
-import {quotaCharge, quotaLend, quotaTake} from './quota_messages';
 import {
   type QuotaAnswer,
   type VersionedLimit,
-  createQuotaPool,
-} from './quota_pool';
+  quotaCharge,
+  quotaLend,
+  quotaTake,
+} from './quota_messages';
+import {createQuotaPool} from './quota_pool';
 
 /** What quotas are made of. */
 export interface QuotaOptions {
@@ -122,13 +124,8 @@
     return pool;
   }
 
-  function ownPart(): number {
-    const size = options.fleetSize();
-    return size === undefined ? 0 : 1 / Math.max(1, size);
-  }
-
   /** True if the part was lent; the first time a keeper only tells its clock. */
-  function* lendTo(keeper: QuotaPeer): Task<boolean> {
+  function* lendTo(keeper: QuotaPeer, part: number): Task<boolean> {
     const offer = lease.offerTo(keeper.proxy, timer.now());
     if (offer === undefined) {
       return false;
@@ -136,7 +133,7 @@
     const {reading} = offer;
     const message = {
       lender: self.proxy,
-      part: ownPart(),
+      part,
       ...(hasLent ? {} : {startOf: process()}),
       ...(reading === undefined ? {} : {reading}),
     };
@@ -152,7 +149,7 @@
     return isLent;
   }
 
-  function lendToSelf(): boolean {
+  function lendToSelf(part: number): boolean {
     const now = timer.now();
     if (lease.offerTo(self.proxy, now) === undefined) {
       return false;
@@ -161,20 +158,22 @@
     lease.offerTo(self.proxy, now);
     const startOf = hasLent ? undefined : process();
     const until = now + LOAN_TIME;
-    const loan = {lender: self.proxy, part: ownPart(), until, startOf};
+    const loan = {lender: self.proxy, part, until, startOf};
     checkedPool().lend(loan, now);
     hasLent = true;
     return true;
   }
 
   function* lend(): Task<boolean> {
-    if (options.fleetSize() === undefined) {
+    const size = options.fleetSize();
+    if (size === undefined) {
       return false;
     }
+    const part = 1 / Math.max(1, size);
     const {home} = keepers();
     return home.proxy === self.proxy
-      ? lendToSelf()
-      : (yield* lendTo(home)) || (yield* lendTo(home));
+      ? lendToSelf(part)
+      : (yield* lendTo(home, part)) || (yield* lendTo(home, part));
   }
 
   function* keepLending(): Task<void> {
@@ -210,11 +209,9 @@
     const reply = yield* waitFor(
       options.request(keeper, quotaTake, asked, REQUEST_TIMEOUT),
     );
-    if (reply.err) {
-      return {kind: 'refused', retryAfter: UNANSWERED_RETRY_AFTER};
-    }
-    const {isGranted, retryAfter} = reply.val;
-    return isGranted ? GRANTED : {kind: 'refused', retryAfter};
+    return reply.ok
+      ? reply.val
+      : {kind: 'refused', retryAfter: UNANSWERED_RETRY_AFTER};
   }
 
   /** Callers that are refused without asking don't come back together. */
@@ -291,12 +288,7 @@
           }
           return settledFuture(Ok({reading: {process: process(), time: now}}));
         })
-        .handle(quotaTake, asked => {
-          const answer = takeHere(asked);
-          const isGranted = answer.kind === 'granted';
-          const retryAfter = answer.kind === 'refused' ? answer.retryAfter : 0;
-          return settledFuture(Ok({isGranted, retryAfter}));
-        })
+        .handle(quotaTake, asked => settledFuture(Ok(takeHere(asked))))
         .handle(quotaCharge, asked => {
           chargeHere(asked, asked.count);
           return settledFuture(Ok({}));
--- a/packages/accounts/src/quota_messages.ts
+++ b/packages/accounts/src/quota_messages.ts
@@ -18,28 +18,34 @@
   z.object({reading: clockReadingSchema}),
 );
 
-const askedLimitSchema = z.object({
+/** An account's limit, and the version of the configuration that says so. */
+const versionedLimitSchema = z.object({
   account: z.string(),
+  /** Operations a second. */
   rate: z.number().nonnegative(),
   burst: z.number().nonnegative(),
-  /** Version of the configuration that says so. */
   version: z.number(),
 });
+export type VersionedLimit = Readonly<z.infer<typeof versionedLimitSchema>>;
+
+/** Whether an operation may run. */
+const quotaAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('granted')}),
+  /** `retryAfter`: milliseconds. */
+  z.object({kind: z.literal('refused'), retryAfter: z.number()}),
+]);
+export type QuotaAnswer = Readonly<z.infer<typeof quotaAnswerSchema>>;
 
 /** Asks whether an operation of an account may run; it is counted if so. */
 export const quotaTake = defineMethod(
   'quota.take',
-  askedLimitSchema,
-  z.object({
-    isGranted: z.boolean(),
-    /** Milliseconds; 0 if it is granted. */
-    retryAfter: z.number(),
-  }),
+  versionedLimitSchema,
+  quotaAnswerSchema,
 );
 
 /** Counts what has run beyond what was granted. */
 export const quotaCharge = defineMethod(
   'quota.charge',
-  askedLimitSchema.extend({count: z.number().int().positive()}),
+  versionedLimitSchema.extend({count: z.number().int().positive()}),
   z.object({}),
 );
--- a/packages/accounts/src/quota_pool.ts
+++ b/packages/accounts/src/quota_pool.ts
@@ -10,17 +10,7 @@
 import type {Milliseconds} from '@kelpstep/runtime';
 
 import type {QuotaLimit} from './account_directory';
-
-/** An account's limit, and the version of the configuration that says so. */
-export interface VersionedLimit extends QuotaLimit {
-  readonly account: string;
-  readonly version: number;
-}
-
-/** Whether an operation may run. */
-export type QuotaAnswer =
-  | {readonly kind: 'granted'}
-  | {readonly kind: 'refused'; readonly retryAfter: Milliseconds};
+import type {QuotaAnswer, VersionedLimit} from './quota_messages';
 
 /** A proxy's part of all quotas, as it lends it. */
 export interface LentPart {
--- a/packages/manifest/src/manifest_schema.ts
+++ b/packages/manifest/src/manifest_schema.ts
@@ -62,7 +62,7 @@
 const KEY_DIGEST_TEXT = 'the digest of a key, as `kelpstep account` prints it';
 
 /** A client account, known by its keys. */
-export const accountSchema = z.strictObject({
+const accountSchema = z.strictObject({
   name: nameSchema,
   keyDigests: z.array(
     z
@@ -70,7 +70,6 @@
       .regex(/^[A-Za-z0-9_-]{22}$/, {error: KEY_DIGEST_TEXT}),
   ),
 });
-export type Account = z.infer<typeof accountSchema>;
 
 /** How members and proxies are stopped. */
 export const stopPolicySchema = z.strictObject({
