--- a/packages/cli/src/commands/call.ts
+++ b/packages/cli/src/commands/call.ts
@@ -50,7 +50,7 @@
     async options => {
       const {maximumAge, transaction} = options;
       const reply = await clientOf(options).request(CALLER_METHODS.read, {
-        ...requestFieldsOf(options, Date.now()),
+        ...requestFieldsOf(options, context.environment, Date.now()),
         ...transactionFieldOf(transaction),
         ...(maximumAge === undefined ? {} : {maximumAge}),
         statement: statementOf(options),
@@ -70,7 +70,7 @@
       const key =
         options.key === undefined ? undefined : parseKey(options.key, now);
       const reply = await clientOf(options).request(CALLER_METHODS.write, {
-        ...requestFieldsOf(options, now),
+        ...requestFieldsOf(options, context.environment, now),
         ...transactionFieldOf(options.transaction),
         ...(key === undefined ? {} : {key}),
         statement: statementOf(options),
@@ -86,7 +86,7 @@
     'Begin a transaction',
     withRequestOptions,
     async options => {
-      const fields = requestFieldsOf(options, Date.now());
+      const fields = requestFieldsOf(options, context.environment, Date.now());
       const client = clientOf(options);
       report(context, await client.request(CALLER_METHODS.begin, fields));
     },
@@ -106,7 +106,7 @@
       const key =
         options.key === undefined ? undefined : parseKey(options.key, now);
       const reply = await clientOf(options).request(CALLER_METHODS.commit, {
-        ...requestFieldsOf(options, now),
+        ...requestFieldsOf(options, context.environment, now),
         transaction: options.transaction,
         ...(key === undefined ? {} : {key}),
       });
@@ -126,7 +126,7 @@
       }),
     async options => {
       const reply = await clientOf(options).request(CALLER_METHODS.rollback, {
-        ...requestFieldsOf(options, Date.now()),
+        ...requestFieldsOf(options, context.environment, Date.now()),
         transaction: options.transaction,
       });
       report(context, reply);
@@ -147,7 +147,7 @@
     async options => {
       const now = Date.now();
       const reply = await clientOf(options).request(CALLER_METHODS.outcome, {
-        ...requestFieldsOf(options, now),
+        ...requestFieldsOf(options, context.environment, now),
         key: parseKey(options.key, now),
       });
       report(context, reply);
--- a/packages/cli/src/commands/call_options.ts
+++ b/packages/cli/src/commands/call_options.ts
@@ -2,6 +2,8 @@
 import {Scalar, Statement} from '@kelpstep/protocol';
 import type {Argv} from 'yargs';
 
+import type {CommandContext} from '../command';
+
 /** Options that all callers' requests have. */
 export interface RequestOptions {
   readonly proxy: string;
@@ -92,9 +94,13 @@
 }
 
 /** The fields that all requests have. */
-export function requestFieldsOf(options: RequestOptions, wallClock: number) {
+export function requestFieldsOf(
+  options: RequestOptions,
+  environment: CommandContext['environment'],
+  wallClock: number,
+) {
   const {group, kind, token, deadline} = options;
-  const accountKey = options.accountKey ?? process.env[ACCOUNT_KEY_VARIABLE];
+  const accountKey = options.accountKey ?? environment[ACCOUNT_KEY_VARIABLE];
   return {
     group,
     ...(kind === undefined ? {} : {kind}),
--- a/packages/cli/src/commands/call_transaction.ts
+++ b/packages/cli/src/commands/call_transaction.ts
@@ -111,7 +111,7 @@
       const now = Date.now();
       const reply = await runTransaction(
         clientOf(options),
-        requestFieldsOf(options, now),
+        requestFieldsOf(options, context.environment, now),
         options.statements.map(parseStep),
         parseKey(options.key, now),
       );
