--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -274,10 +274,11 @@
 
   function takeConfiguration(tableRows: TableRows): void {
     const {value, findings} = layout.decodeConfiguration(tableRows);
+    const isOld = value !== undefined && !gateway.configure(value);
+    if (isOld) {
+      return;
+    }
     if (value !== undefined) {
-      if (!gateway.configure(value)) {
-        return;
-      }
       events.onConfiguration(value.version);
     }
     for (const message of findings) {
