test(stand-ins): the store returns from a copy

Versions go back and are given out again, a change request after one that the store doesn't have fails as history lost, what clients wrote since the copy is gone, what the operator and targets wrote is written again.

--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -31,8 +31,19 @@
   lateWriteShare: number;
 }
 
+/** State of a store at a moment, from which it can be restored. */
+export interface StoreCopy {
+  readonly version: number;
+  readonly tables: ReadonlyMap<string, ReadonlyMap<string, StoredRow>>;
+  readonly removed: ReadonlyMap<string, readonly StoredRow[]>;
+  /** Number of outside writes that the copy includes. */
+  readonly outsideWrites: number;
+}
+
 /** A table store and its test controls. */
 export interface StandInStore {
+  /** Number of times that the store was restored from a copy. */
+  era(): number;
   /** Returns the store interface of a named client. */
   clientOf(name: string): TableStore;
   /**
@@ -48,6 +59,14 @@
    * They get no answer; later requests are not affected.
    */
   dropPendingChangeRequests(table?: string): void;
+  /** Copies the current state. */
+  takeCopy(): StoreCopy;
+  /**
+   * Returns to the state of a copy, in the next era. Pending change requests get
+   * no answer. What `put` and `remove` changed since the copy is written again
+   * after `rewriteDelay`; what clients wrote since is lost.
+   */
+  restore(copy: StoreCopy, rewriteDelay?: Milliseconds): void;
   /** Number of calls so far, including refused ones. */
   calls(): number;
   readonly faults: StoreFaults;
@@ -63,6 +82,8 @@
 
 /** Maximum delay of a late write. */
 const MAXIMUM_WRITE_DELAY_MS: Milliseconds = 6000;
+/** Time after a restore until lost writes from outside are repeated. */
+const DEFAULT_REWRITE_DELAY_MS: Milliseconds = 500;
 /** Time after which an unanswered call fails. */
 const CALL_TIMEOUT_MS: Milliseconds = 1200;
 /** Time after which an unanswered change request fails, added to its wait. */
@@ -87,7 +108,10 @@
     lostAnswerShare: 0,
     lateWriteShare: 0,
   };
+  /** Writes of the operator and of targets, which repeat them if lost. */
+  const outsideWrites: Array<() => void> = [];
   let calls = 0;
+  let era = 0;
   let version = 0;
   let historyStart = 0;
   const pendingRequests = new Set<ChangeRequest>();
@@ -178,14 +202,14 @@
         if (isSilent()) {
           return;
         }
-        if (after < historyStart) {
+        if (after < historyStart || after > version) {
           end(Err('history lost'));
         } else if (includesName(faults.refused, name)) {
           end(Err('unanswered'));
         } else {
           const rows = changesAfter(table, after);
           if (rows.length > 0 || isWaitOver) {
-            end(Ok({rows, version}));
+            end(Ok({rows, era, version}));
           }
         }
       }
@@ -226,7 +250,7 @@
     return {
       readTable: table =>
         call(table, settle =>
-          settle(Ok({rows: [...tableOf(table).values()], version})),
+          settle(Ok({rows: [...tableOf(table).values()], era, version})),
         ),
       awaitChanges,
       replaceRow: (table, key, expected, value) =>
@@ -247,10 +271,36 @@
     };
   }
 
+  function writeFromOutside(write: () => void): void {
+    outsideWrites.push(write);
+    write();
+  }
+
+  function restore(copy: StoreCopy, rewriteDelay: Milliseconds): void {
+    era += 1;
+    version = copy.version;
+    tables.clear();
+    copy.tables.forEach((rows, name) => tables.set(name, new Map(rows)));
+    removed.clear();
+    copy.removed.forEach((rows, name) => removed.set(name, [...rows]));
+    pendingRequests.clear();
+    const lost = outsideWrites.splice(copy.outsideWrites);
+    timer.after(rewriteDelay, () => lost.forEach(writeFromOutside));
+  }
+
   return {
+    era: () => era,
     clientOf,
-    put: (table, key, value) => void put(table, key, value),
-    remove,
+    put: (table, key, value) => writeFromOutside(() => put(table, key, value)),
+    remove: (table, key) => writeFromOutside(() => remove(table, key)),
+    takeCopy: () => ({
+      version,
+      tables: new Map([...tables].map(([name, rows]) => [name, new Map(rows)])),
+      removed: new Map(removed),
+      outsideWrites: outsideWrites.length,
+    }),
+    restore: (copy, rewriteDelay = DEFAULT_REWRITE_DELAY_MS) =>
+      restore(copy, rewriteDelay),
     compact() {
       historyStart = version;
       removed.clear();
