--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -23,7 +23,9 @@
   readonly address?: string;
   readonly term?: number;
   readonly version?: number;
-  /** The previously known version. */
+  /** Era of the store in which versions were given out. */
+  readonly era?: number;
+  /** The previously known version or era. */
   readonly known?: number;
   readonly count?: number;
   readonly milliseconds?: number;
--- a/packages/platform/__tests__/http_platform_client.spec.ts
+++ b/packages/platform/__tests__/http_platform_client.spec.ts
@@ -19,7 +19,7 @@
 };
 
 function createResponse(status: number, body: unknown = {}): HttpOutcome {
-  return {kind: 'answer', status, body: JSON.stringify(body)};
+  return {kind: 'answer', status, body: JSON.stringify(body), headers: {}};
 }
 
 /**
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -6,7 +6,12 @@
   TimerService,
   createDeferred,
 } from '@kelpstep/runtime';
-import {Agent, type IncomingMessage, request} from 'node:http';
+import {
+  Agent,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request,
+} from 'node:http';
 
 /** A request to the platform. */
 export interface HttpRequest {
@@ -19,9 +24,18 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
+/** A response of the platform. */
+export interface HttpResponse {
+  readonly kind: 'answer';
+  readonly status: number;
+  readonly body: string;
+  /** Headers by lower-case name. */
+  readonly headers: Readonly<IncomingHttpHeaders>;
+}
+
 /** A response, or the reason why there is none. */
 export type HttpOutcome =
-  | {readonly kind: 'answer'; readonly status: number; readonly body: string}
+  | HttpResponse
   | {
       readonly kind: 'failed';
       /** False if the request was certainly not sent. */
@@ -115,7 +129,13 @@
         cancelTimeout();
         const responseBody = Buffer.concat(chunks).toString('utf8');
         const status = response.statusCode ?? 0;
-        outcome.settle({kind: 'answer', status, body: responseBody});
+        const {headers: responseHeaders} = response;
+        outcome.settle({
+          kind: 'answer',
+          status,
+          body: responseBody,
+          headers: responseHeaders,
+        });
       });
     }
 
--- a/packages/platform/src/table_store.ts
+++ b/packages/platform/src/table_store.ts
@@ -1,4 +1,10 @@
-/** Interface of a table store with a change feed; adapters implement it. */
+/**
+ * Interface of a table store with a change feed; adapters implement it.
+ *
+ * The store may be restored from a copy that is some seconds old. It then loses
+ * the writes since the copy and gives out their versions again. The store's era
+ * increases each time, so versions are comparable within an era only.
+ */
 import type {Future, Milliseconds} from '@kelpstep/runtime';
 import type {Result} from 'ts-results';
 
@@ -17,6 +23,8 @@
 /** Changed rows, and the table version up to which they are complete. */
 export interface TableChanges {
   readonly rows: readonly StoredRow[];
+  /** Era in which the store gave out the versions. */
+  readonly era: number;
   readonly version: number;
 }
 
--- a/packages/table-feed/__tests__/store_follower.spec.ts
+++ b/packages/table-feed/__tests__/store_follower.spec.ts
@@ -37,7 +37,7 @@
     }
 
     const store: Pick<TableStore, 'readTable' | 'awaitChanges'> = {
-      readTable: () => reply(Ok({rows: [], version: OLDER_VERSION})),
+      readTable: () => reply(Ok({rows: [], era: 0, version: OLDER_VERSION})),
       awaitChanges: () => reply(Err('history lost')),
     };
     const copy = createTableCopy({
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -62,6 +62,8 @@
 export interface TableAge {
   readonly table: string;
   readonly age: Milliseconds;
+  /** Version of the copy. */
+  readonly version: number;
 }
 
 /** Keeps the copies of the tables up to date until `close` is called. */
@@ -295,7 +297,11 @@
     age,
     ages: () =>
       copies
-        .map(({table}) => ({table, age: age(table)}))
+        .map(({table, version}) => ({
+          table,
+          age: age(table),
+          version: version() ?? 0,
+        }))
         .filter(known => Number.isFinite(known.age)),
     close() {
       stopTicks();
