--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -154,6 +154,38 @@
   });
 });
 
+describe('a store that returns from an older copy', () => {
+  /** Time in which all proxies learn of a new version. */
+  const POLL_PERIOD_MS = 2 * SECOND_MS;
+
+  /** Restores a copy that lacks the last `lostWrites` writes of a proxy. */
+  function restoreStore(fleet: FeedFleet, lostWrites: number): void {
+    const copy = fleet.store.takeCopy();
+    const writer = fleet.store.clientOf('writer');
+    for (let count = 0; count < lostWrites; count++) {
+      writer.replaceRow('other', `row-${count}`, 0, count);
+    }
+    fleet.timer.advance(POLL_PERIOD_MS);
+    fleet.store.restore(copy);
+  }
+
+  test('delays no configuration beyond its staleness bound', () => {
+    for (const lostWrites of [0, 1, 5, 60]) {
+      for (const wait of [100, SECOND_MS]) {
+        const fleet = startFleet(1);
+        restoreStore(fleet, lostWrites);
+        fleet.timer.advance(wait);
+        const outdated = configureAndWait(fleet);
+        expect({lostWrites, wait, outdated}).toEqual({
+          lostWrites,
+          wait,
+          outdated: [],
+        });
+      }
+    }
+  });
+});
+
 describe('a distributor that fails', () => {
   const faults: Array<[string, (fleet: FeedFleet, name: string) => void]> = [
     ['is killed', (fleet, name) => fleet.kill(name)],
