fix(gateway): nothing is denied by a configuration that the store has lost

A caller of a database that a lost configuration has added would be told for good that there is none: after the store returned from a copy, its older configuration counted as current, although the proxy knows a newer one that the operator is about to write again. While the store is behind the configuration in force, such sessions are refused with a time to return.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -183,6 +183,8 @@
   let isPrimaryReachedByPeer: PrimaryCheck = reachedByNoPeer;
   let lostPeers: () => ReadonlySet<string> = () => NO_PEERS;
   let relay: Relay | undefined;
+  /** True while the store's configuration is older than the one in force. */
+  let isStoreBehind = false;
   const rowWriter = createRowWriter(store, layout.successionTable);
   const successions = createSuccessionRecords({
     runtime,
@@ -218,7 +220,10 @@
   }
 
   function isConfigurationCurrent(): boolean {
-    return feed.age(layout.configurationTable) <= delays.configuration;
+    return (
+      !isStoreBehind &&
+      feed.age(layout.configurationTable) <= delays.configuration
+    );
   }
 
   function mayTrustKeys(): boolean {
@@ -313,6 +318,8 @@
 
   function applyConfiguration(tableRows: TableRows): void {
     const {value, findings} = layout.decodeConfiguration(tableRows);
+    const known = gateway.configuration.current()?.version ?? -Infinity;
+    isStoreBehind = (value?.version ?? -Infinity) < known;
     const isOld = value !== undefined && !gateway.configure(value);
     if (isOld) {
       return;
