fix(platform): a response that is still arriving is not given up

Cause: the timeout of a request covered the whole response. On links where the response takes longer, each attempt is dropped and begins from the start, so the copy is never complete; after a start there is none at all, and no peer has one.

Evidence: `feed lost` of kind op after 2,700 ms at eleven instances within 10 ms as the response begins, `feed followed` again at two of them only; after the start no instance logs `configuration in force`, all 12 that follow the store follow its small tables.

A request now fails if its response has not begun within the timeout or stops arriving for 1,200 ms. Test: http_exchange.spec, a response that takes 400 ms with a timeout of 150 ms: failed before.

--- a/packages/platform/__tests__/http_exchange.spec.ts
+++ b/packages/platform/__tests__/http_exchange.spec.ts
@@ -7,6 +7,7 @@
 import {
   type HttpExchanger,
   type HttpOutcome,
+  type HttpRequest,
   createHttpExchanger,
 } from '../src/http_exchange';
 
@@ -14,6 +15,11 @@
 const LONG_TIMEOUT_MS = 2000;
 const SHORT_TIMEOUT_MS = 150;
 const REQUEST = {method: 'GET', path: '/'} as const;
+const SLOW_REQUEST = {method: 'GET', path: '/slow'} as const;
+const STOPPING_REQUEST = {method: 'GET', path: '/stopping'} as const;
+const CHUNK_INTERVAL_MS = 50;
+const CHUNK_COUNT = 8;
+const MAXIMUM_PAUSE_MS = 200;
 
 /** A server that can stop responding on its open connections. */
 interface StallableServer {
@@ -31,9 +37,25 @@
     const open = new Set<Socket>();
     let connections = 0;
     const server: Server = createServer((request, response) => {
-      if (!stalled.has(request.socket)) {
+      if (stalled.has(request.socket)) {
+        return;
+      }
+      if (request.url === REQUEST.path) {
         response.end('{}');
+        return;
       }
+      let sent = 0;
+      const sending = setInterval(() => {
+        sent += 1;
+        response.write('x');
+        if (sent === CHUNK_COUNT) {
+          clearInterval(sending);
+          if (request.url === SLOW_REQUEST.path) {
+            response.end();
+          }
+        }
+      }, CHUNK_INTERVAL_MS);
+      cleanups.push(() => clearInterval(sending));
     });
     server.on('connection', socket => {
       connections += 1;
@@ -60,6 +82,7 @@
     const exchanger = createHttpExchanger({
       timer,
       connections: CONNECTION_COUNT,
+      maximumPause: MAXIMUM_PAUSE_MS,
     });
     cleanups.push(exchanger.close);
     return exchanger;
@@ -69,8 +92,9 @@
     {exchange}: HttpExchanger,
     {address}: StallableServer,
     timeout: number,
+    request: HttpRequest = REQUEST,
   ): Promise<HttpOutcome> {
-    return promiseFromFuture(exchange(address, REQUEST, timeout));
+    return promiseFromFuture(exchange(address, request, timeout));
   }
 
   test('opens a new connection after one became unresponsive', async () => {
@@ -86,6 +110,30 @@
     expect([first.kind, second.kind]).toEqual(['failed', 'answer']);
   });
 
+  test('receives a response that takes longer than the timeout', async () => {
+    const server = await startServer();
+    const outcome = await sendRequest(
+      startExchanger(),
+      server,
+      SHORT_TIMEOUT_MS,
+      SLOW_REQUEST,
+    );
+    expect(outcome.kind === 'answer' && outcome.body.length).toEqual(
+      CHUNK_COUNT,
+    );
+  });
+
+  test('gives up a response that stops arriving', async () => {
+    const server = await startServer();
+    const outcome = await sendRequest(
+      startExchanger(),
+      server,
+      SHORT_TIMEOUT_MS,
+      STOPPING_REQUEST,
+    );
+    expect(outcome.kind).toEqual('failed');
+  });
+
   test('reuses a responsive connection', async () => {
     const server = await startServer();
     const exchanger = startExchanger();
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -44,7 +44,8 @@
     };
 
 /**
- * Sends a request to `ip:port`; settles within the timeout, in milliseconds.
+ * Sends a request to `ip:port`. It fails if the response has not begun within
+ * the timeout, or if it stops arriving; a long response may take longer.
  */
 export type HttpExchange = (
   address: string,
@@ -68,9 +69,12 @@
    * Maximum size of a response, in bytes; a request with a larger one fails.
    */
   readonly maximumResponseBytes?: number;
+  /** Longest pause within a response, after which its request fails. */
+  readonly maximumPause?: Milliseconds;
 }
 
 const DEFAULT_MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
+const DEFAULT_MAXIMUM_PAUSE_MS: Milliseconds = 1200;
 
 /** Error codes raised before the first byte of a request is sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
@@ -85,6 +89,7 @@
   const {timer, connections} = options;
   const maximumBytes =
     options.maximumResponseBytes ?? DEFAULT_MAXIMUM_RESPONSE_BYTES;
+  const maximumPause = options.maximumPause ?? DEFAULT_MAXIMUM_PAUSE_MS;
   const agent = new Agent({
     keepAlive: true,
     maxSockets: connections,
@@ -114,10 +119,27 @@
       clientRequest.destroy();
     }
 
+    function failAfter(delay: Milliseconds, message: string): () => void {
+      return timer.after(delay, () => {
+        fail(message, isConnected);
+        closeIdleConnections(address);
+      });
+    }
+
+    function expectMore(): void {
+      cancelTimeout();
+      cancelTimeout = failAfter(
+        maximumPause,
+        `Answer of ${address} stopped for ${maximumPause} ms.`,
+      );
+    }
+
     function readResponse(response: IncomingMessage): void {
       const chunks: Buffer[] = [];
       let size = 0;
+      expectMore();
       response.on('data', (chunk: Buffer) => {
+        expectMore();
         chunks.push(chunk);
         size += chunk.length;
         if (size > maximumBytes) {
@@ -139,10 +161,10 @@
       });
     }
 
-    const cancelTimeout = timer.after(timeout, () => {
-      fail(`No answer of ${address} in ${timeout} ms.`, isConnected);
-      closeIdleConnections(address);
-    });
+    let cancelTimeout = failAfter(
+      timeout,
+      `No answer of ${address} in ${timeout} ms.`,
+    );
     const clientRequest = request({
       agent,
       method,
