--- a/packages/succession/__tests__/succession_model.ts
+++ b/packages/succession/__tests__/succession_model.ts
@@ -8,9 +8,12 @@
 import {chooseSuccessor} from '../src/choose_successor';
 
 import {
+  EPOCHS_PER_ERA,
   type Guards,
+  INITIAL_ROW,
   MAXIMUM_COMMITS,
   MAXIMUM_ORDERS,
+  MAXIMUM_RESTORES,
   MAXIMUM_STARTS,
   type ModelPromoter,
   type ModelRow,
@@ -85,13 +88,39 @@
   }
 }
 
+/**
+ * The store returns from a copy without the row. Its version is given out
+ * again.
+ */
+function* restoreSteps(
+  state: ModelState,
+  guards: Guards,
+): Generator<ModelStep> {
+  if (state.era < MAXIMUM_RESTORES) {
+    const row = guards.remembersLostRows
+      ? {...state.row, version: INITIAL_ROW.version}
+      : INITIAL_ROW;
+    yield {
+      name: 'the store is restored',
+      state: {...state, era: state.era + 1, row},
+    };
+  }
+}
+
+function isRowAt(
+  {era, row}: ModelState,
+  expected: {readonly era: number; readonly version: number},
+): boolean {
+  return era === expected.era && row.version === expected.version;
+}
+
 function writeRow(
   state: ModelState,
   guards: Guards,
-  version: number,
+  expected: {readonly era: number; readonly version: number},
   row: Omit<ModelRow, 'version'>,
 ): ModelState | undefined {
-  if (guards.comparesVersions && state.row.version !== version) {
+  if (guards.comparesVersions && !isRowAt(state, expected)) {
     return undefined;
   }
   return {...state, row: {...row, version: state.row.version + 1}};
@@ -116,17 +145,19 @@
   if (promoter.step !== 'idle' || promoter.starts >= MAXIMUM_STARTS) {
     return;
   }
-  const {row} = state;
-  const epoch = row.epoch + 1;
+  const {era, row} = state;
+  const epoch = Math.max(row.epoch, era * EPOCHS_PER_ERA) + 1;
   const repeatsOrder = guards.repeatsOrders && row.phase === 'ordered';
   const phase = repeatsOrder ? 'ordered' : 'stopping';
   const target = repeatsOrder ? row.target : -1;
-  const next = writeRow(state, guards, row.version, {epoch, phase, target});
+  const expected = {era, version: row.version};
+  const next = writeRow(state, guards, expected, {epoch, phase, target});
   if (next !== undefined) {
     yield {
       name: `promoter ${index} takes the row${repeatsOrder ? ', repeats' : ''}`,
       state: withPromoter(next, index, {
         step: phase,
+        era,
         version: next.row.version,
         epoch,
         from: state.leader,
@@ -198,8 +229,8 @@
     return;
   }
   const target = Number(successor.target);
-  const {epoch, version} = promoter;
-  const next = writeRow(state, guards, version, {
+  const {epoch} = promoter;
+  const next = writeRow(state, guards, promoter, {
     epoch,
     phase: 'ordered',
     target,
@@ -227,13 +258,14 @@
   guards: Guards,
   index: number,
 ): Generator<ModelStep> {
-  const {step, epoch, target, version, sent} = at(state.promoters, index);
+  const promoter = at(state.promoters, index);
+  const {step, epoch, target, version, sent} = promoter;
   if (step !== 'ordered') {
     return;
   }
   if (sent < MAXIMUM_ORDERS) {
     const row = {epoch: epoch + 1, phase: 'ordered' as const, target};
-    const written = sent === 0 ? state : writeRow(state, guards, version, row);
+    const written = sent === 0 ? state : writeRow(state, guards, promoter, row);
     const orderEpoch = sent === 0 ? epoch : epoch + 1;
     if (written !== undefined) {
       const orders = [...state.orders, {epoch: orderEpoch, target}];
@@ -260,8 +292,9 @@
   index: number,
   phase: 'done' | 'abandoned',
 ): Generator<ModelStep> {
-  const {epoch, version, target} = at(state.promoters, index);
-  const next = writeRow(state, guards, version, {epoch, phase, target});
+  const promoter = at(state.promoters, index);
+  const {epoch, target} = promoter;
+  const next = writeRow(state, guards, promoter, {epoch, phase, target});
   if (next !== undefined) {
     yield {
       name: `promoter ${index} ends: ${phase}`,
@@ -290,9 +323,9 @@
   guards: Guards,
   index: number,
 ): Generator<ModelStep> {
-  const {step, version} = at(state.promoters, index);
-  const isInTime = state.row.version === version;
-  if (step !== 'resuming' || (guards.resumesInTime && !isInTime)) {
+  const promoter = at(state.promoters, index);
+  const isInTime = isRowAt(state, promoter);
+  if (promoter.step !== 'resuming' || (guards.resumesInTime && !isInTime)) {
     return;
   }
   for (const stopped of TARGETS) {
@@ -339,6 +372,7 @@
 function* stepsFrom(state: ModelState, guards: Guards): Generator<ModelStep> {
   yield* commitSteps(state);
   yield* crashSteps(state);
+  yield* restoreSteps(state, guards);
   for (const index of PROMOTERS) {
     yield* startSteps(state, guards, index);
     yield* stopSteps(state, guards, index);
--- a/packages/succession/__tests__/succession_model_state.ts
+++ b/packages/succession/__tests__/succession_model_state.ts
@@ -20,6 +20,8 @@
    * order is not sent later, and the next change starts after a cooldown.
    */
   readonly resumesInTime: boolean;
+  /** Proxies remember a row that the store lost when it was restored. */
+  readonly remembersLostRows: boolean;
 }
 
 /** All guards enabled, as in production. */
@@ -30,6 +32,7 @@
   repeatsOrders: true,
   checksEpochs: true,
   resumesInTime: true,
+  remembersLostRows: true,
 };
 
 /**
@@ -55,6 +58,8 @@
 /** State of a promoter between its steps. */
 export interface ModelPromoter {
   readonly step: 'idle' | 'stopping' | 'ordered' | 'resuming' | 'ended';
+  /** Era of the store in which the row was taken. */
+  readonly era: number;
   readonly version: number;
   readonly epoch: number;
   readonly from: number;
@@ -76,6 +81,8 @@
 export interface ModelState {
   readonly targets: readonly ModelTarget[];
   readonly leader: number;
+  /** Number of times that the store was restored from a copy. */
+  readonly era: number;
   readonly row: ModelRow;
   readonly promoters: readonly ModelPromoter[];
   readonly orders: readonly ModelOrder[];
@@ -92,9 +99,13 @@
 export const MAXIMUM_COMMITS = 2;
 export const MAXIMUM_STARTS = 1;
 export const MAXIMUM_ORDERS = 2;
+export const MAXIMUM_RESTORES = 1;
+/** Epochs of each era, more than one era uses. */
+export const EPOCHS_PER_ERA = 10;
 
 const IDLE_PROMOTER: ModelPromoter = {
   step: 'idle',
+  era: 0,
   version: 0,
   epoch: 0,
   from: -1,
@@ -104,6 +115,13 @@
   sent: 0,
 };
 
+export const INITIAL_ROW: ModelRow = {
+  version: 0,
+  epoch: 0,
+  phase: 'none',
+  target: -1,
+};
+
 export const INITIAL_STATE: ModelState = {
   targets: TARGETS.map(() => ({
     log: [],
@@ -112,7 +130,8 @@
     isRunning: true,
   })),
   leader: 0,
-  row: {version: 0, epoch: 0, phase: 'none', target: -1},
+  era: 0,
+  row: INITIAL_ROW,
   promoters: [IDLE_PROMOTER, IDLE_PROMOTER],
   orders: [],
   fence: 0,
