fix(platform): a process marks earlier eras again in each era

A store that is restored twice may have lost the mark of an era that a process has already made. Its next write marked only the new era, so a write by the era before both was not refused (second restore, same writer: the test failed, overwritten).

--- a/packages/platform/__tests__/row_writer.spec.ts
+++ b/packages/platform/__tests__/row_writer.spec.ts
@@ -96,9 +96,10 @@
     const first = writer('proxy-1');
     write(first, {era: 0, version: 0}, 'lost');
     store.restore(copy);
-    write(writer('proxy-2'), {era: 1, version: 0}, 'lost again');
+    const second = writer('proxy-2');
+    write(second, {era: 1, version: 0}, 'lost again');
     store.restore(copy);
-    write(writer('proxy-3'), {era: 2, version: 0}, 'taken');
+    write(second, {era: 2, version: 0}, 'taken');
     expect(write(first, {era: 0, version: 1}, 'overwritten')).toEqual(
       'conflict',
     );
--- a/packages/platform/src/row_writer.ts
+++ b/packages/platform/src/row_writer.ts
@@ -52,16 +52,13 @@
 ): RowWriter {
   let markedEra = 0;
 
-  function missingMarks(era: number): RowValue[] {
-    const first = Math.max(markedEra, era - MARKED_ERAS) + 1;
-    return Array.from(
-      {length: Math.max(0, era - first + 1)},
-      (unused, index) => ({
-        table: markTable,
-        key: markKey(first + index),
-        value: {},
-      }),
-    );
+  function marksOf(era: number): RowValue[] {
+    const marks: RowValue[] = [];
+    const first = Math.max(0, era - MARKED_ERAS) + 1;
+    for (let marked = first; marked <= era; marked++) {
+      marks.push({table: markTable, key: markKey(marked), value: {}});
+    }
+    return marks;
   }
 
   return {
@@ -71,7 +68,7 @@
           {table, key, version},
           {table: markTable, key: markKey(era + 1), version: 0},
         ],
-        puts: [{table, key, value}, ...missingMarks(era)],
+        puts: [{table, key, value}, ...(era > markedEra ? marksOf(era) : [])],
       });
       return mapFuture(
         written,
