fix(table-feed): a restored store does not shrink the fleet

Quotas are shared by the size of the fleet, which the distributors' rows tell. A store that returns from a copy has older rows for up to a second or two, which may list fewer proxies; each would then count against too large a share.

--- a/packages/table-feed/src/proxy_directory.ts
+++ b/packages/table-feed/src/proxy_directory.ts
@@ -44,6 +44,11 @@
 export const ROW_RENEWAL_PERIOD_MS: Milliseconds = 300_000;
 /** A row that hasn't changed for this long belongs to a removed data centre. */
 const ROW_EXPIRY_MS: Milliseconds = 2.4 * ROW_RENEWAL_PERIOD_MS;
+/**
+ * Time within which the distributors write their rows again after the store was
+ * restored from a copy.
+ */
+const RESTORE_GRACE_MS: Milliseconds = 3000;
 /** Time within which a distributor lists a starting proxy. */
 const LISTING_TIMEOUT_MS: Milliseconds = 1500;
 
@@ -67,6 +72,10 @@
   let list: readonly ProxyDescriptor[] = [self];
   let isListed = false;
   let knownSince: Milliseconds | undefined;
+  let knownEra: number | undefined;
+  /** Fleet size before the store was restored, and how long it counts. */
+  let sizeBefore = 0;
+  let sizeBeforeUntil: Milliseconds = -Infinity;
 
   function isExpired(
     {dataCentre, slot, version}: DistributorRow,
@@ -81,8 +90,29 @@
     return false;
   }
 
+  /**
+   * The rows of a restored store may list fewer proxies than run, which would
+   * then use too large shares of common quotas.
+   */
+  function noteEra(era: number): void {
+    if (knownEra !== undefined && era > knownEra) {
+      sizeBefore = sizeNow();
+      sizeBeforeUntil = timer.now() + RESTORE_GRACE_MS;
+    }
+    knownEra = era;
+  }
+
+  function sizeNow(): number {
+    return Math.max(
+      list.length,
+      countRecentProxies(rows),
+      timer.now() < sizeBeforeUntil ? sizeBefore : 0,
+    );
+  }
+
   function updateRows(tableRows: TableRows, {era}: StorePosition): void {
     knownSince ??= timer.now();
+    noteEra(era);
     rows = readDistributorRows(tableRows).filter(row => !isExpired(row, era));
     distributors = [...rows].sort(bySlot).map(row => row.distributor);
     const proxiesByName = listProxiesByName(rows);
@@ -103,7 +133,6 @@
     distributors: () => distributors,
     listed: () => list,
     live: () => (isKnown() ? list : undefined),
-    fleetSize: () =>
-      isKnown() ? Math.max(list.length, countRecentProxies(rows)) : undefined,
+    fleetSize: () => (isKnown() ? sizeNow() : undefined),
   };
 }
