--- a/packages/scenarios/__tests__/restored_store.spec.ts
+++ b/packages/scenarios/__tests__/restored_store.spec.ts
@@ -73,6 +73,35 @@
     expect([...counts]).toEqual([3]);
   });
 
+  test('uses no epoch of a lost change again', () => {
+    for (let seed = 1; seed <= 6; seed++) {
+      const simulation = createStatementSimulation({
+        seed,
+        duration: 2 * DURATION_MS,
+      });
+      const {store, timer, group} = simulation;
+      const primary = () => group.primary()?.target ?? '';
+      timer.advance(WARM_UP_MS);
+      const copy = store.takeCopy();
+      const first = primary();
+      group.crash(first);
+      timer.advance(2 * WARM_UP_MS);
+      group.restart(first, false);
+      const second = primary();
+      store.restore(copy, REWRITE_DELAY_MS);
+      timer.advance(3 * WARM_UP_MS);
+      group.crash(second);
+      timer.advance(3 * WARM_UP_MS);
+      const third = primary();
+      simulation.finish();
+      expect({
+        seed,
+        broken: simulation.checker.broken(),
+        changes: [first !== second, second !== third, third !== ''],
+      }).toEqual({seed, broken: [], changes: [true, true, true]});
+    }
+  });
+
   test('uses no epoch twice and loses no commit as the primary changes', () => {
     for (let seed = 1; seed <= 30; seed++) {
       const {checker} = simulateFaults({
