fix(table-feed): ages of an earlier era confirm nothing

A proxy that has seen a restored store dropped the updates of a sender that has not, but still counted the sender's ages: its copies would pass for fresh without them. That matters beside a process of an older build, which never learns of an era and goes on reporting ages. Messages carry the eras of the sender's copies.

--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -82,8 +82,6 @@
   fleetSize(): number | undefined;
   /** All distributors, in the same order on every proxy. */
   distributors(): readonly ProxyDescriptor[];
-  /** Position of the copy of a table; undefined if there is none. */
-  position(table: string): StorePosition | undefined;
   /**
    * Time since the copy of a table was known to be up to date; `Infinity` if it
    * never was.
@@ -320,7 +318,6 @@
     live: directory.live,
     fleetSize: directory.fleetSize,
     distributors: directory.distributors,
-    position: table => copies.find(copy => copy.table === table)?.position(),
     age,
     ages: () =>
       copies
--- a/packages/table-feed/src/feed_messages.ts
+++ b/packages/table-feed/src/feed_messages.ts
@@ -38,6 +38,8 @@
    * out if it never was.
    */
   ages: z.record(z.string(), z.number().nonnegative()),
+  /** Eras of the sender's copies; 0 if left out. */
+  eras: z.record(z.string(), z.number()).default({}),
   updates: updatesSchema.optional(),
   /** The updates as JSON, gzipped and base64-encoded, in place of `updates`. */
   packed: z.string().optional(),
@@ -76,6 +78,20 @@
 /** Updates whose JSON is at least this long are compressed. */
 const COMPRESSION_THRESHOLD_CHARACTERS = 800;
 
+/**
+ * Ages of the tables of which the sender's copy is not of an earlier era than
+ * the receiver's. Of the others they say nothing: the sender may not know of
+ * the later era, and its updates are not taken.
+ */
+export function agesByEra(
+  {ages, eras}: FeedMessage,
+  receiverEra: (table: string) => number,
+): Array<[table: string, age: Milliseconds]> {
+  return Object.entries(ages).filter(
+    ([table]) => (eras[table] ?? 0) >= receiverEra(table),
+  );
+}
+
 /** Encodes updates for a message, compressed if they are large. */
 export function packUpdates(
   updates: readonly TableUpdate[],
--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -99,6 +99,14 @@
     );
   }
 
+  /** Eras after the first one, by table. */
+  function eras(): FeedMessage['eras'] {
+    const entries = copies.map(
+      ({table, position}) => [table, position()?.era ?? 0] as const,
+    );
+    return Object.fromEntries(entries.filter(([, era]) => era > 0));
+  }
+
   function messageFor(
     {sent}: Subscriber,
     knownAges: FeedMessage['ages'],
@@ -114,7 +122,7 @@
         sent.set(copy.table, position);
       }
     }
-    return {ages: knownAges, ...packedUpdates};
+    return {ages: knownAges, eras: eras(), ...packedUpdates};
   }
 
   function publish(): void {
--- a/packages/table-feed/src/subscription.ts
+++ b/packages/table-feed/src/subscription.ts
@@ -28,6 +28,7 @@
   type CopyPositions,
   type FeedMessage,
   HEARTBEAT_PERIOD_MS,
+  agesByEra,
   feedMessageSchema,
   feedSubscribe,
   unpackUpdates,
@@ -81,6 +82,10 @@
     }
   }
 
+  function eraOf(table: string): number {
+    return copies.find(copy => copy.table === table)?.position()?.era ?? 0;
+  }
+
   /** Returns false if a copy lacks updates that precede this message. */
   function applyMessage(message: FeedMessage): boolean {
     const isApplied = unpackUpdates(message).every(
@@ -88,7 +93,7 @@
         copies.find(({table}) => table === update.table)?.take(update) ?? true,
     );
     if (isApplied) {
-      for (const [table, age] of Object.entries(message.ages)) {
+      for (const [table, age] of agesByEra(message, eraOf)) {
         confirmations.confirm(table, timer.now() - age);
       }
     }
