--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -74,6 +74,7 @@
 }
 
 const DEFAULT_MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Long enough for a packet that is lost to be sent again. */
 const DEFAULT_MAXIMUM_PAUSE_MS: Milliseconds = 1200;
 
 /** Error codes raised before the first byte of a request is sent. */
--- a/packages/stand-ins/src/statement_group/stand_in_store.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_store.ts
@@ -91,6 +91,13 @@
 /** Time after which an unanswered change request fails, added to its wait. */
 const CHANGE_REQUEST_GRACE_MS: Milliseconds = 700;
 
+/** A write by the operator or a target. */
+interface OutsideWrite {
+  readonly table: string;
+  readonly key: string;
+  run(): void;
+}
+
 /** A request for changes that is waiting for an answer. */
 interface ChangeRequest {
   readonly table: string;
@@ -111,7 +118,7 @@
     lateWriteShare: 0,
   };
   /** Writes of the operator and of targets, which repeat them if lost. */
-  const outsideWrites: Array<() => void> = [];
+  const outsideWrites: OutsideWrite[] = [];
   let calls = 0;
   let era = 0;
   let version = 0;
@@ -280,9 +287,17 @@
     };
   }
 
-  function writeFromOutside(write: () => void): void {
+  function writeFromOutside(write: OutsideWrite): void {
     outsideWrites.push(write);
-    write();
+    write.run();
+  }
+
+  /** Repeats lost writes, unless the row was written again since. */
+  function repeatWrites(lost: readonly OutsideWrite[], since: number): void {
+    const recent = outsideWrites.slice(since);
+    const isOutdated = ({table, key}: OutsideWrite) =>
+      recent.some(write => write.table === table && write.key === key);
+    lost.filter(write => !isOutdated(write)).forEach(writeFromOutside);
   }
 
   function restore(copy: StoreCopy, rewriteDelay: Milliseconds): void {
@@ -293,15 +308,18 @@
     removed.clear();
     copy.removed.forEach((rows, name) => removed.set(name, [...rows]));
     pendingRequests.clear();
-    const lost = outsideWrites.splice(copy.outsideWrites);
-    timer.after(rewriteDelay, () => lost.forEach(writeFromOutside));
+    const since = copy.outsideWrites;
+    const lost = outsideWrites.splice(since);
+    timer.after(rewriteDelay, () => repeatWrites(lost, since));
   }
 
   return {
     era: () => era,
     clientOf,
-    put: (table, key, value) => writeFromOutside(() => put(table, key, value)),
-    remove: (table, key) => writeFromOutside(() => remove(table, key)),
+    put: (table, key, value) =>
+      writeFromOutside({table, key, run: () => put(table, key, value)}),
+    remove: (table, key) =>
+      writeFromOutside({table, key, run: () => remove(table, key)}),
     takeCopy: () => ({
       version,
       tables: new Map([...tables].map(([name, rows]) => [name, new Map(rows)])),
