refactor(table-feed): eras once per publication; leftovers of the change

A publication computed the eras of the copies once for each subscriber beside the ages that it computes once; both are now one value. The comparison of positions in the succession records is compareStorePositions; a prefix is no longer exported. Behaviour and tests are unchanged.

--- a/packages/platform/src/row_writer.ts
+++ b/packages/platform/src/row_writer.ts
@@ -18,7 +18,7 @@
 } from './table_store';
 
 /** Prefix of the keys that mark eras. */
-export const ERA_MARK_PREFIX = 'era/';
+const ERA_MARK_PREFIX = 'era/';
 /**
  * Number of eras that a write marks: the marks of the eras before its own may
  * have been lost.
--- a/packages/succession/src/succession_records.ts
+++ b/packages/succession/src/succession_records.ts
@@ -3,7 +3,12 @@
  * lack the newest rows; they stay in force here and are written again, as a
  * promotion that they record may still take effect.
  */
-import type {RowWriter, StorePosition, TableRows} from '@kelpstep/platform';
+import {
+  type RowWriter,
+  type StorePosition,
+  type TableRows,
+  compareStorePositions,
+} from '@kelpstep/platform';
 import {
   type Milliseconds,
   type Runtime,
@@ -107,11 +112,7 @@
     position: StorePosition,
   ): void {
     const known = records.get(group);
-    const isUnchanged =
-      known !== undefined &&
-      known.position.version === position.version &&
-      known.position.era === position.era;
-    if (isUnchanged) {
+    if (known && compareStorePositions(known.position, position) === 0) {
       return;
     }
     // Within an era a row is never older than the one before.
--- a/packages/table-feed/src/feed_server.ts
+++ b/packages/table-feed/src/feed_server.ts
@@ -54,6 +54,8 @@
   readonly sent: Map<string, StorePosition>;
 }
 
+type CopyStates = Pick<FeedMessage, 'ages' | 'eras'>;
+
 function describePosition(position: StorePosition | undefined): string {
   return position === undefined ? '' : `${position.era}.${position.version}`;
 }
@@ -107,10 +109,12 @@
     return Object.fromEntries(entries.filter(([, era]) => era > 0));
   }
 
-  function messageFor(
-    {sent}: Subscriber,
-    knownAges: FeedMessage['ages'],
-  ): FeedMessage {
+  /** Ages and eras of the copies, the same for all subscribers. */
+  function copyStates(): CopyStates {
+    return {ages: ages(), eras: eras()};
+  }
+
+  function messageFor({sent}: Subscriber, states: CopyStates): FeedMessage {
     const packedUpdates = packMissing(sent);
     for (const copy of copies) {
       const position = copy.position();
@@ -122,14 +126,14 @@
         sent.set(copy.table, position);
       }
     }
-    return {ages: knownAges, eras: eras(), ...packedUpdates};
+    return {...states, ...packedUpdates};
   }
 
   function publish(): void {
     packedByPositions.clear();
-    const knownAges = ages();
+    const states = copyStates();
     for (const subscriber of subscribers.values()) {
-      subscriber.peer.notify(FEED_UPDATE, messageFor(subscriber, knownAges));
+      subscriber.peer.notify(FEED_UPDATE, messageFor(subscriber, states));
     }
     packedByPositions.clear();
   }
@@ -154,7 +158,7 @@
         );
         const subscriber: Subscriber = {peer: from, proxy, sent};
         subscribers.set(from, subscriber);
-        return settledFuture(Ok(messageFor(subscriber, ages())));
+        return settledFuture(Ok(messageFor(subscriber, copyStates())));
       },
     );
     const peer = createRpcPeer({connection, timer, handlers});
--- a/packages/table-feed/src/table_copy.ts
+++ b/packages/table-feed/src/table_copy.ts
@@ -29,7 +29,6 @@
 
 /** A copy of a table. Its position never decreases. */
 export interface TableCopy extends TableStalenessBound {
-  /** The rows; another object after each full update. */
   rows(): TableRows;
   /**
    * Position of the table that the copy holds; undefined until the first
@@ -58,7 +57,7 @@
 
 export function createTableCopy(options: TableCopyOptions): TableCopy {
   const {table, stalenessBound: bound} = options;
-  let rows = new Map<string, StoredRow>();
+  const rows = new Map<string, StoredRow>();
   /** Consecutive updates without a gap, up to the current version. */
   let retainedUpdates: IncrementalUpdate[] = [];
   let position: StorePosition | undefined;
@@ -93,7 +92,7 @@
     }
     const isFullUpdate = update.after === undefined;
     if (isFullUpdate || before === undefined) {
-      rows = new Map();
+      rows.clear();
       retainedUpdates = [];
     } else {
       retainedUpdates = [
