feat(membership): weighted rendezvous hashing

Proxies of uneven capacity were selected with equal probability. createCandidateSet takes a weight function; a candidate is picked in proportion to its weight within its data centre. Equal weights give the unweighted selection, without logarithms.

--- a/packages/membership/__tests__/rendezvous.spec.ts
+++ b/packages/membership/__tests__/rendezvous.spec.ts
@@ -1,4 +1,5 @@
 import {expect} from 'earl';
+import * as fc from 'fast-check';
 import {describe, test} from 'node:test';
 
 import {
@@ -70,4 +71,61 @@
       }
     }
   });
+
+  // Guards against a change of connection owners in fleets of equal proxies.
+  test('makes the unweighted selection if all weights are equal', () => {
+    const extra = {proxy: 'x', dataCentre: 'own', incarnation: 'a', address: ''};
+    fc.assert(
+      fc.property(
+        fc.string(),
+        fc.integer({min: 1, max: 30}),
+        fc.integer({min: 1, max: 12}),
+        fc.double({min: 1e-3, max: 1e3, noNaN: true}),
+        (name, proxies, count, weight) => {
+          const identities = createIdentities(proxies);
+          const unweighted = createCandidateSet(identities);
+          const expected = pickResponsible(name, unweighted, count);
+          const equal = createCandidateSet(identities, () => weight);
+          expect(pickResponsible(name, equal, count)).toEqual(expected);
+          // A candidate of another weight, last in rank, makes all scores
+          // weighted ones.
+          const mixed = createCandidateSet([...identities, extra], ({proxy}) =>
+            proxy === 'x' ? 1e-12 * weight : weight,
+          );
+          const centres = Math.min(count, unweighted.size);
+          expect(pickResponsible(name, mixed, centres)).toEqual(
+            expected.slice(0, centres),
+          );
+        },
+      ),
+      {seed: 1, numRuns: 500},
+    );
+  });
+
+  // Guards against small instances that own as many groups as large ones.
+  test('picks a proxy in proportion to its weight within its data centre', () => {
+    const weights = [0.25, 0.5, 0.75, 1.5];
+    const identities = weights.map((weight, index) => ({
+      proxy: `p${index}`,
+      dataCentre: 'west',
+      weight,
+    }));
+    const other = {proxy: 'q', dataCentre: 'east', weight: 8};
+    const weighted = createCandidateSet(
+      [...identities, other],
+      ({weight}) => weight,
+    );
+    const counts = new Map<string, number>();
+    for (const name of NAMES) {
+      for (const {proxy} of pickResponsible(name, weighted, 2)) {
+        counts.set(proxy, (counts.get(proxy) ?? 0) + 1);
+      }
+    }
+    expect(counts.get('q')).toEqual(NAMES.length);
+    // 3,000 names over a total weight of 3: 1,000 names for a weight of 1.
+    for (const {proxy, weight} of identities) {
+      const excess = Math.abs((counts.get(proxy) ?? 0) - 1000 * weight);
+      expect(excess).toBeLessThan(90);
+    }
+  });
 });
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -15,6 +15,8 @@
    * Hashes of the proxy ids, so a restarted proxy keeps its responsibilities.
    */
   readonly hashes: Uint32Array;
+  /** Weights in the same order; undefined if all candidates weigh the same. */
+  readonly weights: Float64Array | undefined;
 }
 
 /** Candidates for `pickResponsible`, keyed by data centre. */
@@ -28,10 +30,40 @@
   readonly score: number;
 }
 
-/** Groups proxies by data centre and hashes their ids. */
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Score of a candidate: an exponential variate's reciprocal, times the weight.
+ * The highest of such scores is a candidate's with a probability in proportion
+ * to its weight. The score grows with the hash, so equal weights leave the
+ * order of the hashes.
+ */
+function weightedScore(hash: number, weight: number): number {
+  // The middle of the hash's interval, because 0 and 1 have no finite score.
+  return -weight / Math.log((hash + 0.5) / HASH_RANGE);
+}
+
+function haveEqualWeights<P>(
+  identities: readonly P[],
+  weight: (identity: P) => number,
+): boolean {
+  const [first] = identities;
+  return (
+    first === undefined ||
+    identities.every(identity => weight(identity) === weight(first))
+  );
+}
+
+/**
+ * Groups proxies by data centre and hashes their ids. `weight` returns a
+ * positive number. Within its data centre, a proxy is picked in proportion to
+ * its weight.
+ */
 export function createCandidateSet<P extends LocatedProxy>(
   identities: readonly P[],
+  weight: (identity: P) => number = () => 1,
 ): CandidateSet<P> {
+  const areEqual = haveEqualWeights(identities, weight);
   const byDataCentre = new Map<string, P[]>();
   for (const identity of identities) {
     const centre = byDataCentre.get(identity.dataCentre) ?? [];
@@ -41,7 +73,8 @@
   const set = new Map<string, DataCentreCandidates<P>>();
   for (const [dataCentre, members] of byDataCentre) {
     const hashes = Uint32Array.from(members, ({proxy}) => hashText(proxy));
-    set.set(dataCentre, {identities: members, hashes});
+    const weights = areEqual ? undefined : Float64Array.from(members, weight);
+    set.set(dataCentre, {identities: members, hashes, weights});
   }
   return set;
 }
@@ -67,13 +100,15 @@
  */
 function bestOf<P extends LocatedProxy>(
   nameHash: number,
-  {identities, hashes}: DataCentreCandidates<P>,
+  {identities, hashes, weights}: DataCentreCandidates<P>,
   taken: ReadonlySet<P>,
 ): Scored<P> | undefined {
   let best: P | undefined;
   let bestScore = 0;
   for (let index = 0; index < hashes.length; index++) {
-    const score = mixHashes(nameHash, hashes[index] ?? 0);
+    const hash = mixHashes(nameHash, hashes[index] ?? 0);
+    const score =
+      weights === undefined ? hash : weightedScore(hash, weights[index] ?? 1);
     if (score < bestScore) {
       continue;
     }
