feat(table-feed): capacity in the descriptor of a proxy

Proxies knew nothing of each other's capacity. The descriptor in distributor rows and subscriptions gets the optional field capacity. Older proxies ignore it; a proxy without it counts as 1. If an older distributor drops it, another row that has it counts.

--- a/packages/table-feed/index.ts
+++ b/packages/table-feed/index.ts
@@ -1,4 +1,4 @@
 /** Copies of the platform's tables, distributed between proxies. */
 export * from './src/create_table_feed';
-export type {ProxyDescriptor} from './src/distributor_row';
+export {type ProxyDescriptor, capacityOf} from './src/distributor_row';
 export * from './src/feed_events';
--- a/packages/table-feed/src/distributor_row.ts
+++ b/packages/table-feed/src/distributor_row.ts
@@ -16,9 +16,23 @@
   address: z.string(),
   /** Address for relayed statements; empty if the proxy accepts none. */
   relayAddress: z.string(),
+  /**
+   * Capacity in cores, as in the setting. Older proxies don't state it, and
+   * older distributors leave it out of their subscribers' descriptors. An
+   * invalid one counts as left out, so that the descriptor stays usable.
+   */
+  capacity: z.number().positive().optional().catch(undefined),
 });
 export type ProxyDescriptor = z.infer<typeof proxyDescriptorSchema>;
 
+/** Capacity of a proxy that states none, in cores. */
+const DEFAULT_CAPACITY = 1;
+
+/** Capacity of a proxy, in cores. */
+export function capacityOf({capacity}: ProxyDescriptor): number {
+  return capacity ?? DEFAULT_CAPACITY;
+}
+
 /** Value of a row, written by the distributor. */
 const distributorValueSchema = z.object({
   distributor: proxyDescriptorSchema,
@@ -61,14 +75,21 @@
   });
 }
 
-/** All distributors and subscribers of the rows, by proxy name. */
+/**
+ * All distributors and subscribers of the rows, by proxy name. Of a proxy that
+ * several rows list, a descriptor with the capacity counts: one without it was
+ * written by an older distributor.
+ */
 export function listProxiesByName(
   rows: readonly DistributorRow[],
 ): Map<string, ProxyDescriptor> {
   const proxiesByName = new Map<string, ProxyDescriptor>();
   for (const {distributor, subscribers} of rows) {
     for (const proxy of [distributor, ...subscribers]) {
-      proxiesByName.set(proxy.proxy, proxy);
+      const known = proxiesByName.get(proxy.proxy);
+      const {capacity = known?.capacity} = proxy;
+      const isComplete = proxy.capacity === capacity;
+      proxiesByName.set(proxy.proxy, isComplete ? proxy : {...proxy, capacity});
     }
   }
   return proxiesByName;
@@ -103,7 +124,8 @@
     left.address === right.address &&
     left.relayAddress === right.relayAddress &&
     left.dataCentre === right.dataCentre &&
-    left.region === right.region
+    left.region === right.region &&
+    capacityOf(left) === capacityOf(right)
   );
 }
 
