feat(gateway): connection owners by capacity and accounts

Small instances owned as many groups as large ones, and with accounts a target of 56 connections had 11 owners with two statement connections each. Owners are selected by capacity. With accounts there is at most one per data centre, but three where the connections allow it.

A change of accounts lost running transactions in two ways: a former owner closed the connection of a transaction that was busy for longer than 4 s, and removal of all accounts rolled back the transactions of accounts. Both are kept now.

--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -229,7 +229,14 @@
       }
     }
     const idle = configuration.current()?.transactionIdle ?? Infinity;
-    for (const [name, {group, monitor, lastNeededAt}] of groups) {
+    for (const [name, active] of groups) {
+      const {group, monitor} = active;
+      // A transaction's statements don't look up the group, and its connection
+      // may be busy for longer than the transaction may be idle.
+      if (group.links().some(link => link.isInUse())) {
+        active.lastNeededAt = timer.now();
+      }
+      const {lastNeededAt} = active;
       if (timer.now() - lastNeededAt > idle + GROUP_RELEASE_DELAY_MS) {
         monitor.stop();
         group.close();
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -104,10 +104,10 @@
 /** What a statement proxy is made of: store, transport, targets and limits. */
 export interface StatementProxyOptions {
   readonly runtime: Runtime;
-  readonly self: ProxyDescriptor;
+  readonly self: Omit<ProxyDescriptor, 'capacity'>;
   /**
-   * Capacity relative to other proxies: those with more capacity become
-   * distributors sooner.
+   * Capacity in cores. Proxies with more capacity become distributors sooner,
+   * and connection owners of more groups.
    */
   readonly capacity: number;
   /** Carries tables and statements between proxies. */
@@ -133,6 +133,8 @@
   tableAges(): readonly TableAge[];
   /** Sum of the shares of all quotas leased to this proxy now, from 0 to 1. */
   quotaShare(): number;
+  /** Number of groups of which this proxy is a connection owner. */
+  ownedGroups(): number;
   /** Stops serving, and closes the connections of other proxies. */
   close(): void;
 }
@@ -171,13 +173,13 @@
 ): StatementProxy {
   const {
     runtime,
-    self,
     store,
     layout,
     stalenessBounds: delays,
     events,
     orderPromotion,
   } = options;
+  const self: ProxyDescriptor = {...options.self, capacity: options.capacity};
   const {timer} = runtime;
   const reportedFindings = new Set<string>();
   let isPrimaryReachedByPeer: PrimaryCheck = reachedByNoPeer;
@@ -201,6 +203,7 @@
     self,
     live: () => feed.live(),
     lost: () => lostPeers(),
+    hasAccounts: () => gateway.configuration.current()?.accounts !== undefined,
   });
 
   function hasAnsweredRecently(link: TargetLink): boolean {
@@ -372,6 +375,11 @@
     events: events.tables,
   });
 
+  function countOwnedGroups(): number {
+    const groups = gateway.configuration.current()?.groups ?? [];
+    return groups.filter(connectionOwners.ownsConnections).length;
+  }
+
   function close(): void {
     feed.close();
     gateway.close();
@@ -381,6 +389,7 @@
     gateway,
     tableAges: feed.ages,
     quotaShare: quota.leasedShare,
+    ownedGroups: countOwnedGroups,
     close,
   };
 }
--- a/packages/gateway/src/relay/connection_owners.ts
+++ b/packages/gateway/src/relay/connection_owners.ts
@@ -2,15 +2,24 @@
  * Selects the connection owners of a group: the proxies that keep connections
  * to its targets. These are all proxies if the targets accept enough
  * connections; otherwise as many as the targets accept, spread over the data
- * centres. Every proxy selects the same ones.
+ * centres and in proportion to capacity within one. Where the configuration has
+ * client accounts, they are at most as many as there are data centres, but at
+ * least three. Every proxy selects the same ones.
+ *
+ * Load: instances of uneven capacity, and more accounts than an owner has
+ * connections.
  */
 import {
   type CandidateSet,
   createCandidateSet,
   pickResponsible,
 } from '@kelpstep/membership';
-import type {ProxyDescriptor} from '@kelpstep/table-feed';
-import {type GroupSettings, maximumOwnerCount} from '@kelpstep/targets';
+import {type ProxyDescriptor, capacityOf} from '@kelpstep/table-feed';
+import {
+  type GroupSettings,
+  maximumOwnerCount,
+  maximumOwnerCountWithAccounts,
+} from '@kelpstep/targets';
 
 export interface ConnectionOwnersOptions {
   readonly self: ProxyDescriptor;
@@ -24,6 +33,8 @@
    * their rows expire.
    */
   lost(): ReadonlySet<string>;
+  /** True if the configuration in force has client accounts. */
+  hasAccounts(): boolean;
 }
 
 /** Tells which proxies are the connection owners of a group. */
@@ -61,6 +72,7 @@
   const {self} = options;
   let selectedFrom: readonly ProxyDescriptor[] | undefined;
   let selectedWithout: ReadonlySet<string> | undefined;
+  let dataCentreCount = 0;
   let reachable: readonly ProxyDescriptor[] = [];
   let candidates: CandidateSet<ProxyDescriptor> | undefined;
   const selections = new Map<string, OwnerSelection>();
@@ -68,7 +80,7 @@
   function selectOwners(group: string, maximum: number): OwnerSelection {
     let owners = reachable;
     if (reachable.length > maximum) {
-      candidates ??= createCandidateSet(reachable);
+      candidates ??= createCandidateSet(reachable, capacityOf);
       owners = pickResponsible(group, candidates, maximum);
     }
     const others = owners.filter(({proxy}) => proxy !== self.proxy);
@@ -79,6 +91,16 @@
     };
   }
 
+  /**
+   * Data centres are counted over all running proxies, reachable or not: a lost
+   * owner is replaced, and proxies with the same rows agree on the number.
+   */
+  function maximumFor(connectionLimit: number): number {
+    return options.hasAccounts()
+      ? maximumOwnerCountWithAccounts(connectionLimit, dataCentreCount)
+      : maximumOwnerCount(connectionLimit);
+  }
+
   function selectionFor({
     group,
     connectionLimit,
@@ -92,10 +114,11 @@
       selectedFrom = live;
       selectedWithout = lost;
       reachable = live.filter(({relayAddress}) => !lost.has(relayAddress));
+      dataCentreCount = new Set(live.map(({dataCentre}) => dataCentre)).size;
       candidates = undefined;
       selections.clear();
     }
-    const maximum = maximumOwnerCount(connectionLimit);
+    const maximum = maximumFor(connectionLimit);
     const key = `${group} ${maximum}`;
     const selection = selections.get(key) ?? selectOwners(group, maximum);
     selections.set(key, selection);
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -323,10 +323,14 @@
     return transition.answer;
   }
 
-  /** True without an account, or if the key still belongs to this account. */
+  /**
+   * True without an account, if no key is needed any more, or if the key still
+   * belongs to this account.
+   */
   function mayContinue({account}: Transaction): boolean {
     return (
       account === undefined ||
+      configuration.current()?.accounts === undefined ||
       configuration.trustedAccount(caller.keyDigest) === account
     );
   }
--- a/packages/targets/src/connection_shares.ts
+++ b/packages/targets/src/connection_shares.ts
@@ -26,6 +26,28 @@
   return Math.max(1, Math.floor(usable / MINIMUM_CONNECTION_COUNT));
 }
 
+/**
+ * Owners at the least where a bound by data centres applies: any two of them
+ * may fail. It doesn't raise the number that the connection limit allows.
+ */
+const MINIMUM_OWNER_COUNT = 3;
+
+/**
+ * Maximum number of connection owners of a target with this limit where
+ * connections are opened for client accounts: one for each data centre. Fewer
+ * owners have more connections each, so that an account's next statement more
+ * often finds one that is open for it.
+ */
+export function maximumOwnerCountWithAccounts(
+  connectionLimit: number,
+  dataCentres: number,
+): number {
+  return Math.min(
+    maximumOwnerCount(connectionLimit),
+    Math.max(MINIMUM_OWNER_COUNT, dataCentres),
+  );
+}
+
 /**
  * Number of connections that each of `owners` may hold to a target, including
  * its control connection. `owners` is `Infinity` while it is unknown; the
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -52,6 +52,8 @@
     settings: SessionSettings,
   ): SharedConnection | undefined;
   hasIdle(): boolean;
+  /** True while a statement or a transaction uses a connection. */
+  isInUse(): boolean;
   mayOpen(): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
@@ -186,6 +188,7 @@
   return {
     take,
     hasIdle: () => idle.length > 0,
+    isInUse: () => all.size > idle.length,
     mayOpen,
     isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
     evictIdle() {
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -115,6 +115,8 @@
    * pending write if that is later; undefined if no write is pending.
    */
   writesStalledSince(): Milliseconds | undefined;
+  /** True while a statement or a transaction uses a connection of the pool. */
+  isInUse(): boolean;
   /**
    * Closes an idle connection beyond the share; to be called a few times a
    * second.
@@ -277,6 +279,7 @@
     // The proxy itself can fall back to the control connection.
     isStarved: user => user !== undefined && connections.isStarved(),
     writesStalledSince: writes.stalledSince,
+    isInUse: connections.isInUse,
     trim: connections.trim,
     close() {
       isClosed = true;
