--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -148,7 +148,7 @@
   const connections = createSharedConnections({
     timer,
     target: targetAddress,
-    open: options.open,
+    open: openUnlessClosed,
     share,
     onAvailable: () => runner.dispatch(),
     onOpened: recordOpened,
@@ -157,7 +157,7 @@
   const controlConnection = createControlConnection({
     timer,
     target: targetAddress,
-    open: options.open,
+    open: openUnlessClosed,
     onOpened: recordOpened,
   });
   const commands = createTargetCommands({
@@ -182,6 +182,22 @@
     onUnresponsive: markUnresponsive,
   });
 
+  /**
+   * Opens a connection. One that opens after the link was closed is closed at
+   * once: the link's target is gone, and nobody would close it later.
+   */
+  function openUnlessClosed(
+    ...parameters: Parameters<OpenTargetConnection>
+  ): ReturnType<OpenTargetConnection> {
+    return mapFuture(options.open(...parameters), opened => {
+      if (opened.err || !isClosed) {
+        return opened;
+      }
+      opened.val.connection.close();
+      return Err('refused');
+    });
+  }
+
   /**
    * Number of connections for statements: the share without the control
    * connection, but at least 1.
@@ -199,7 +215,7 @@
   }
 
   function markUnresponsive(reason: string): void {
-    if (unresponsiveSince === undefined) {
+    if (unresponsiveSince === undefined && !isClosed) {
       unresponsiveSince = timer.now();
       options.onReachability(false, reason);
     }
@@ -209,6 +225,10 @@
     requestedAt: Milliseconds,
     answers: readonly StatementAnswer[],
   ): void {
+    // Another target may have the same id by now.
+    if (isClosed) {
+      return;
+    }
     markResponsive(requestedAt);
     const position = answers[answers.length - 1]?.position;
     if (position !== undefined) {
@@ -232,7 +252,7 @@
     answer: StatementAnswer,
   ): TargetStatus | undefined {
     const status = options.readStatus(answer);
-    if (status !== undefined) {
+    if (status !== undefined && !isClosed) {
       options.onStatus(requestedAt, status);
     }
     return status;
