feat(cli): requests by fields, and the lines of one request

kelpstep requests showed neither whose requests were refused nor through which peer. --by FIELD,... counts them by outcome and fields; --id ID prints all lines of one request from a log of several proxies by time.

--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -1,6 +1,9 @@
 import {createTcpTransport} from '@kelpstep/rpc';
 import {promiseFromFuture} from '@kelpstep/runtime';
 import {expect} from 'earl';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {describe, test} from 'node:test';
 
 import {EXIT_CODES} from '..';
@@ -91,3 +94,43 @@
     expect(proxy.errors[0] ?? '').toMatchRegex(/not_run/);
   });
 });
+
+describe('the requests command', () => {
+  const ENDED = {event: 'request ended', requestId: 'r1', account: 'office'};
+  const LINES = [
+    {...ENDED, time: '2026-12-03T04:05:02.000Z', outcome: 'busy', proxy: 'a'},
+    {...ENDED, time: '2026-12-03T04:05:01.000Z', outcome: 'busy', proxy: 'b'},
+    {...ENDED, time: '2026-12-03T04:05:03.000Z', outcome: 'ok', requestId: 'q'},
+  ].map(line => JSON.stringify(line));
+
+  test('groups requests by fields and finds those of one id', async () => {
+    const directory = mkdtempSync(join(tmpdir(), 'kelpstep-'));
+    const log = join(directory, 'proxies.log');
+    writeFileSync(log, LINES.join('\n'));
+    const grouped = await run('requests', log, '--failed', '--by', 'account');
+    expect(grouped.results.length).toEqual(1);
+    expect(JSON.parse(grouped.results[0] ?? '')).toEqual({
+      outcome: 'busy',
+      fields: {account: 'office'},
+      count: 2,
+      meanMilliseconds: 0,
+      longestMilliseconds: 0,
+      first: '2026-12-03T04:05:01.000Z',
+      last: '2026-12-03T04:05:02.000Z',
+    });
+    const found = await run('requests', log, '--id', 'r1');
+    expect(found.results).toEqual([LINES[1] ?? '', LINES[0] ?? '']);
+    const missing = await run('requests', log, '--id', 'r');
+    expect([missing.code, missing.results.length]).toEqual([1, 0]);
+    for (const options of [
+      ['--by', 'account,colour'],
+      ['--by', 'account,account'],
+      ['--by', 'account', '--id', 'r1'],
+      ['--failed', '--id', 'r1'],
+    ]) {
+      const refused = await run('requests', log, ...options);
+      expect([refused.code, refused.results.length]).toEqual([2, 0]);
+    }
+    rmSync(directory, {recursive: true});
+  });
+});
--- a/packages/observability/__tests__/request_summary.spec.ts
+++ b/packages/observability/__tests__/request_summary.spec.ts
@@ -1,7 +1,11 @@
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
-import {summarizeRequests} from '../src/request_summary';
+import {
+  findRequestLines,
+  groupRequests,
+  summarizeRequests,
+} from '../src/request_summary';
 
 function ended(time: string, proxy: string, milliseconds: number): string {
   return JSON.stringify({
@@ -45,3 +49,48 @@
     expect(summarizeRequests(lines)).toEqual([]);
   });
 });
+
+function endedOf(second: number, fields: Record<string, unknown>): string {
+  const time = `2026-12-03T04:05:0${second}.000Z`;
+  return JSON.stringify({time, event: 'request ended', ...fields});
+}
+
+describe('requests grouped by fields', () => {
+  // Guards against a log that shows refusals, but not whose and why.
+  test('are counted by outcome and fields over all seconds', () => {
+    const refused = {outcome: 'busy', account: 'hot', reason: 'over quota'};
+    const lines = [
+      endedOf(4, {outcome: 'ok', account: 'hot', milliseconds: 9}),
+      endedOf(3, {...refused, milliseconds: 1}),
+      endedOf(1, {...refused, milliseconds: 4, target: 't'}),
+      endedOf(2, {...refused, account: 'other'}),
+      'no line of a log',
+    ];
+    const rows = groupRequests(lines, ['account', 'reason']);
+    expect(rows.map(({count, outcome}) => [count, outcome])).toEqual([
+      [2, 'busy'],
+      [1, 'ok'],
+      [1, 'busy'],
+    ]);
+    expect(rows[0]).toEqual({
+      outcome: 'busy',
+      fields: {account: 'hot', reason: 'over quota'},
+      count: 2,
+      meanMilliseconds: 3,
+      longestMilliseconds: 4,
+      first: '2026-12-03T04:05:01.000Z',
+      last: '2026-12-03T04:05:03.000Z',
+    });
+  });
+});
+
+describe('the lines of one request', () => {
+  // Guards against an order by file in logs that were joined.
+  test('are found at all proxies and put in order of time', () => {
+    const later = endedOf(5, {proxy: 'a', requestId: 'r1', peer: 'b'});
+    const earlier = endedOf(2, {proxy: 'b', requestId: 'r1', extra: [1]});
+    const other = endedOf(3, {requestId: 'r11'});
+    const lines = [later, other, '{broken', `  prefix ${earlier}`];
+    expect(findRequestLines(lines, 'r1')).toEqual([earlier, later]);
+  });
+});
