--- a/packages/membership/__tests__/rendezvous.spec.ts
+++ b/packages/membership/__tests__/rendezvous.spec.ts
@@ -74,7 +74,12 @@
 
   // Guards against a change of connection owners in fleets of equal proxies.
   test('makes the unweighted selection if all weights are equal', () => {
-    const extra = {proxy: 'x', dataCentre: 'own', incarnation: 'a', address: ''};
+    const extra = {
+      proxy: 'x',
+      dataCentre: 'own',
+      incarnation: 'a',
+      address: '',
+    };
     fc.assert(
       fc.property(
         fc.string(),
