feat(accounts): a reserve for higher priorities in the token bucket

An account beyond its quota had operations granted by chance: its priority-0 route got 7 to 30 operations per second while 100 to 180 attempts of it were refused (docs/design/load-on-shared-targets.md).

Retry times of refused callers are successive per priority, one token apart at the rate left to it, from 50 ms to 2 s. The pool takes operations back that did not run, but only as many tokens as the bucket would hold without the grant; min(burst) alone would allow two bursts in one window, as the spec shows.

--- a/packages/accounts/src/quota_pool.ts
+++ b/packages/accounts/src/quota_pool.ts
@@ -11,6 +11,8 @@
 import type {Milliseconds} from '@kelpstep/runtime';
 
 import type {QuotaLimit} from './account_directory';
+import {type HeadroomHistory, createHeadroomHistory} from './headroom_history';
+import {type PriorityReserve, createPriorityReserve} from './priority_reserve';
 import type {QuotaAnswer, VersionedLimit} from './quota_messages';
 
 /** The share of all quotas that one proxy leases to this proxy. */
@@ -30,10 +32,29 @@
   addLease(lease: LeasedShare, now: Milliseconds): void;
   /** Share of all quotas that is leased now, from 0 to 1. */
   leasedShare(now: Milliseconds): number;
-  /** Grants and counts one operation, or refuses it. */
-  take(limit: VersionedLimit, now: Milliseconds): QuotaAnswer;
+  /**
+   * Grants and counts one operation, or refuses it. Tokens that operations of
+   * higher priority are expected to need are kept for them. Priority 0, the
+   * default, is the highest.
+   */
+  take(
+    limit: VersionedLimit,
+    now: Milliseconds,
+    priority?: number,
+  ): QuotaAnswer;
   /** Counts operations that ran without being granted. */
   charge(limit: VersionedLimit, count: number, now: Milliseconds): void;
+  /**
+   * Returns operations that were granted at `grantedAt` and did not run. Tokens
+   * that would have exceeded the burst since the grant are not restored. False
+   * if nothing is restored.
+   */
+  giveBack(
+    limit: VersionedLimit,
+    count: number,
+    grantedAt: Milliseconds,
+    now: Milliseconds,
+  ): boolean;
   /** Drops all leases and buckets; to be called after a process suspension. */
   reset(now: Milliseconds): void;
 }
@@ -51,12 +72,16 @@
   refilledAt: number;
   /** `startedShares` at the last refill. */
   startedShares: number;
-  /** Monotonic time at which the last refused caller is to retry. */
-  lastRetryAt: Milliseconds;
+  /** Time at which the last refused caller is to retry, by priority. */
+  readonly lastRetryAt: Map<number, Milliseconds>;
+  readonly reserve: PriorityReserve;
+  readonly headroom: HeadroomHistory;
 }
 
 /** Longest retry delay, because the quota may be raised meanwhile. */
-const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2000;
+export const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 2000;
+/** Shortest retry delay: an earlier retry costs more than it can gain. */
+const MINIMUM_RETRY_AFTER_MS: Milliseconds = 50;
 const SECOND_MS: Milliseconds = 1000;
 
 export interface QuotaPoolOptions {
@@ -122,6 +147,14 @@
     accrueLeasedTime(now);
   }
 
+  function headroomOf({limit, tokens}: Bucket): number {
+    return limit.burst * leasedShare - tokens;
+  }
+
+  function recordHeadroom(bucket: Bucket): void {
+    bucket.headroom.record(headroomOf(bucket), accruedUntil);
+  }
+
   function refill(bucket: Bucket): void {
     const {rate, burst} = bucket.limit;
     const accrued = (rate * (leasedTime - bucket.refilledAt)) / SECOND_MS;
@@ -129,6 +162,7 @@
     const allowed = started * options.startAllowance(bucket.limit);
     const tokens = bucket.tokens + accrued + allowed;
     bucket.tokens = Math.min(burst * leasedShare, tokens);
+    recordHeadroom(bucket);
     bucket.refilledAt = leasedTime;
     bucket.startedShares = startedShares;
   }
@@ -148,6 +182,7 @@
     const added = Math.max(0, limit.burst - bucket.limit.burst) * leasedShare;
     bucket.tokens = Math.min(limit.burst * leasedShare, bucket.tokens + added);
     bucket.limit = limit;
+    recordHeadroom(bucket);
   }
 
   function bucketOf(limit: VersionedLimit): Bucket {
@@ -157,7 +192,9 @@
       tokens: 0,
       refilledAt: 0,
       startedShares: 0,
-      lastRetryAt: -Infinity,
+      lastRetryAt: new Map<number, Milliseconds>(),
+      reserve: createPriorityReserve(),
+      headroom: createHeadroomHistory(),
     };
     buckets.set(account, bucket);
     refill(bucket);
@@ -168,19 +205,32 @@
   }
 
   /**
-   * Refuses an operation; the retry times of successive refused callers are one
-   * token apart.
+   * Refuses an operation. The retry times of successive refused callers of one
+   * priority are one token apart, at the rate that higher priorities leave.
    */
-  function refuse(bucket: Bucket, now: Milliseconds): QuotaAnswer {
-    const rate = bucket.limit.rate * leasedShare;
-    if (rate === 0) {
+  function refuse(
+    bucket: Bucket,
+    missing: number,
+    priority: number,
+    now: Milliseconds,
+  ): QuotaAnswer {
+    const higherRate = bucket.reserve.higherRate(priority, now);
+    const rate = bucket.limit.rate * leasedShare - higherRate;
+    if (rate <= 0) {
       return {kind: 'refused', retryAfter: MAXIMUM_RETRY_AFTER_MS};
     }
     const tokenTime = SECOND_MS / rate;
-    const nextTokenAt = now - bucket.tokens * tokenTime;
-    const retryAt = Math.max(bucket.lastRetryAt, nextTokenAt) + tokenTime;
-    bucket.lastRetryAt = Math.min(retryAt, now + MAXIMUM_RETRY_AFTER_MS);
-    return {kind: 'refused', retryAfter: bucket.lastRetryAt - now};
+    const previous = Math.max(
+      bucket.lastRetryAt.get(priority) ?? -Infinity,
+      now + missing * tokenTime,
+      now + MINIMUM_RETRY_AFTER_MS - tokenTime,
+    );
+    const retryAt = Math.min(
+      previous + tokenTime,
+      now + MAXIMUM_RETRY_AFTER_MS,
+    );
+    bucket.lastRetryAt.set(priority, retryAt);
+    return {kind: 'refused', retryAfter: retryAt - now};
   }
 
   return {
@@ -195,13 +245,16 @@
       advance(now);
       return leasedShare;
     },
-    take(limit, now) {
+    take(limit, now, priority = 0) {
       advance(now);
       const bucket = bucketOf(limit);
+      const capacity = bucket.limit.burst * leasedShare;
+      bucket.reserve.recordArrival(priority, now);
+      const kept = bucket.reserve.reserveFor(priority, capacity, now);
       // A fraction of a token counts as one, or small shares would grant
       // nothing.
-      if (bucket.tokens <= 0) {
-        return refuse(bucket, now);
+      if (bucket.tokens <= kept) {
+        return refuse(bucket, kept - bucket.tokens, priority, now);
       }
       bucket.tokens -= 1;
       return {kind: 'granted'};
@@ -210,6 +263,14 @@
       advance(now);
       bucketOf(limit).tokens -= charged;
     },
+    giveBack(limit, count, grantedAt, now) {
+      advance(now);
+      const bucket = bucketOf(limit);
+      const missing = Math.min(count, headroomOf(bucket));
+      const restored = bucket.headroom.restore(missing, grantedAt, now);
+      bucket.tokens += restored;
+      return restored > 0;
+    },
     reset(now) {
       leases.clear();
       buckets.clear();
