feat(stand-ins): targets that refuse statements or connections

Scenarios could crash or partition targets, but not have them answer `busy` or `lagging`, or refuse connections while they run.

--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -82,6 +82,11 @@
   promote(target: string, epoch: number, holder: string): boolean;
   /** Kills a target's process and closes its connections. */
   crash(name: string): void;
+  /**
+   * Makes a running target reset its connections and refuse new ones, or accept
+   * them again.
+   */
+  refuseConnections(name: string, isRefusing: boolean): void;
   /** Starts a target's process again, with an empty log if it is wiped. */
   restart(name: string, wiped: boolean): void;
 }
@@ -347,7 +352,9 @@
     network.deliver(from, address.target, () => {
       const target = targets.get(address.target);
       const count = closersByTarget.get(address.target)?.size ?? 0;
-      if (target === undefined || !target.isRunning()) {
+      const mayOpen =
+        target?.isRunning() === true && !target.faults.refusesConnections;
+      if (target === undefined || !mayOpen) {
         reply(Err('refused'));
         return;
       }
@@ -374,6 +381,12 @@
     return found;
   }
 
+  function resetConnections(name: string): void {
+    const closers = closersByTarget.get(name) ?? new Set();
+    closersByTarget.set(name, new Set());
+    closers.forEach(end => end());
+  }
+
   return {
     group,
     target: requireTarget,
@@ -386,9 +399,13 @@
     promote,
     crash(name) {
       requireTarget(name).stop();
-      const closers = closersByTarget.get(name) ?? new Set();
-      closersByTarget.set(name, new Set());
-      closers.forEach(end => end());
+      resetConnections(name);
+    },
+    refuseConnections(name, isRefusing) {
+      requireTarget(name).faults.refusesConnections = isRefusing;
+      if (isRefusing) {
+        resetConnections(name);
+      }
     },
     restart: (name, wiped) => requireTarget(name).start(wiped),
   };
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -17,6 +17,7 @@
 import type {LogRecord} from './run_record';
 import type {
   StandInTarget,
+  StandInTargetFaults,
   StandInTargetOptions,
 } from './stand_in_target_types';
 import {createTargetLog} from './target_log';
@@ -29,6 +30,14 @@
 } from './target_session';
 import {createTargetSlots} from './target_slots';
 
+/** Statements that a target may refuse for lack of capacity. */
+const REFUSABLE = new Set<SessionStatement['kind']>([
+  'begin',
+  'read',
+  'write',
+  'execute',
+]);
+
 /** Creates a replica in term 1 with an empty log. */
 export function createStandInTarget(
   options: StandInTargetOptions,
@@ -42,6 +51,10 @@
   let isPaused = false;
   let isReplicationBlocked = false;
   let running = true;
+  const faults: StandInTargetFaults = {
+    refusal: undefined,
+    refusesConnections: false,
+  };
   let nextNumber = 1;
   const slots = createTargetSlots(
     timer,
@@ -235,6 +248,11 @@
     request: TargetRequest,
     answer: (answer: StatementAnswer) => void,
   ): void {
+    const {refusal} = faults;
+    if (refusal !== undefined && REFUSABLE.has(statement.kind)) {
+      answerFailure(session, answer, refusal);
+      return;
+    }
     switch (statement.kind) {
       case 'begin':
         runBegin(session, statement.readOnly, request.after, answer);
@@ -347,6 +365,7 @@
     applied: log.applied,
     isRunning: () => running,
     isPaused: () => isPaused,
+    faults,
     stop,
     start(wiped) {
       [running, isPaused, role] = [true, false, 'replica'];
--- a/packages/stand-ins/src/statement_group/stand_in_target_types.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target_types.ts
@@ -37,6 +37,8 @@
   isRunning(): boolean;
   /** True if replication is paused by a command. */
   isPaused(): boolean;
+  /** Faults that tests switch on. */
+  readonly faults: StandInTargetFaults;
   /** Stops the process and ends its sessions. */
   stop(): void;
   /** Starts the process as a replica, with an empty log if it is wiped. */
@@ -69,3 +71,11 @@
     answer: (answer: StatementAnswer) => void,
   ): void;
 }
+
+/** Faults of a target that runs; none by default. */
+export interface StandInTargetFaults {
+  /** Error that answers all statements that are to run. */
+  refusal: 'busy' | 'lagging' | undefined;
+  /** True if the target refuses to open connections. */
+  refusesConnections: boolean;
+}
