feat(accounts): quotas by priority, charged for what may have run

60 to 117 operations per second were charged for attempts that targets did not run (`lagging`, `busy`, `tooManyConnections`), and 60 to 109 although nothing ran in the end (docs/design/load-on-shared-targets.md).

`quota.take` carries the route's priority, and a proxy's memory of an exhausted coordinator holds for that priority and lower ones only. Attempts that may have run are counted for each statement, over targets and peers; the relay's answer `ended` carries them as `runs`. An operation without runs goes back by `quota.return` to the coordinator that granted it, with the process and time of the grant; further runs are charged.

--- a/packages/accounts/src/create_quota.ts
+++ b/packages/accounts/src/create_quota.ts
@@ -11,12 +11,9 @@
   type Milliseconds,
   type Runtime,
   type Task,
-  createSuspensionDetector,
-  settledFuture,
-  sleep,
   waitFor,
 } from '@kelpstep/runtime';
-import {Ok, type Result} from 'ts-results';
+import type {Result} from 'ts-results';
 
 import {
   type QuotaCoordinators,
@@ -24,15 +21,21 @@
   chooseCoordinators,
 } from './choose_coordinators';
 import type {QuotaLimit} from './account_directory';
-import {LEASE_DURATION_MS, createShareLease} from './share_lease';
+import {createExhaustedCoordinators} from './exhausted_coordinators';
+import {keepRenewingLease} from './lease_renewal';
+import {
+  type GrantReading,
+  type QuotaOutcome,
+  createQuotaCoordinator,
+} from './quota_coordinator';
 import {
   type QuotaAnswer,
   type VersionedLimit,
   quotaCharge,
-  quotaLend,
+  quotaReturn,
   quotaTake,
 } from './quota_messages';
-import {createQuotaPool} from './quota_pool';
+import {MAXIMUM_RETRY_AFTER_MS} from './quota_pool';
 
 /**
  * What quotas need from the proxy: limits, the list of proxies and requests.
@@ -63,33 +66,47 @@
     parameters: P,
     timeout: Milliseconds,
   ): Future<Result<R, unknown>>;
+  /** Called for each answer of this proxy as a coordinator. */
+  onAnswer?(priority: number, outcome: QuotaOutcome): void;
+}
+
+/** A granted operation, with what is needed to return it. */
+export interface QuotaGrant {
+  readonly kind: 'granted';
+  readonly account: string;
+  /** Undefined if the operation can't be returned. */
+  readonly origin: GrantOrigin | undefined;
 }
 
+interface GrantOrigin {
+  readonly coordinator: QuotaPeer;
+  readonly limit: VersionedLimit;
+  /** Priority, and the coordinator's clock when it granted the operation. */
+  readonly grant: GrantReading;
+}
+
+type QuotaRefusal = Extract<QuotaAnswer, {kind: 'refused'}>;
+
 /**
  * Grants or refuses operations so that all proxies together keep the quotas.
  */
 export interface Quota {
   /**
    * Requests one operation of an account, which is counted if granted. An
-   * account without a limit is always granted.
+   * account without a limit is always granted. Priority 0 is the highest.
+   */
+  take(account: string, priority: number): Task<QuotaGrant | QuotaRefusal>;
+  /**
+   * Settles a granted operation after it ended: returns it if no attempt may
+   * have run, and counts the runs beyond the first.
    */
-  take(account: string): Task<QuotaAnswer>;
-  /** Counts further attempts that were made for one granted operation. */
-  charge(account: string, count: number): void;
+  settle(grant: QuotaGrant, runs: number): void;
   /** Registers the handlers for requests of other proxies. */
   serve(handlers: HandlerTable): void;
   /** Sum of the shares of all quotas leased to this proxy now, from 0 to 1. */
   leasedShare(): number;
 }
 
-/** Interval between renewals: several fit into the duration of a lease. */
-const LEASE_RENEWAL_INTERVAL_MS: Milliseconds = 500;
-/**
- * Interval between attempts while no lease is granted, because the share can't
- * be used meanwhile.
- */
-const LEASE_RETRY_INTERVAL_MS: Milliseconds = 100;
-const LEASE_INTERVAL_JITTER_RATIO = 0.2;
 /**
  * Timeout of a request: a round trip between regions and the delay of a busy
  * coordinator.
@@ -100,22 +117,8 @@
  * is chosen within this time.
  */
 const UNANSWERED_RETRY_AFTER_MS: Milliseconds = 300;
-/**
- * Longest time until an exhausted coordinator is requested again for an
- * account. Tokens that accrue beyond the burst in the meantime would be lost.
- */
-const MAXIMUM_BACKOFF_MS: Milliseconds = 200;
 const PROCESS_ID_LENGTH = 12;
 
-/** Backoff of one account at a coordinator that has refused it. */
-interface ExhaustedCoordinator {
-  /** Monotonic time until which it is not requested again. */
-  readonly until: Milliseconds;
-  readonly retryAfter: Milliseconds;
-}
-
-const GRANTED: QuotaAnswer = {kind: 'granted'};
-
 /**
  * Starts leasing this proxy's share; sends nothing while no account has a
  * limit.
@@ -124,12 +127,14 @@
   const {runtime, self} = options;
   const {timer, random} = runtime;
   let knownProcessId = '';
-  const pool = createQuotaPool({startAllowance: options.startAllowance});
-  const shareLease = createShareLease();
-  const suspension = createSuspensionDetector(timer);
-  let hasGrantedLease = false;
-  /** Exhausted coordinators by key `coordinator account`. */
-  const exhausted = new Map<string, ExhaustedCoordinator>();
+  const exhausted = createExhaustedCoordinators();
+  const local = createQuotaCoordinator({
+    timer,
+    processId,
+    limitOf: options.limitOf,
+    startAllowance: options.startAllowance,
+    onAnswer: options.onAnswer ?? (() => {}),
+  });
 
   /**
    * Creates the id on first use, so that nothing is drawn at random without
@@ -148,165 +153,77 @@
     });
   }
 
-  /**
-   * Returns the pool; resets it first after a suspension of the process,
-   * because leases may have expired meanwhile.
-   */
-  function checkedPool() {
-    if (suspension.wasSuspended()) {
-      pool.reset(timer.now());
-    }
-    return pool;
-  }
-
-  /**
-   * True if the lease was granted. The first request to a coordinator only
-   * returns its clock reading.
-   */
-  function* grantLease(coordinator: QuotaPeer, part: number): Task<boolean> {
-    const offer = shareLease.offerTo(coordinator.proxy, timer.now());
-    if (offer === undefined) {
-      return false;
-    }
-    const {reading} = offer;
-    const message = {
-      lender: self.proxy,
-      part,
-      ...(hasGrantedLease ? {} : {startOf: processId()}),
-      ...(reading === undefined ? {} : {reading}),
-    };
-    const reply = yield* waitFor(
-      options.request(coordinator, quotaLend, message, REQUEST_TIMEOUT_MS),
-    );
-    if (reply.err) {
-      return false;
-    }
-    shareLease.recordReading(coordinator.proxy, reply.val.reading, timer.now());
-    const isGranted = reading?.process === reply.val.reading.process;
-    hasGrantedLease ||= isGranted;
-    return isGranted;
-  }
-
-  function grantLeaseToSelf(part: number): boolean {
-    const now = timer.now();
-    if (shareLease.offerTo(self.proxy, now) === undefined) {
-      return false;
-    }
-    shareLease.recordReading(
-      self.proxy,
-      {process: processId(), time: now},
-      now,
-    );
-    shareLease.offerTo(self.proxy, now);
-    const startOf = hasGrantedLease ? undefined : processId();
-    const until = now + LEASE_DURATION_MS;
-    const lease = {lender: self.proxy, part, until, startOf};
-    checkedPool().addLease(lease, now);
-    hasGrantedLease = true;
-    return true;
-  }
-
-  function* renewLease(): Task<boolean> {
-    const size = options.proxyCount();
-    if (size === undefined) {
-      return false;
-    }
-    const part = 1 / Math.max(1, size);
-    const {home} = coordinators();
-    return home.proxy === self.proxy
-      ? grantLeaseToSelf(part)
-      : (yield* grantLease(home, part)) || (yield* grantLease(home, part));
-  }
-
-  function* keepRenewingLease(): Task<void> {
-    yield* sleep(LEASE_RETRY_INTERVAL_MS);
-    for (;;) {
-      const hasLimits = options.hasLimits();
-      if (hasLimits) {
-        const period = (yield* renewLease())
-          ? LEASE_RENEWAL_INTERVAL_MS
-          : LEASE_RETRY_INTERVAL_MS;
-        yield* sleep(random.jitter(period, LEASE_INTERVAL_JITTER_RATIO));
-      } else {
-        yield* sleep(
-          hasLimits === false
-            ? LEASE_RENEWAL_INTERVAL_MS
-            : LEASE_RETRY_INTERVAL_MS,
-        );
-      }
-    }
-  }
-
-  /**
-   * The requested limit, or this proxy's own if its configuration is as new or
-   * newer.
-   */
-  function newerLimit(requested: VersionedLimit): VersionedLimit {
-    const own = options.limitOf(requested.account);
-    return own !== undefined && own.version >= requested.version
-      ? own
-      : requested;
-  }
-
-  function takeLocally(requested: VersionedLimit): QuotaAnswer {
-    return checkedPool().take(newerLimit(requested), timer.now());
-  }
-
+  /** Undefined if the coordinator doesn't answer. */
   function* takeFrom(
     coordinator: QuotaPeer,
     requested: VersionedLimit,
-  ): Task<QuotaAnswer> {
+    priority: number,
+  ): Task<QuotaAnswer | undefined> {
     if (coordinator.proxy === self.proxy) {
-      return takeLocally(requested);
+      return local.take(requested, priority);
     }
+    const message = {...requested, priority};
     const reply = yield* waitFor(
-      options.request(coordinator, quotaTake, requested, REQUEST_TIMEOUT_MS),
+      options.request(coordinator, quotaTake, message, REQUEST_TIMEOUT_MS),
     );
-    return reply.ok
-      ? reply.val
-      : {kind: 'refused', retryAfter: UNANSWERED_RETRY_AFTER_MS};
+    return reply.ok ? reply.val : undefined;
   }
 
   /**
-   * Returns the delay increased by a random 0 to 100 %, so that callers refused
-   * without a request don't retry together.
+   * Returns the delay varied at random between once and twice its length, so
+   * that callers refused without a request don't retry together. Long delays
+   * are varied below the longest one.
    */
   function addJitter(retryAfter: Milliseconds): Milliseconds {
-    return retryAfter * (1 + random.fraction());
+    const base = Math.min(retryAfter, MAXIMUM_RETRY_AFTER_MS / 2);
+    return base * (1 + random.fraction());
   }
 
   /**
    * Requests an operation from one coordinator; refuses it without a request
-   * while the coordinator is in backoff for the account.
+   * while the coordinator is in backoff for the account and priority.
    */
   function* tryCoordinator(
     coordinator: QuotaPeer,
-    requested: VersionedLimit,
-  ): Task<QuotaAnswer> {
-    const key = `${coordinator.proxy} ${requested.account}`;
-    const known = exhausted.get(key);
-    if (known !== undefined && timer.now() < known.until) {
-      return {kind: 'refused', retryAfter: addJitter(known.retryAfter)};
+    limit: VersionedLimit,
+    priority: number,
+  ): Task<QuotaGrant | QuotaRefusal> {
+    const {account} = limit;
+    const request = {coordinator: coordinator.proxy, account, priority};
+    const known = exhausted.refusalOf(request, timer.now());
+    if (known !== undefined) {
+      return {kind: 'refused', retryAfter: addJitter(known)};
     }
-    const answer = yield* takeFrom(coordinator, requested);
-    if (answer.kind === 'refused') {
-      const backoff = Math.min(answer.retryAfter, MAXIMUM_BACKOFF_MS);
-      exhausted.set(key, {until: timer.now() + backoff, ...answer});
-    } else {
-      exhausted.delete(key);
+    const answer = yield* takeFrom(coordinator, limit, priority);
+    if (answer?.kind === 'granted') {
+      exhausted.recordGrant(request);
+      const {process, time} = answer;
+      const isReturnable = process !== undefined && time !== undefined;
+      const origin = isReturnable
+        ? {coordinator, limit, grant: {process, time, priority}}
+        : undefined;
+      return {kind: 'granted', account, origin};
     }
-    return answer;
+    const retryAfter = answer?.retryAfter ?? UNANSWERED_RETRY_AFTER_MS;
+    // A coordinator that doesn't answer has nothing for any priority.
+    const refused = answer === undefined ? {...request, priority: 0} : request;
+    exhausted.recordRefusal(refused, limit, retryAfter, timer.now());
+    return {kind: 'refused', retryAfter};
   }
 
-  function* take(account: string): Task<QuotaAnswer> {
+  function* take(
+    account: string,
+    routePriority: number,
+  ): Task<QuotaGrant | QuotaRefusal> {
     const requested = options.limitOf(account);
     if (requested === undefined) {
-      return GRANTED;
+      return {kind: 'granted', account, origin: undefined};
     }
+    const priority = Math.max(0, Math.floor(routePriority));
     const {home, others} = coordinators();
     let retryAfter = Infinity;
     for (const coordinator of [home, ...others]) {
-      const answer = yield* tryCoordinator(coordinator, requested);
+      const answer = yield* tryCoordinator(coordinator, requested, priority);
       if (answer.kind === 'granted') {
         return answer;
       }
@@ -315,8 +232,19 @@
     return {kind: 'refused', retryAfter};
   }
 
-  function chargeLocally(limit: VersionedLimit, count: number): void {
-    checkedPool().charge(newerLimit(limit), count, timer.now());
+  /** Sent once: a repeated return could be counted twice. */
+  function giveBack({coordinator, limit, grant}: GrantOrigin): void {
+    if (coordinator.proxy === self.proxy) {
+      local.giveBack(limit, 1, grant);
+    } else {
+      const message = {...limit, ...grant, count: 1};
+      void options.request(
+        coordinator,
+        quotaReturn,
+        message,
+        REQUEST_TIMEOUT_MS,
+      );
+    }
   }
 
   function charge(account: string, count: number): void {
@@ -326,37 +254,37 @@
     }
     const {home} = coordinators();
     if (home.proxy === self.proxy) {
-      chargeLocally(limit, count);
+      local.charge(limit, count);
     } else {
       const message = {...limit, count};
       void options.request(home, quotaCharge, message, REQUEST_TIMEOUT_MS);
     }
   }
 
-  runtime.spawn('lend quota', keepRenewingLease());
+  function settle({account, origin}: QuotaGrant, runs: number): void {
+    if (runs > 0) {
+      charge(account, runs - 1);
+    } else if (origin !== undefined) {
+      giveBack(origin);
+    }
+  }
+
+  const renewal = keepRenewingLease({
+    runtime,
+    self,
+    local,
+    processId,
+    home: () => coordinators().home,
+    hasLimits: options.hasLimits,
+    proxyCount: options.proxyCount,
+    request: (peer, method, parameters) =>
+      options.request(peer, method, parameters, REQUEST_TIMEOUT_MS),
+  });
+  runtime.spawn('lend quota', renewal);
   return {
     take,
-    charge,
-    serve(handlers) {
-      handlers
-        .handle(quotaLend, ({reading, ...lease}) => {
-          const now = timer.now();
-          if (reading?.process === processId()) {
-            const until = reading.time + LEASE_DURATION_MS;
-            checkedPool().addLease({...lease, until}, now);
-          }
-          return settledFuture(
-            Ok({reading: {process: processId(), time: now}}),
-          );
-        })
-        .handle(quotaTake, requested =>
-          settledFuture(Ok(takeLocally(requested))),
-        )
-        .handle(quotaCharge, requested => {
-          chargeLocally(requested, requested.count);
-          return settledFuture(Ok({}));
-        });
-    },
-    leasedShare: () => checkedPool().leasedShare(timer.now()),
+    settle,
+    serve: local.serve,
+    leasedShare: local.leasedShare,
   };
 }
--- a/packages/accounts/src/exhausted_coordinators.ts
+++ b/packages/accounts/src/exhausted_coordinators.ts
@@ -8,6 +8,8 @@
  */
 import type {Milliseconds} from '@kelpstep/runtime';
 
+import type {QuotaLimit} from './account_directory';
+
 /** Recent refusals of coordinators. Priority 0 is the highest. */
 export interface ExhaustedCoordinators {
   /**
@@ -15,11 +17,15 @@
    * to be asked.
    */
   refusalOf(request: CoordinatorRequest, now: Milliseconds): number | undefined;
-  /** Records a refusal, for which the coordinator isn't asked until `until`. */
+  /**
+   * Records a refusal. The coordinator need not be asked until the retry time,
+   * but at most for so long that no tokens of the account are lost meanwhile.
+   */
   recordRefusal(
     request: CoordinatorRequest,
+    limit: QuotaLimit,
     retryAfter: Milliseconds,
-    until: Milliseconds,
+    now: Milliseconds,
   ): void;
   /** Drops the refusals that a grant disproves. */
   recordGrant(request: CoordinatorRequest): void;
@@ -38,6 +44,31 @@
   readonly until: Milliseconds;
 }
 
+/**
+ * Longest time until an exhausted coordinator is requested again for an
+ * account. Tokens that accrue beyond the burst in the meantime would be lost.
+ */
+const MAXIMUM_BACKOFF_MS: Milliseconds = 200;
+/**
+ * Longest such time as a share of the time in which an empty bucket fills. As
+ * up to half of a bucket may be reserved for higher priorities, the other half
+ * must not fill meanwhile.
+ */
+const MAXIMUM_BACKOFF_FILL_RATIO = 0.5;
+const SECOND_MS: Milliseconds = 1000;
+
+function backoffAfter(
+  {rate, burst}: QuotaLimit,
+  retryAfter: Milliseconds,
+): Milliseconds {
+  const fillTime = rate === 0 ? Infinity : (burst / rate) * SECOND_MS;
+  return Math.min(
+    retryAfter,
+    MAXIMUM_BACKOFF_MS,
+    fillTime * MAXIMUM_BACKOFF_FILL_RATIO,
+  );
+}
+
 /** Creates an empty memory. */
 export function createExhaustedCoordinators(): ExhaustedCoordinators {
   const refusals = new Map<string, Map<number, Refusal>>();
@@ -55,8 +86,9 @@
       }
       return undefined;
     },
-    recordRefusal(request, retryAfter, until) {
+    recordRefusal(request, limit, retryAfter, now) {
       const key = keyOf(request);
+      const until = now + backoffAfter(limit, retryAfter);
       const known = refusals.get(key) ?? new Map<number, Refusal>();
       refusals.set(key, known.set(request.priority, {retryAfter, until}));
     },
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -37,7 +37,7 @@
   readonly open: OpenTargetConnection;
   readonly readStatus: ReadTargetStatus;
   readonly policies: AdmissionPolicies;
-  readonly quota: Pick<Quota, 'take' | 'charge'>;
+  readonly quota: Pick<Quota, 'take' | 'settle'>;
   readonly events: GatewayEvents;
   groupEvents(group: string): TargetGroupEvents;
   /** True if this proxy is a connection owner of the group. */
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -3,6 +3,7 @@
  * gateway, and the failure detector of each group's primary.
  */
 import {
+  type QuotaOutcome,
   type QuotaTolerance,
   createQuota,
   createStartAllowance,
@@ -99,6 +100,8 @@
    * Called if the relay address can't be listened on: peers can't relay here.
    */
   onListenFailure(message: string): void;
+  /** Called for each answer of this proxy as a quota coordinator. */
+  onQuotaAnswer(priority: number, outcome: QuotaOutcome): void;
 }
 
 /** What a statement proxy is made of: store, transport, targets and limits. */
@@ -274,6 +277,7 @@
     request: ({relayAddress}, method, parameters, timeout) =>
       relay?.request(relayAddress, method, parameters, timeout) ??
       settledFuture(Err(NO_PEERS_FAILURE)),
+    onAnswer: events.onQuotaAnswer,
   });
 
   const gateway = createGateway({
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -11,11 +11,7 @@
   sleep,
   waitFor,
 } from '@kelpstep/runtime';
-import {
-  type StatementAnswer,
-  type StatementErrorName,
-  errorAnswer,
-} from '@kelpstep/statements';
+import {type StatementAnswer, errorAnswer} from '@kelpstep/statements';
 import type {
   PinnedStart,
   StatementOutcome,
@@ -38,6 +34,11 @@
   type TargetSearch,
   createTargetSelector,
 } from './select_target';
+import {
+  REFUSED_BY_TARGET,
+  type TrackedAttempt,
+  mayHaveRun,
+} from './statement_runs';
 
 /** What a local dispatcher needs: groups of targets and their state. */
 export interface DispatcherOptions {
@@ -84,15 +85,6 @@
 const MINIMUM_HEDGE_DELAY_MS: Milliseconds = 280;
 /** Hedge delay of slow statements, in multiples of their expected time. */
 const HEDGE_DELAY_FACTOR = 4;
-/** Errors after which the same statement may be tried again. */
-const RETRYABLE = new Set<StatementErrorName>([
-  'busy',
-  'lagging',
-  'readOnly',
-  'misrouted',
-  'tooManyConnections',
-  'notPrepared',
-]);
 
 interface DispatchProgress {
   attempts: number;
@@ -150,6 +142,39 @@
         }));
   }
 
+  /**
+   * Runs a statement and counts the attempts that may have run. No attempt that
+   * is still queued at the end is sent later.
+   */
+  function* runCounted(
+    search: TargetSearch,
+    selected: SelectedTarget,
+    progress: DispatchProgress,
+  ): Task<PinnedStart> {
+    const attempts: TrackedAttempt[] = [];
+
+    function startTracked(
+      target: SelectedTarget,
+      request: DispatchRequest,
+      onSent: () => void,
+    ): Attempt {
+      const tracked: TrackedAttempt = {isSent: false, outcome: undefined};
+      attempts.push(tracked);
+      const attempt = startAttempt(target, request, () => {
+        tracked.isSent = true;
+        onSent();
+      });
+      attempt.onSettled(({outcome}) => {
+        tracked.outcome = outcome;
+      });
+      return attempt;
+    }
+
+    const end = yield* runAttempts(search, selected, progress, startTracked);
+    search.work.runs.add(attempts.filter(mayHaveRun).length);
+    return end;
+  }
+
   /**
    * Runs a statement. A read that stays unanswered gets a second attempt if the
    * retry budget allows it.
@@ -158,6 +183,7 @@
     search: TargetSearch,
     selected: SelectedTarget,
     progress: DispatchProgress,
+    start: typeof startAttempt,
   ): Task<PinnedStart> {
     const {work: request} = search;
     let sentAt: Milliseconds | undefined;
@@ -167,7 +193,7 @@
       ...request,
       isAbandoned: () => hasEnded || request.isAbandoned(),
     };
-    const first = startAttempt(selected, cancellable, () => {
+    const first = start(selected, cancellable, () => {
       sentAt = timer.now();
     });
     if (request.isWrite) {
@@ -191,7 +217,7 @@
         }
         progress.attempts += 1;
         progress.reason = `second attempt at ${alternative.link.target}`;
-        return startAttempt(alternative, cancellable, () => {});
+        return start(alternative, cancellable, () => {});
       },
     });
     hasEnded = true;
@@ -236,7 +262,7 @@
         return refuse(progress, progress.reason || 'no target may run it');
       }
       progress.target = selected.link.target;
-      const {outcome, pinned} = yield* runAttempts(search, selected, progress);
+      const {outcome, pinned} = yield* runCounted(search, selected, progress);
       progress.attempts += outcome.kind === 'unreached' ? 0 : 1;
       const result = handleOutcome(
         group,
@@ -332,7 +358,7 @@
       void link.probeStatus();
     }
     const mayRetry =
-      RETRYABLE.has(error.name) ||
+      REFUSED_BY_TARGET.has(error.name) ||
       (error.name === 'failed' && !request.isWrite);
     if (mayRetry) {
       return undefined;
--- a/packages/gateway/src/dispatch_types.ts
+++ b/packages/gateway/src/dispatch_types.ts
@@ -11,6 +11,7 @@
 import type {PinnedConnection} from '@kelpstep/targets';
 
 import type {CallerRoute} from './configuration';
+import type {RunCounter} from './statement_runs';
 
 /** A statement outside a transaction, or one that begins a transaction. */
 export interface DispatchRequest {
@@ -29,6 +30,8 @@
   readonly needsPrimary: boolean;
   /** True if it writes; its outcome is in doubt if the answer is lost. */
   readonly isWrite: boolean;
+  /** Counts the attempts that may have run, here and at peers. */
+  readonly runs: RunCounter;
   isAbandoned(): boolean;
 }
 
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -288,6 +288,7 @@
       return reply;
     }
     const {target, attempts, reason, isPinned} = reply;
+    request.runs.add(reply.runs ?? attempts);
     if (!isPinned) {
       release(peer);
     }
@@ -338,6 +339,7 @@
     if (!isSent || kind === 'refused') {
       return {kind: 'notRun', reason: `refused by ${relayPeer.proxy}`};
     }
+    request.runs.add(1);
     notifyEnd();
     return {kind: 'lost'};
   }
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -86,6 +86,8 @@
     answer: answerSchema,
     target: z.string(),
     attempts: z.number(),
+    /** Attempts that may have run; older proxies don't send it. */
+    runs: z.number().int().nonnegative().optional(),
     reason: z.string(),
     /** True if a transaction is open under the statement's number. */
     isPinned: z.boolean(),
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -28,6 +28,7 @@
 import type {LocalDispatcher} from '../dispatch';
 import type {DispatchRequest, DispatchResult} from '../dispatch_types';
 import type {GatewayEvents} from '../gateway_events';
+import {type RunCounter, createRunCounter} from '../statement_runs';
 import {
   type PinnedResult,
   type PinnedStatement,
@@ -63,6 +64,7 @@
 /** A statement or transaction of another proxy that is in progress here. */
 interface RelayedRequest {
   readonly settings: SessionSettings;
+  readonly runs: RunCounter;
   pinned: PinnedConnection | undefined;
   isEnded: boolean;
 }
@@ -94,6 +96,7 @@
       statement,
       shape,
       settings: request.settings,
+      runs: request.runs,
       arrivedAt: timer.now(),
       lastCommit,
       needsPrimary,
@@ -143,6 +146,7 @@
       const settings = createSessionSettings();
       const request: RelayedRequest = {
         settings,
+        runs: createRunCounter(),
         pinned: undefined,
         isEnded: false,
       };
@@ -175,7 +179,8 @@
         request.pinned = pinned;
       }
       const isPinned = request.pinned !== undefined;
-      return {kind: 'ended', answer, target, attempts, reason, isPinned};
+      const runs = request.runs.total();
+      return {kind: 'ended', answer, target, attempts, runs, reason, isPinned};
     }
 
     function* servePinned(
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -1,5 +1,5 @@
 /** Serves one caller's session and answers its requests in order. */
-import type {Quota} from '@kelpstep/accounts';
+import type {Quota, QuotaGrant} from '@kelpstep/accounts';
 import type {LogPosition} from '@kelpstep/protocol';
 import {
   type Milliseconds,
@@ -37,6 +37,7 @@
   refusalAnswer,
 } from './dispatch_types';
 import type {GatewayEvents, RequestEnd} from './gateway_events';
+import {createRunCounter} from './statement_runs';
 import {
   type FailureReason,
   type SessionTransition,
@@ -50,7 +51,7 @@
   readonly caller: CallerConnection;
   readonly configuration: ActiveConfiguration;
   readonly dispatcher: Dispatcher;
-  readonly quota: Pick<Quota, 'take' | 'charge'>;
+  readonly quota: Pick<Quota, 'take' | 'settle'>;
   readonly events: GatewayEvents;
   /** True once idle sessions must end. */
   isStopping(): boolean;
@@ -156,18 +157,20 @@
 
   /**
    * Takes one operation from the account's quota; returns the refusal if the
-   * quota is exhausted.
+   * quota is exhausted, and undefined without an account.
    */
   function* takeFromQuota({
     route,
     account,
-  }: AdmittedSession): Task<[StatementAnswer, RequestDetails] | undefined> {
+  }: AdmittedSession): Task<
+    QuotaGrant | [StatementAnswer, RequestDetails] | undefined
+  > {
     if (account === undefined) {
       return undefined;
     }
-    const reply = yield* quota.take(account.name);
+    const reply = yield* quota.take(account.name, route.priority);
     if (reply.kind === 'granted') {
-      return undefined;
+      return reply;
     }
     const details = {
       ...LOCAL_REQUEST,
@@ -196,10 +199,11 @@
     if (resolved === undefined) {
       return [errorAnswer('notPrepared', 'idle'), LOCAL_REQUEST];
     }
-    const refusal = yield* takeFromQuota(admission);
-    if (refusal !== undefined) {
-      return refusal;
+    const grant = yield* takeFromQuota(admission);
+    if (Array.isArray(grant)) {
+      return grant;
     }
+    const runs = createRunCounter();
     const isWritableBegin = statement.kind === 'begin' && !statement.readOnly;
     const result = yield* dispatcher.dispatch({
       id: request.id,
@@ -211,11 +215,12 @@
       lastCommit,
       needsPrimary:
         resolved.isWrite || isWritableBegin || route.freshness === 'primary',
+      runs,
       isAbandoned: caller.isClosed,
     });
     const {answer, pinned} = result;
-    if (account !== undefined && result.attempts > 1) {
-      quota.charge(account, result.attempts - 1);
+    if (grant !== undefined) {
+      quota.settle(grant, runs.total());
     }
     if (pinned !== undefined) {
       transaction = {
--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -19,6 +19,7 @@
   onConfiguration: () => {},
   onFinding: () => {},
   onListenFailure: () => {},
+  onQuotaAnswer: () => {},
   tables: IGNORED_FEED_EVENTS,
 };
 
