--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -2,7 +2,7 @@
  * Runs statements at targets: selects a target, bounds the wait for one, and
  * retries or refuses the statement.
  */
-import type {LogPosition} from '@kelpstep/protocol';
+import {type LogPosition, worthOfPriority} from '@kelpstep/protocol';
 import {
   type Milliseconds,
   type Runtime,
@@ -113,7 +113,7 @@
     const isBegin = statement.kind === 'begin';
     return {
       kind: statementKindOf(request),
-      worth: 1 / (1 + route.priority),
+      worth: worthOfPriority(route.priority),
       deadline: request.arrivedAt + route.timeout,
       user: request.account,
       settings,
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -26,17 +26,15 @@
 import type {PinnedConnection} from '@kelpstep/targets';
 
 import type {CallerConnection, CallerMessage} from './caller_connection';
-import type {
-  ActiveConfiguration,
-  CallerRoute,
-  SessionAdmission,
-} from './configuration';
+import type {ActiveConfiguration, CallerRoute} from './configuration';
+import {type Dispatcher, refusalAnswer} from './dispatch_types';
+import type {GatewayEvents} from './gateway_events';
 import {
-  type DispatchResult,
-  type Dispatcher,
-  refusalAnswer,
-} from './dispatch_types';
-import type {GatewayEvents, RequestEnd} from './gateway_events';
+  type AdmittedSession,
+  LOCAL_REQUEST,
+  type RequestDetails,
+  describeRequest,
+} from './request_details';
 import {createRunCounter} from './statement_runs';
 import {
   type FailureReason,
@@ -76,23 +74,6 @@
   readonly isWrite: boolean;
 }
 
-type AdmittedSession = Extract<SessionAdmission, {kind: 'admitted'}>;
-
-type RequestDetails = Pick<
-  RequestEnd,
-  'group' | 'account' | 'kind' | 'target' | 'attempts' | 'reason' | 'via'
->;
-
-const LOCAL_REQUEST: RequestDetails = {
-  group: '',
-  account: '',
-  kind: 'local',
-  target: '',
-  attempts: 0,
-  reason: '',
-  via: '',
-};
-
 /**
  * How long a statement waits for the first configuration. The store answers
  * within milliseconds if it is available.
@@ -138,23 +119,6 @@
     return {statement: shared, shape, isWrite: shape.access === 'write'};
   }
 
-  function describeRequest(
-    {route, account}: AdmittedSession,
-    result: DispatchResult,
-    kind: string,
-  ): RequestDetails {
-    const {target, attempts, reason, via} = result;
-    return {
-      group: route.group,
-      account: account?.name ?? '',
-      kind: `${route.freshness} ${kind}`,
-      target,
-      attempts,
-      reason,
-      via,
-    };
-  }
-
   /**
    * Takes one operation from the account's quota; returns the refusal if the
    * quota is exhausted, and undefined without an account.
--- a/packages/protocol/index.ts
+++ b/packages/protocol/index.ts
@@ -7,3 +7,4 @@
 export * from './src/platform_messages';
 export * from './src/statement';
 export * from './src/target_messages';
+export * from './src/priority_worth';
