feat(pool): weighted fair shares among accounts

An account at several times its load delayed the statements of all others: the queue of a target knew worth and arrival only. fair_shares.ts orders the requests of accounts by start-time fair queuing; requests without an account share one virtual time and keep the order of the policy. Admission takes optional conditions of a start (set-up time, wait); no caller passes an account yet.

--- a/packages/pool/index.ts
+++ b/packages/pool/index.ts
@@ -5,6 +5,7 @@
 export * from './src/connection_share';
 export * from './src/connection_times';
 export * from './src/connections';
+export * from './src/fair_shares';
 export * from './src/lease';
 export * from './src/pool_types';
 export * from './src/queue_policy';
--- a/packages/pool/src/admission.ts
+++ b/packages/pool/src/admission.ts
@@ -9,6 +9,7 @@
 import {createAdmissionQueue} from './admission_queue';
 import type {CreateConcurrencyLimit, LimitSample} from './concurrency_limit';
 import {createDrainRate} from './drain_rate';
+import type {StartConditions} from './fair_shares';
 import type {QueuePolicy, QueuedRequest} from './queue_policy';
 import {createExponentialBackoff} from './retry';
 import {RetryAfterPolicy, createRefusalMeter} from './retry_after';
@@ -33,7 +34,7 @@
 }
 
 /** `slots` is the target's total, which all proxies share. */
-export interface AdmissionOptions {
+export interface AdmissionOptions<E extends AdmissionEntry = AdmissionEntry> {
   readonly runtime: Runtime;
   readonly slots: number;
   readonly policies: AdmissionPolicies;
@@ -41,6 +42,8 @@
   readonly queueCapacity: number;
   /** Maximum number of open connections. */
   connectionShare(): number;
+  /** Conditions for the start of requests with accounts; none by default. */
+  readonly conditions?: StartConditions<E>;
   /** Called when a queued request may start. */
   onReady(): void;
 }
@@ -75,7 +78,10 @@
   mayStart(): boolean;
   /** Queues a request, which may be refused at once. */
   add(entry: E): void;
-  /** Removes and returns the next request that can still meet its deadline. */
+  /**
+   * Removes and returns the next request that can still meet its deadline;
+   * undefined if there is none or conditions hold back all of them.
+   */
   next(): E | undefined;
   takeAll(): E[];
   /** Marks a request as started and sent. */
@@ -99,7 +105,7 @@
 const slotBackoff = createExponentialBackoff({first: 2, longest: 50});
 
 export function createAdmission<E extends AdmissionEntry>(
-  options: AdmissionOptions,
+  options: AdmissionOptions<E>,
 ): Admission<E> {
   const {runtime, policies} = options;
   const {timer, random} = runtime;
@@ -115,6 +121,9 @@
     slotTimeInFlight: () => slotTimeInFlight / 2,
     parallelism,
     onRefused: refuse,
+    ...(options.conditions === undefined
+      ? {}
+      : {conditions: options.conditions}),
   });
   let running = 0;
   let leases = 0;
@@ -184,6 +193,7 @@
     let sentAt = timer.now();
     running += 1;
     slotTimeInFlight += entry.expected;
+    queue.recordStart(entry);
     const inFlight = running + leases;
 
     function end(outcome: RunOutcome, failed: boolean): void {
--- a/packages/pool/src/admission_queue.ts
+++ b/packages/pool/src/admission_queue.ts
@@ -6,6 +6,7 @@
  */
 import type {Milliseconds, TimerService, Unsubscribe} from '@kelpstep/runtime';
 
+import {type StartConditions, createFairShares} from './fair_shares';
 import type {QueuePolicy, QueuedRequest} from './queue_policy';
 
 /**
@@ -23,14 +24,27 @@
   parallelism(): number;
   /** Called for each request that is refused. */
   onRefused(request: R): void;
+  /**
+   * Conditions for the start of requests with accounts; by default they start
+   * by their shares alone.
+   */
+  readonly conditions?: StartConditions<R>;
 }
 
-/** Holds queued requests in the order of the policy. */
+/**
+ * Holds queued requests in the order of the policy, and of fair shares where
+ * requests have accounts.
+ */
 export interface AdmissionQueue<R extends QueuedRequest> {
   /** Adds a request. It or others may be refused through `onRefused`. */
   add(request: R): void;
-  /** Removes and returns the first request in order. */
+  /**
+   * Removes and returns the next request; undefined if there is none, or if
+   * conditions hold back all of them.
+   */
   take(): R | undefined;
+  /** Charges a request that has started to the share of its account. */
+  recordStart(request: R): void;
   /** Removes and returns all requests. */
   takeAll(): R[];
   size(): number;
@@ -38,16 +52,37 @@
   backlog(): Milliseconds;
 }
 
+const UNCONDITIONAL: StartConditions<QueuedRequest> = {
+  setupTime: () => 0,
+  isHeld: () => false,
+};
+
 export function createAdmissionQueue<R extends QueuedRequest>(
   options: AdmissionQueueOptions<R>,
 ): AdmissionQueue<R> {
   const {timer, policy, capacity, onRefused} = options;
   let waiting: R[] = [];
   let backlog: Milliseconds = 0;
+  const shares = createFairShares(policy);
+  const conditions: StartConditions<R> = options.conditions ?? UNCONDITIONAL;
   let timerDueAt = Infinity;
   let cancelTimer: Unsubscribe = () => {};
 
+  function hasAccounts(): boolean {
+    return waiting.some(({account}) => account !== undefined);
+  }
+
+  /** Inserts a request and returns its index. */
   function insert(request: R): number {
+    backlog += request.expected;
+    if (request.account === undefined && !hasAccounts()) {
+      return insertByPolicy(request);
+    }
+    waiting = shares.order([...waiting, request]);
+    return waiting.indexOf(request);
+  }
+
+  function insertByPolicy(request: R): number {
     let low = 0;
     let high = waiting.length;
     while (low < high) {
@@ -59,7 +94,6 @@
       }
     }
     waiting.splice(low, 0, request);
-    backlog += request.expected;
     return low;
   }
 
@@ -151,8 +185,10 @@
   }
 
   function take(): R | undefined {
-    const request = waiting.shift();
+    const candidates = hasAccounts() ? waiting : waiting.slice(0, 1);
+    const request = shares.select(candidates, conditions);
     if (request !== undefined) {
+      waiting.splice(waiting.indexOf(request), 1);
       backlog = waiting.length === 0 ? 0 : backlog - request.expected;
     }
     return request;
@@ -168,6 +204,7 @@
   return {
     add,
     take,
+    recordStart: shares.recordStart,
     takeAll,
     size: () => waiting.length,
     backlog: () => backlog,
--- a/packages/pool/src/queue_policy.ts
+++ b/packages/pool/src/queue_policy.ts
@@ -11,6 +11,8 @@
   readonly deadline: Milliseconds;
   /** Increases with each arrival. */
   readonly order: number;
+  /** Account with a fair share; requests without one are ordered as one. */
+  readonly account?: string | undefined;
 }
 
 /** Load from which a policy predicts when a request starts. */
