feat(targets): wait for own connections, set-up time and its metrics

Statements now have their user as account. The measured set-up time counts in the choice of the next statement, and an account waits for an own connection that is due sooner than a new one. The wait ends in time for a new connection. The acquisition of connections moves to a module of its own, unchanged.

--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -10,6 +10,8 @@
     onReachability: () => {},
     onLeader: () => {},
     onTarget: () => {},
+    onConnectionOpened: () => {},
+    onStatementStart: () => {},
   }),
   succession: () => ({
     onStart: () => {},
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -21,6 +21,8 @@
 } from '@kelpstep/runtime';
 import {Ok, type Result} from 'ts-results';
 
+import {createSetupTime} from './setup_time';
+
 /** A connection, its user, and the settings applied to it. */
 export interface SharedConnection {
   readonly user: ConnectionUser;
@@ -52,6 +54,11 @@
     settings: SessionSettings,
   ): SharedConnection | undefined;
   hasIdle(): boolean;
+  /**
+   * Measured time to open a connection for the user; 0 while it has an idle
+   * connection, and if it is undefined.
+   */
+  setupTime(user: ConnectionUser): Milliseconds;
   mayOpen(): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
@@ -99,6 +106,7 @@
 ): SharedConnections {
   let idle: SharedConnection[] = [];
   const all = new Set<SharedConnection>();
+  const measuredSetupTime = createSetupTime();
   let opening = 0;
   let atLimitUntil = -Infinity;
   let idleSince = -Infinity;
@@ -132,6 +140,8 @@
         recordFailure(result.val);
         return result;
       }
+      const now = options.timer.now();
+      measuredSetupTime.observe(now - requestedAt, now);
       return Ok(add(user, requestedAt, result.val));
     });
   }
@@ -186,6 +196,10 @@
   return {
     take,
     hasIdle: () => idle.length > 0,
+    setupTime: user =>
+      user === undefined || idle.some(shared => shared.user === user)
+        ? 0
+        : measuredSetupTime.current(options.timer.now()),
     mayOpen,
     isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
     evictIdle() {
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -16,11 +16,11 @@
   type Runtime,
   type Task,
   createDeferred,
-  waitFor,
 } from '@kelpstep/runtime';
-import type {OpenFailure, StatementAnswer} from '@kelpstep/statements';
-import {Err, Ok, type Result} from 'ts-results';
+import type {StatementAnswer} from '@kelpstep/statements';
 
+import {createConnectionSource} from './connection_source';
+import {createConnectionWaits} from './connection_waits';
 import {pinConnection} from './pinned_connection';
 import type {ControlConnection} from './control_connection';
 import type {SharedConnection, SharedConnections} from './shared_connections';
@@ -50,6 +50,8 @@
    * Called when opening a connection failed, except at the connection limit.
    */
   onUnresponsive(reason: string): void;
+  /** Called when a statement starts, with the time that it was queued. */
+  onStart(queueTime: Milliseconds): void;
 }
 
 /** Runs statements on one target, in the order of admission. */
@@ -77,16 +79,16 @@
 
 interface QueuedStatement extends AdmissionEntry {
   readonly statement: StatementRequest;
+  readonly queuedAt: Milliseconds;
   serve(run: RunningRequest): Task<void>;
 }
 
-type AcquireResult = Result<SharedConnection, OpenFailure>;
-
 /** Creates a runner with an empty queue. */
 export function createStatementRunner(
   options: StatementRunnerOptions,
 ): StatementRunner {
-  const {runtime, connections, controlConnection, writes, target} = options;
+  const {runtime, connections, writes, target} = options;
+  const source = createConnectionSource(options);
   const {timer} = runtime;
   let arrivals = 0;
   let isClosed = false;
@@ -96,17 +98,28 @@
     policies: options.policies,
     queueCapacity: QUEUE_CAPACITY,
     connectionShare: () => Math.max(options.share(), connections.count()),
+    conditions: {
+      setupTime: ({statement}) => connections.setupTime(statement.user),
+      isHeld: (entries, isSlotUnused) =>
+        connectionWaits.isWaiting({
+          user: entries[0]?.statement.user,
+          latestStart: Math.min(
+            ...entries.map(options.policies.queue.latestStart),
+          ),
+          expected: entries.map(({expected}) => expected),
+          isSlotUnused,
+        }),
+    },
     onReady: dispatch,
   });
+  const connectionWaits = createConnectionWaits({
+    timer,
+    connections,
+    onWaitEnd: dispatch,
+  });
 
   function dispatch(): void {
-    while (
-      !isClosed &&
-      admission.mayStart() &&
-      (connections.hasIdle() ||
-        connections.mayOpen() ||
-        controlConnection.canBorrow())
-    ) {
+    while (!isClosed && admission.mayStart() && source.isAvailable()) {
       const entry = admission.next();
       if (entry === undefined) {
         return;
@@ -115,52 +128,12 @@
         entry.refuse(ABANDONED);
         continue;
       }
+      options.onStart(timer.now() - entry.queuedAt);
       const run = admission.start(entry);
       runtime.spawn('statement', entry.serve(run));
     }
   }
 
-  function* acquire(statement: StatementRequest): Task<AcquireResult> {
-    const idle = connections.take(statement.user, statement.settings);
-    if (idle !== undefined) {
-      return Ok(idle);
-    }
-    if (!connections.mayOpen() && !connections.evictIdle()) {
-      return borrowControlConnection(statement);
-    }
-    const opened = yield* waitFor(connections.open(statement.user));
-    if (opened.ok) {
-      return opened;
-    }
-    if (opened.val === 'tooManyConnections') {
-      return borrowControlConnection(statement);
-    }
-    options.onUnresponsive(opened.val);
-    return opened;
-  }
-
-  /**
-   * Borrows the control connection for a statement, if it may run there. The
-   * connection is opened for the proxy itself, so it serves no other user. It
-   * serves no transaction either, because that would block control commands.
-   */
-  function borrowControlConnection({
-    request,
-    user,
-  }: StatementRequest): AcquireResult {
-    const mayBorrow = user === undefined && request.body.kind !== 'begin';
-    const borrowed = mayBorrow ? controlConnection.borrow() : undefined;
-    return borrowed === undefined ? Err('tooManyConnections') : Ok(borrowed);
-  }
-
-  function releaseConnection(shared: SharedConnection): void {
-    if (controlConnection.owns(shared)) {
-      controlConnection.returnBorrowed(shared);
-    } else {
-      connections.release(shared);
-    }
-  }
-
   function endRun(run: RunningRequest, answer: StatementAnswer): void {
     const isBusy = answer.error?.name === 'busy';
     run.end(isBusy ? 'exhausted' : 'answered', answer.error !== undefined);
@@ -173,14 +146,14 @@
     if (answer.state !== 'idle') {
       shared.connection.close();
     }
-    releaseConnection(shared);
+    source.release(shared);
   }
 
   function* attempt(
     statement: StatementRequest,
     run: RunningRequest,
   ): Task<{outcome: StatementOutcome; shared?: SharedConnection}> {
-    const acquired = yield* acquire(statement);
+    const acquired = yield* source.acquire(statement);
     if (acquired.err) {
       run.end('lost', true);
       return {outcome: {kind: 'unreached', failure: acquired.val}};
@@ -189,7 +162,7 @@
     const remaining = statement.deadline - timer.now();
     if (remaining <= 0 || statement.isAbandoned()) {
       run.end('lost', true);
-      releaseConnection(shared);
+      source.release(shared);
       return {outcome: {kind: 'refused', retryAfter: 0}};
     }
     statement.onSent();
@@ -205,7 +178,7 @@
     });
     if (reply.err) {
       run.end('lost', true);
-      releaseConnection(shared);
+      source.release(shared);
       return {outcome: {kind: 'lost'}};
     }
     endRun(run, reply.val);
@@ -217,7 +190,10 @@
     run: RunningRequest,
     result: Deferred<StatementOutcome>,
   ): Task<void> {
+    const {user, kind} = statement;
+    const removeUse = connectionWaits.add(user, admission.expected(kind));
     const {outcome, shared} = yield* attempt(statement, run);
+    removeUse();
     if (shared !== undefined && outcome.kind === 'answered') {
       releaseAfter(shared, outcome.answer);
     }
@@ -264,6 +240,8 @@
       deadline: statement.deadline,
       expected: admission.expected(statement.kind),
       order: arrivals,
+      account: statement.user,
+      queuedAt: timer.now(),
       serve,
       refuse: failure => refuse(failure.retryAfter ?? 0),
     });
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -22,11 +22,18 @@
 import type {GroupSettings, TargetRegistration} from './registration';
 import {type TargetLink, createTargetLink} from './target_link';
 
-/** Receives changes of a group's targets and leader, for the log. */
+/**
+ * Receives changes of a group's targets and leader for the log, and
+ * measurements for metrics.
+ */
 export interface TargetGroupEvents {
   onReachability(target: string, isReached: boolean, reason: string): void;
   onLeader(target: string, term: number): void;
   onTarget(target: string, event: 'added' | 'gone' | 'restarted'): void;
+  /** Called when a connection to a target was opened, for any use. */
+  onConnectionOpened(target: string): void;
+  /** Called when a statement starts, with the time that it was queued. */
+  onStatementStart(target: string, queueTime: Milliseconds): void;
 }
 
 /** What a group needs to open links to its targets. */
@@ -157,6 +164,8 @@
         events.onReachability(target, isReached, reason);
         changes.notify();
       },
+      onConnectionOpened: () => events.onConnectionOpened(target),
+      onStatementStart: queueTime => events.onStatementStart(target, queueTime),
     });
     members.set(target, {link, missingSince: undefined});
     events.onTarget(target, 'added');
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -55,6 +55,10 @@
   onStatus(requestedAt: Milliseconds, status: TargetStatus): void;
   /** Called when the target becomes reachable or unreachable. */
   onReachability(isReached: boolean, reason: string): void;
+  /** Called when a connection to the target was opened, for any use. */
+  onConnectionOpened(): void;
+  /** Called when a statement starts, with the time that it was queued. */
+  onStatementStart(queueTime: Milliseconds): void;
 }
 
 /** Runs statements and commands on one target. */
@@ -87,6 +91,11 @@
   probeStatus(): Future<TargetStatus | undefined>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /**
+   * Measured time to open a connection for the user; 0 while it has an idle
+   * connection, and if it is undefined.
+   */
+  setupTime(user: ConnectionUser): Milliseconds;
   /**
    * Shortest round trip of a control command so far; undefined before the
    * first.
@@ -178,6 +187,7 @@
     share,
     onAnswers: recordAnswers,
     onUnresponsive: markUnresponsive,
+    onStart: options.onStatementStart,
   });
 
   /**
@@ -218,6 +228,7 @@
     requestedAt: Milliseconds,
     {position, firstAnswers}: OpenedConnection,
   ): void {
+    options.onConnectionOpened();
     markResponsive(requestedAt);
     if (position !== undefined) {
       onPosition(requestedAt, position);
@@ -270,6 +281,7 @@
       ),
     probeStatus,
     expectedTime: runner.expectedTime,
+    setupTime: connections.setupTime,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
