feat(gateway): reads count the set-up time of a connection

A read went to the target with the lowest expected time, also if it had to open a connection there while another target had one idle for the account.

--- a/packages/gateway/src/select_read_target.ts
+++ b/packages/gateway/src/select_read_target.ts
@@ -64,7 +64,10 @@
 }
 
 function costOf(criteria: ReadTargetCriteria, link: TargetLink): Milliseconds {
-  const time = link.expectedTime(criteria.kind) + (link.roundTrip() ?? 0);
+  const time =
+    link.expectedTime(criteria.kind) +
+    link.setupTime(criteria.user) +
+    (link.roundTrip() ?? 0);
   const isPrimary = link === criteria.group.leader();
   const connectionPenalty = link.isStarved(criteria.user)
     ? NO_CONNECTION_PENALTY_MS
