--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -125,6 +125,8 @@
       onReachability: target => reached.push(target),
       onLeader: () => {},
       onTarget: () => {},
+      onConnectionOpened: () => {},
+      onStatementStart: () => {},
     },
     ownerCount: () => 1,
   });
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -21,6 +21,8 @@
 } from '@kelpstep/runtime';
 import {Ok, type Result} from 'ts-results';
 
+import {createSetupTime} from './setup_time';
+
 /** A connection, its user, and the settings applied to it. */
 export interface SharedConnection {
   readonly user: ConnectionUser;
@@ -54,6 +56,11 @@
   hasIdle(): boolean;
   /** True while a statement or a transaction uses a connection. */
   isInUse(): boolean;
+  /**
+   * Measured time to open a connection for the user; 0 while it has an idle
+   * connection, and if it is undefined.
+   */
+  setupTime(user: ConnectionUser): Milliseconds;
   mayOpen(): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
@@ -101,6 +108,7 @@
 ): SharedConnections {
   let idle: SharedConnection[] = [];
   const all = new Set<SharedConnection>();
+  const measuredSetupTime = createSetupTime();
   let opening = 0;
   let atLimitUntil = -Infinity;
   let idleSince = -Infinity;
@@ -134,6 +142,8 @@
         recordFailure(result.val);
         return result;
       }
+      const now = options.timer.now();
+      measuredSetupTime.observe(now - requestedAt, now);
       return Ok(add(user, requestedAt, result.val));
     });
   }
@@ -189,6 +199,10 @@
     take,
     hasIdle: () => idle.length > 0,
     isInUse: () => all.size > idle.length,
+    setupTime: user =>
+      user === undefined || idle.some(shared => shared.user === user)
+        ? 0
+        : measuredSetupTime.current(options.timer.now()),
     mayOpen,
     isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
     evictIdle() {
