feat(targets): predict when a statement gets a connection

An owner knew only whether a target refused all its connections; with all of them pinned by idle transactions it took statements that then failed with tooManyConnections after more than half a second.

A link now predicts the time until a connection is free, from the connections that are available and from how long transactions kept theirs (pin_times.ts), and the time in its queue. Nothing uses it yet.

--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -53,6 +53,12 @@
   ): SharedConnection | undefined;
   hasIdle(): boolean;
   mayOpen(): boolean;
+  /**
+   * True if the user's statement is expected to get a connection at once: an
+   * idle one of the user, or one that is opened. At the share, an idle one of
+   * another user is closed for it.
+   */
+  isAvailable(user: ConnectionUser): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
    */
@@ -149,6 +155,12 @@
     return count < (mayExceedShare ? share + EXTRA_CONNECTION_COUNT : share);
   }
 
+  function isAvailable(user: ConnectionUser): boolean {
+    const isAtLimit = all.size > 0 && options.timer.now() < atLimitUntil;
+    const mayReplace = mayOpen() ? !isAtLimit : idle.length > 0;
+    return mayReplace || idle.some(shared => shared.user === user);
+  }
+
   /**
    * The time is counted from the last call at which no connection was idle or
    * the pool didn't exceed the share.
@@ -187,6 +199,7 @@
     take,
     hasIdle: () => idle.length > 0,
     mayOpen,
+    isAvailable,
     isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
     evictIdle() {
       const [unused] = idle;
--- a/packages/targets/src/statement_request.ts
+++ b/packages/targets/src/statement_request.ts
@@ -30,6 +30,22 @@
   onSent(): void;
 }
 
+/** What decides which connections a statement may use. */
+export interface ConnectionNeed {
+  readonly user: ConnectionUser;
+  /** Class of the statement, as in `StatementRequest`. */
+  readonly kind: string;
+  readonly isBegin: boolean;
+}
+
+/** When a statement is expected to get a connection. */
+export interface ConnectionWait {
+  /** Predicted time until a connection becomes free; 0 if one is. */
+  readonly untilRelease: Milliseconds;
+  /** True if all connections are pinned by transactions. */
+  readonly isPinned: boolean;
+}
+
 /** Whether a statement was answered, and if not, whether it was sent. */
 export type StatementOutcome =
   | {readonly kind: 'answered'; readonly answer: StatementAnswer}
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -21,12 +21,15 @@
 import type {OpenFailure, StatementAnswer} from '@kelpstep/statements';
 import {Err, Ok, type Result} from 'ts-results';
 
+import {createPinTimes} from './pin_times';
 import {pinConnection} from './pinned_connection';
 import type {ControlConnection} from './control_connection';
 import type {SharedConnection, SharedConnections} from './shared_connections';
 import {exchangeStatement} from './statement_exchange';
 import type {
   PinnedStart,
+  ConnectionNeed,
+  ConnectionWait,
   StatementOutcome,
   StatementRequest,
 } from './statement_request';
@@ -59,6 +62,10 @@
   pin(statement: StatementRequest): Future<PinnedStart>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /** See `TargetLink.connectionWait`. */
+  connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** Predicted time for which a new statement of this kind is queued. */
+  queueTime(kind: string): Milliseconds;
   /** Starts queued statements; call it when a connection becomes available. */
   dispatch(): void;
   /** Refuses all queued statements and starts no more. */
@@ -88,6 +95,7 @@
 ): StatementRunner {
   const {runtime, connections, controlConnection, writes, target} = options;
   const {timer} = runtime;
+  const pins = createPinTimes();
   let arrivals = 0;
   let isClosed = false;
   const admission = createAdmission<QueuedStatement>({
@@ -234,6 +242,7 @@
     if (shared === undefined || outcome.kind !== 'answered') {
       result.settle({outcome, pinned: undefined});
     } else if (outcome.answer.error === undefined && !statement.isAbandoned()) {
+      const endPin = pins.begin(timer.now());
       const pinned = pinConnection({
         runtime,
         target,
@@ -241,7 +250,10 @@
         settings: statement.settings,
         writes,
         onAnswers: options.onAnswers,
-        release: connections.release,
+        release(released) {
+          endPin(timer.now());
+          connections.release(released);
+        },
       });
       result.settle({outcome, pinned});
     } else {
@@ -251,6 +263,28 @@
     dispatch();
   }
 
+  function connectionWait({
+    user,
+    kind,
+    isBegin,
+  }: ConnectionNeed): ConnectionWait {
+    const mayBorrow =
+      user === undefined && !isBegin && controlConnection.canBorrow();
+    if (connections.isAvailable(user) || mayBorrow) {
+      return {untilRelease: 0, isPinned: false};
+    }
+    const unpinned = connections.count() - pins.count();
+    return unpinned > 0
+      ? {untilRelease: admission.expected(kind) / unpinned, isPinned: false}
+      : {untilRelease: pins.expectedRelease(timer.now()), isPinned: true};
+  }
+
+  function queueTime(kind: string): Milliseconds {
+    return admission.queued() === 0
+      ? 0
+      : admission.expectedTime(kind) - admission.expected(kind);
+  }
+
   function admit(
     statement: StatementRequest,
     serve: (run: RunningRequest) => Task<void>,
@@ -294,6 +328,8 @@
       return result.future;
     },
     expectedTime: admission.expectedTime,
+    connectionWait,
+    queueTime,
     dispatch,
     close() {
       isClosed = true;
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -28,6 +28,8 @@
 import {createSharedConnections} from './shared_connections';
 import {createStatementRunner} from './statement_runner';
 import type {
+  ConnectionNeed,
+  ConnectionWait,
   PinnedStart,
   StatementOutcome,
   StatementRequest,
@@ -87,6 +89,10 @@
   probeStatus(): Future<TargetStatus | undefined>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /** Predicts when a new statement gets a connection of this proxy. */
+  connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** Predicted time for which a new statement of this kind is queued. */
+  queueTime(kind: string): Milliseconds;
   /**
    * Shortest round trip of a control command so far; undefined before the
    * first.
@@ -270,6 +276,8 @@
       ),
     probeStatus,
     expectedTime: runner.expectedTime,
+    connectionWait: runner.connectionWait,
+    queueTime: runner.queueTime,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
