feat(relay): place statements by the capacity that owners report

Statements waited at connection owners whose connections were all pinned by idle transactions and failed with tooManyConnections after about 600 ms, while other owners had free connections.

An owner now answers notRun with the optional field wait if it can't start a statement at once or, if it may wait, in time. The sender keeps this for at most 250 ms, asks at most four owners that report a wait, then lets the statement wait at the first that can start it in time, or refuses it at once as no room with a retry time. An owner does the same for its own callers. Without a reported wait (older peer, no primary reached) statements are served as before.

Ruled out: a limit of refusals over all rounds of an owner's own statement, which ended in a loop in which no time passed.

--- a/packages/gateway/__tests__/peer_order.spec.ts
+++ b/packages/gateway/__tests__/peer_order.spec.ts
@@ -57,6 +57,34 @@
     expect(share > 0.4 && share < 0.6).toEqual(true);
   });
 
+  test('keeps an account at the same peer of each distance', () => {
+    const random = createRandom(1);
+    const rankOf = (candidate: ProxyDescriptor): PeerRank => ({
+      roundTrip: roundTripBetween(from, candidate),
+      isSlow: false,
+    });
+    const firstOf = (account: string) =>
+      nearestFirst(random, peers, rankOf, account)[0]?.proxy;
+    const accounts = Array.from({length: ROUNDS}, (unused, at) => `a${at}`);
+    const firsts = accounts.map(firstOf);
+    expect(accounts.map(firstOf)).toEqual(firsts);
+    const share = firsts.filter(name => name === 'here-1').length / ROUNDS;
+    expect(share > 0.35 && share < 0.65).toEqual(true);
+  });
+
+  test('prefers a far peer to the reported wait of a near one', () => {
+    const rankOf = (candidate: ProxyDescriptor): PeerRank => ({
+      roundTrip: roundTripBetween(from, candidate),
+      isSlow: false,
+      wait: candidate.dataCentre === 'a' ? 200 : undefined,
+    });
+    const order = nearestFirst(createRandom(1), peers, rankOf);
+    expect(order.slice(-2).map(({dataCentre}) => dataCentre)).toEqual([
+      'a',
+      'a',
+    ]);
+  });
+
   test('ends with slow peers, even if they are near', () => {
     for (const order of orders(({proxy}) => proxy === 'here-1')) {
       expect(order.at(-1)).toEqual('here-1');
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -29,10 +29,14 @@
   type DispatchRequest,
   type DispatchResult,
   type Dispatcher,
+  NO_ROOM,
+  latestStart,
   refusalAnswer,
+  retryAfterWait,
   statementKindOf,
 } from './dispatch_types';
 import {type Attempt, awaitHedged, createRetryBudget} from './hedged_attempt';
+import {createStartWaits} from './start_wait';
 import {
   type SelectedTarget,
   type TargetSearch,
@@ -58,14 +62,15 @@
     request: DispatchRequest,
     mayTryPeers: () => boolean,
   ): Task<DispatchResult | undefined>;
-  /** True if a target is expected to be available without waiting. */
-  canRunNow(request: DispatchRequest): boolean;
+  /**
+   * Predicted time until a target starts the statement; undefined while no
+   * target is expected to be available or to accept a connection.
+   */
+  expectedWait(request: DispatchRequest): Milliseconds | undefined;
   /** Samples the state of the group's primary; to be called on every tick. */
   observePrimary(group: TargetGroup): void;
 }
 
-/** Share of a statement's timeout for which it may wait for a target. */
-const MAXIMUM_WAIT_RATIO = 0.85;
 /** Maximum number of attempts that are sent for one statement. */
 const MAXIMUM_ATTEMPTS = 8;
 /**
@@ -111,6 +116,7 @@
     isPrimaryChanging,
   });
   const budget = createRetryBudget();
+  const startWaits = createStartWaits();
 
   function toTargetWork(
     request: DispatchRequest,
@@ -209,8 +215,7 @@
       retryAfter: DEFAULT_RETRY_AFTER_MS,
       triedTargets: new Map(),
     };
-    const until =
-      request.arrivedAt + request.route.timeout * MAXIMUM_WAIT_RATIO;
+    const until = latestStart(request);
     const group = yield* findGroup(request.route.group, until);
     if (group === undefined) {
       return refuse(progress, 'no targets');
@@ -248,7 +253,25 @@
       if (result !== undefined) {
         return {...result, pinned};
       }
+      const isConnectionMissing =
+        outcome.kind === 'unreached' &&
+        outcome.failure === 'tooManyConnections';
+      if (isConnectionMissing) {
+        if (!isPrimaryChanging(group.group) && mayTryPeers()) {
+          return undefined;
+        }
+        const links = selector.linksFor(group, request) ?? [];
+        const wait = startWaits.untilRelease(links, request);
+        if (timer.now() + wait > until) {
+          progress.retryAfter = retryAfterWait(runtime.random, wait);
+          return refuse(progress, NO_ROOM);
+        }
+      }
+      const endWait = isConnectionMissing
+        ? startWaits.begin(selected.link.target, request)
+        : () => {};
       yield* sleep(backoffAfter(outcome, progress));
+      endWait();
     }
     return refuse(progress, progress.reason);
   }
@@ -363,9 +386,10 @@
     dispatch,
     tryDispatch,
     observePrimary: selector.observePrimary,
-    canRunNow(request) {
+    expectedWait(request) {
       const group = options.group(request.route.group);
-      return group !== undefined && selector.canSelectNow(group, request);
+      const links = group && selector.linksFor(group, request);
+      return links && startWaits.expected(links, request);
     },
   };
 }
--- a/packages/gateway/src/dispatch_types.ts
+++ b/packages/gateway/src/dispatch_types.ts
@@ -1,6 +1,7 @@
 /** Requests to a dispatcher and their results. */
 import type {LogPosition} from '@kelpstep/protocol';
-import type {Milliseconds, Task} from '@kelpstep/runtime';
+import {spreadRetryAfter} from '@kelpstep/pool';
+import type {Milliseconds, Random, Task} from '@kelpstep/runtime';
 import {
   type PreparedShape,
   type SessionSettings,
@@ -44,9 +45,31 @@
   readonly pinned: PinnedConnection | undefined;
 }
 
+/** Share of a statement's timeout for which it may wait for a target. */
+const MAXIMUM_WAIT_RATIO = 0.85;
+
+/** Monotonic time by which a statement must have started. */
+export function latestStart({arrivedAt, route}: DispatchRequest): Milliseconds {
+  return arrivedAt + route.timeout * MAXIMUM_WAIT_RATIO;
+}
+
+/** Reason of refusals because no connection becomes free in time. */
+export const NO_ROOM = 'no room';
+
 /** Retry delay of refusals without a better estimate. */
 export const DEFAULT_RETRY_AFTER_MS: Milliseconds = 300;
 
+/**
+ * Retry delay of a statement that could start after `wait`: from then on,
+ * spread over the same length of time again.
+ */
+export function retryAfterWait(
+  random: Random,
+  wait: Milliseconds,
+): Milliseconds {
+  return spreadRetryAfter({drainTime: wait, refusedTime: 0}, random);
+}
+
 /** Answers a statement that has not run with the reason and a retry delay. */
 export function refusalAnswer(
   reason: string,
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -24,8 +24,16 @@
   readonly reason: string;
 }
 
+/**
+ * How a statement was placed that this proxy gave to connection owners: run by
+ * the `first` owner that was asked, or by an `other` one, after it `waited` at
+ * an owner, or `refused` as no owner could start it in time.
+ */
+export type PlacementOutcome = 'first' | 'other' | 'waited' | 'refused';
+
 /** Receives the outcomes of requests and the changes of sessions. */
 export interface GatewayEvents {
   onRequestEnd(end: RequestEnd): void;
+  onPlacement(outcome: PlacementOutcome): void;
   onSession(event: 'opened' | 'refused' | 'closed', database: string): void;
 }
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -75,6 +75,7 @@
     local,
     client,
     location: self,
+    onPlacement: events.onPlacement,
     ownsConnections(group) {
       const settings = options.settings(group);
       const isLeftToOthers =
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -38,8 +38,15 @@
 /** Outcome of an attempt to run a statement through another proxy. */
 export type RelayOutcome =
   | {readonly kind: 'ended'; readonly result: DispatchResult}
-  /** The statement has certainly not run. */
-  | {readonly kind: 'notRun'; readonly reason: string}
+  /**
+   * The statement has certainly not run. `wait` is the time until the peer
+   * expects to start such a statement, if known.
+   */
+  | {
+      readonly kind: 'notRun';
+      readonly reason: string;
+      readonly wait?: Milliseconds | undefined;
+    }
   /** The statement was sent, but not answered. */
   | {readonly kind: 'lost'};
 
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -80,7 +80,15 @@
 
 const relayResultSchema = z.discriminatedUnion('kind', [
   /** The statement has certainly not run. */
-  z.object({kind: z.literal('notRun'), reason: z.string()}),
+  z.object({
+    kind: z.literal('notRun'),
+    reason: z.string(),
+    /**
+     * Milliseconds until the sender of this answer expects to start such a
+     * statement; undefined if this is unknown.
+     */
+    wait: z.number().nonnegative().optional(),
+  }),
   z.object({
     kind: z.literal('ended'),
     answer: answerSchema,
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -26,8 +26,14 @@
 import {Ok} from 'ts-results';
 
 import type {LocalDispatcher} from '../dispatch';
-import type {DispatchRequest, DispatchResult} from '../dispatch_types';
+import {
+  type DispatchRequest,
+  type DispatchResult,
+  NO_ROOM,
+  latestStart,
+} from '../dispatch_types';
 import type {GatewayEvents} from '../gateway_events';
+import {LONGEST_IMMEDIATE_WAIT_MS} from '../start_wait';
 import {
   type PinnedResult,
   type PinnedStatement,
@@ -102,6 +108,25 @@
     };
   }
 
+  /**
+   * The answer to a statement that can't start at once or, if it may wait, in
+   * time; undefined if it is to be run. While no target is reached, a statement
+   * that may wait is run, because one may be reached in time.
+   */
+  function refusalOf(
+    {mayWait}: RelayedStatement,
+    request: DispatchRequest,
+  ): RelayResult | undefined {
+    const wait = local.expectedWait(request);
+    if (wait === undefined) {
+      return mayWait ? undefined : {kind: 'notRun', reason: 'not reached'};
+    }
+    const longest = mayWait
+      ? latestStart(request) - timer.now()
+      : LONGEST_IMMEDIATE_WAIT_MS;
+    return wait > longest ? {kind: 'notRun', reason: NO_ROOM, wait} : undefined;
+  }
+
   function report(
     message: RelayedStatement,
     result: DispatchResult,
@@ -152,12 +177,21 @@
         result.settle({kind: 'notRun', reason: 'stopping'});
         return;
       }
-      if (!message.mayWait && !local.canRunNow(dispatchRequest)) {
-        result.settle({kind: 'notRun', reason: 'not reached'});
+      const refusal = refusalOf(message, dispatchRequest);
+      if (refusal !== undefined) {
+        result.settle(refusal);
         return;
       }
       requests.set(message.work, request);
-      const outcome = yield* local.dispatch(dispatchRequest);
+      const outcome = yield* local.tryDispatch(
+        dispatchRequest,
+        () => !message.mayWait,
+      );
+      if (outcome === undefined) {
+        requests.delete(message.work);
+        result.settle(noRoom(local.expectedWait(dispatchRequest)));
+        return;
+      }
       report(message, outcome, dispatchRequest.arrivedAt);
       result.settle(toResult(message.work, request, outcome));
     }
@@ -250,6 +284,20 @@
   };
 }
 
+/**
+ * The answer to a statement for which there was no connection after all. The
+ * sender does not ask again at once.
+ */
+function noRoom(wait: Milliseconds | undefined): RelayResult {
+  return wait === undefined
+    ? {kind: 'notRun', reason: NO_ROOM}
+    : {
+        kind: 'notRun',
+        reason: NO_ROOM,
+        wait: Math.max(wait, LONGEST_IMMEDIATE_WAIT_MS),
+      };
+}
+
 /** Sets the session's current variables; a session never removes variables. */
 function applyValues(
   {values}: SessionSettings,
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -1,7 +1,8 @@
 /**
  * Runs statements locally or through a peer: locally if this proxy is a
  * connection owner of the group, through a connection owner otherwise. A
- * connection owner without an available target tries its peers as well.
+ * connection owner without an available target or connection tries its peers as
+ * well.
  */
 import type {ProxyDescriptor} from '@kelpstep/table-feed';
 import type {Milliseconds, Runtime, Task} from '@kelpstep/runtime';
@@ -13,9 +14,14 @@
   type DispatchRequest,
   type DispatchResult,
   type Dispatcher,
+  NO_ROOM,
+  latestStart,
   refusalAnswer,
+  retryAfterWait,
 } from '../dispatch_types';
+import type {PlacementOutcome} from '../gateway_events';
 import {createRetryBudget} from '../hedged_attempt';
+import {LONGEST_IMMEDIATE_WAIT_MS} from '../start_wait';
 import {type MeasuredPeer, createPeerLatencyTracker} from './peer_latency';
 import {
   type PeerRank,
@@ -23,6 +29,11 @@
   nearestFirst,
   roundTripBetween,
 } from './peer_order';
+import {
+  type WaitingChoice,
+  chooseWaitingPlace,
+  createPeerReports,
+} from './peer_reports';
 import type {RelayClient, RelayOutcome} from './relay_client';
 
 export interface RelayingDispatcherOptions {
@@ -31,6 +42,8 @@
   readonly client: RelayClient;
   /** Location of this proxy; near peers are preferred. */
   readonly location: ProxyLocation;
+  /** Called once for each statement that was given to peers. */
+  onPlacement(outcome: PlacementOutcome): void;
   /** True if this proxy is a connection owner of the group. */
   ownsConnections(group: string): boolean;
   /** The group's connection owners, without this proxy. */
@@ -38,12 +51,18 @@
 }
 
 /**
- * Time for which a peer that did not run or answer a request is not tried again
- * for the same workload, except by requests that may wait. A peer without a
- * target thus gets at most four other requests per second and workload from
- * this proxy.
+ * Maximum number of peers that are asked for one request and have no room. More
+ * would cost more round trips than the wait at one of them.
  */
-const REFUSAL_BACKOFF_MS: Milliseconds = 250;
+const MAXIMUM_REFUSALS = 4;
+
+/** Peers that were tried for a request so far. */
+interface Placement {
+  asked: number;
+  /** Number of peers that reported a wait. */
+  refusals: number;
+  hasWaited: boolean;
+}
 
 /** Default fields of a result for which no target is known. */
 const WITHOUT_TARGET = {target: '', attempts: 0, via: '', pinned: undefined};
@@ -54,7 +73,7 @@
 ): Dispatcher {
   const {runtime, local, client, location} = options;
   const {timer, random} = runtime;
-  const refusedAt = new Map<string, Milliseconds>();
+  const reports = createPeerReports();
   const latency = createPeerLatencyTracker();
   const budget = createRetryBudget();
 
@@ -66,8 +85,18 @@
     return `${route.group} ${needsPrimary ? 'primary' : 'any'}`;
   }
 
-  function keyOf({proxy}: ProxyDescriptor, request: DispatchRequest): string {
-    return `${workloadOf(request)} ${proxy}`;
+  /**
+   * Name of the workload in reports: without an account, single statements may
+   * use the control connection, which serves no transaction.
+   */
+  function reportKeyOf(request: DispatchRequest): string {
+    const {account, statement} = request;
+    const isSeparate = account === undefined && statement.kind === 'begin';
+    return `${workloadOf(request)}${isSeparate ? ' begin' : ''}`;
+  }
+
+  function reportOf({proxy}: ProxyDescriptor, request: DispatchRequest) {
+    return reports.current(reportKeyOf(request), proxy, timer.now());
   }
 
   function toMeasuredPeer(
@@ -82,8 +111,7 @@
     peer: ProxyDescriptor,
     request: DispatchRequest,
   ): boolean {
-    const at = refusedAt.get(keyOf(peer, request)) ?? -Infinity;
-    return timer.now() - at < REFUSAL_BACKOFF_MS;
+    return reportOf(peer, request) !== undefined;
   }
 
   function isUsable({relayAddress}: ProxyDescriptor): boolean {
@@ -92,13 +120,15 @@
 
   function usablePeers(request: DispatchRequest): ProxyDescriptor[] {
     const usable = options.peers(request.route.group).filter(isUsable);
-    return nearestFirst(random, usable, peer => rankOf(peer, request));
+    const rank = (peer: ProxyDescriptor) => rankOf(peer, request);
+    return nearestFirst(random, usable, rank, request.account);
   }
 
   function rankOf(peer: ProxyDescriptor, request: DispatchRequest): PeerRank {
     const measured = toMeasuredPeer(peer, request);
     const isSlow = latency.isSlow(measured, timer.now());
-    return {roundTrip: measured.roundTrip, isSlow};
+    const wait = reportOf(peer, request)?.wait;
+    return {roundTrip: measured.roundTrip, isSlow, wait};
   }
 
   function peersToTry(request: DispatchRequest): ProxyDescriptor[] {
@@ -144,13 +174,17 @@
     request: DispatchRequest,
     peers: readonly ProxyDescriptor[],
     mayWait: boolean,
+    placement: Placement,
   ): Task<DispatchResult | undefined> {
     let refusal: DispatchResult | undefined;
     budget.deposit();
     for (const peer of peers) {
-      if (isLate(request)) {
+      const isExhausted = !mayWait && placement.refusals >= MAXIMUM_REFUSALS;
+      if (isLate(request) || isExhausted) {
         return refusal;
       }
+      placement.asked += 1;
+      placement.hasWaited = mayWait;
       const outcome = yield* dispatchTo(peer, request, mayWait);
       if (outcome.kind === 'ended') {
         refusal = outcome.result;
@@ -159,7 +193,10 @@
         }
         return refusal;
       }
-      refusedAt.set(keyOf(peer, request), timer.now());
+      const wait = outcome.kind === 'notRun' ? outcome.wait : undefined;
+      placement.refusals += wait === undefined ? 0 : 1;
+      const workload = reportKeyOf(request);
+      reports.record(workload, peer.proxy, wait, timer.now());
       if (outcome.kind === 'lost' && request.isWrite) {
         return unansweredResult(peer, 'inDoubt');
       }
@@ -184,46 +221,124 @@
     };
   }
 
+  function recordPlacement(
+    {asked, hasWaited}: Placement,
+    result: DispatchResult,
+  ): DispatchResult {
+    const placed = asked === 1 ? 'first' : 'other';
+    const isRefused = result.via === '';
+    options.onPlacement(isRefused ? 'refused' : hasWaited ? 'waited' : placed);
+    return result;
+  }
+
+  function chooseToWait(
+    request: DispatchRequest,
+    ownWait: Milliseconds | undefined,
+  ): WaitingChoice<ProxyDescriptor> {
+    const places = usablePeers(request).map(peer => ({
+      peer,
+      ...rankOf(peer, request),
+    }));
+    const timeLeft = latestStart(request) - timer.now();
+    return chooseWaitingPlace(places, timeLeft, ownWait);
+  }
+
+  /**
+   * Sends the request to the peer with the shortest reported wait, or refuses
+   * it if it can't start in time. Undefined if no peer has reported a wait, or
+   * if this proxy has the shortest one.
+   */
+  function* waitAtPeer(
+    request: DispatchRequest,
+    placement: Placement,
+    ownWait: () => Milliseconds | undefined,
+  ): Task<DispatchResult | undefined> {
+    for (let count = 0; count < MAXIMUM_REFUSALS; count++) {
+      const choice = chooseToWait(request, ownWait());
+      if (choice.kind === 'refused') {
+        return refuse(NO_ROOM, retryAfterWait(random, choice.wait));
+      }
+      if (choice.kind !== 'peer') {
+        return undefined;
+      }
+      const result = yield* tryPeers(request, [choice.peer], true, placement);
+      if (result !== undefined) {
+        return result;
+      }
+    }
+    return undefined;
+  }
+
+  /** True if the request has to wait longer here than to be sent to a peer. */
+  function hasNoRoom(request: DispatchRequest): boolean {
+    return (local.expectedWait(request) ?? 0) > LONGEST_IMMEDIATE_WAIT_MS;
+  }
+
   function* dispatchLocally(request: DispatchRequest): Task<DispatchResult> {
     const mayTryPeers = () =>
       options
         .peers(request.route.group)
         .some(peer => isUsable(peer) && !hasRefusedRecently(peer, request));
+    const placement = createPlacement();
+    if (hasNoRoom(request)) {
+      const ownWait = () => local.expectedWait(request);
+      const peers = peersToTry(request);
+      const result =
+        (yield* tryPeers(request, peers, false, placement)) ??
+        (yield* waitAtPeer(request, placement, ownWait));
+      if (result !== undefined) {
+        return recordPlacement(placement, result);
+      }
+    }
     for (;;) {
       const result = yield* local.tryDispatch(request, mayTryPeers);
       if (result !== undefined) {
         return result;
       }
-      const relayed = yield* tryPeers(request, peersToTry(request), false);
+      // Each round has its own limit of refusals: with an exhausted one no time
+      // would pass until the next round.
+      const round = createPlacement();
+      const peers = peersToTry(request);
+      const relayed = yield* tryPeers(request, peers, false, round);
       if (relayed !== undefined) {
-        return relayed;
+        return recordPlacement(round, relayed);
       }
     }
   }
 
   /**
    * Tries the connection owners, first only for targets that are available at
-   * once, then allowing each owner to wait for a target, which is needed while
-   * there is no primary. Opens local connections only if no connection owner is
-   * usable, since the targets don't accept enough connections for every proxy.
+   * once, then allowing one to wait: the one with the shortest reported wait,
+   * or if none is known, each in turn, which is needed while there is no
+   * primary. Opens local connections only if no connection owner is usable,
+   * since the targets don't accept enough connections for every proxy.
    */
   function* dispatchThroughPeer(
     request: DispatchRequest,
   ): Task<DispatchResult> {
+    const placement = createPlacement();
+    const unknown = () => undefined;
     const result =
-      (yield* tryPeers(request, peersToTry(request), false)) ??
-      (yield* tryPeers(request, usablePeers(request), true));
+      (yield* tryPeers(request, peersToTry(request), false, placement)) ??
+      (yield* waitAtPeer(request, placement, unknown)) ??
+      (yield* tryPeers(request, usablePeers(request), true, placement));
     if (result !== undefined) {
-      return result;
+      return recordPlacement(placement, result);
     }
     return usablePeers(request).length === 0 && !isLate(request)
       ? yield* local.dispatch(request)
-      : refuse();
+      : recordPlacement(placement, refuseUnplaced(request));
   }
 
-  function refuse(): DispatchResult {
-    const reason = 'no other proxy took it';
-    const answer = refusalAnswer(reason, DEFAULT_RETRY_AFTER_MS);
+  function refuseUnplaced(request: DispatchRequest): DispatchResult {
+    const choice = chooseToWait(request, undefined);
+    return choice.kind === 'refused'
+      ? refuse(NO_ROOM, retryAfterWait(random, choice.wait))
+      : refuse('no other proxy took it', DEFAULT_RETRY_AFTER_MS);
+  }
+
+  function refuse(reason: string, retryAfter: Milliseconds): DispatchResult {
+    const answer = refusalAnswer(reason, retryAfter);
     return {...WITHOUT_TARGET, answer, reason};
   }
 
@@ -234,3 +349,7 @@
         : dispatchThroughPeer(request),
   };
 }
+
+function createPlacement(): Placement {
+  return {asked: 0, refusals: 0, hasWaited: false};
+}
--- a/packages/gateway/src/select_read_target.ts
+++ b/packages/gateway/src/select_read_target.ts
@@ -10,6 +10,7 @@
   readonly kind: string;
   /** User that the connection is opened for. */
   readonly user: ConnectionUser;
+  readonly isBegin: boolean;
   /** Log position that the target must have reached. */
   readonly position: LogPosition;
   /** Monotonic times at which targets were tried for this statement. */
@@ -68,7 +69,7 @@
   const isPrimary = link === criteria.group.leader();
   const connectionPenalty = link.isStarved(criteria.user)
     ? NO_CONNECTION_PENALTY_MS
-    : 0;
+    : link.connectionWait(criteria).untilRelease;
   return (
     time +
     connectionPenalty +
--- a/packages/gateway/src/select_target.ts
+++ b/packages/gateway/src/select_target.ts
@@ -66,8 +66,14 @@
   ): SelectedTarget | undefined;
   /** Samples the state of the group's primary; to be called on every tick. */
   observePrimary(group: TargetGroup): void;
-  /** True if a target is expected to be available without waiting. */
-  canSelectNow(group: TargetGroup, request: DispatchRequest): boolean;
+  /**
+   * Targets of which one is expected to be selected without waiting; undefined
+   * if none is.
+   */
+  linksFor(
+    group: TargetGroup,
+    request: DispatchRequest,
+  ): readonly TargetLink[] | undefined;
 }
 
 /**
@@ -252,6 +258,7 @@
         group,
         kind: statementKindOf(request),
         user: request.account,
+        isBegin: request.statement.kind === 'begin',
         position: after,
         triedAt,
         now: timer.now(),
@@ -290,20 +297,22 @@
         group,
         kind,
         user,
+        isBegin: request.statement.kind === 'begin',
         position,
         triedAt,
         now,
       });
       return link && {link, after};
     },
-    canSelectNow(group, request) {
+    linksFor(group, request) {
       const primary = usablePrimary(group);
       const links = request.needsPrimary ? [primary] : group.links();
       if (cannotConnect(links, request)) {
-        return false;
+        return undefined;
       }
       const proofAge = timer.now() - group.positions.coveredAt();
-      return request.isWrite || proofAge < MAXIMUM_PROOF_AGE_MS;
+      const isProved = request.isWrite || proofAge < MAXIMUM_PROOF_AGE_MS;
+      return isProved ? links.filter(link => link !== undefined) : undefined;
     },
   };
 }
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -1,5 +1,6 @@
 /** Live proxies and the responsibilities among them. */
 export * from './src/create_membership';
+export {hashText, mixHashes} from './src/hash';
 export type {PeerExchange} from './src/exchanges';
 export * from './src/idempotent_request';
 export * from './src/instance_polling';
--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -5,7 +5,11 @@
 
 /** Handlers that ignore all events. */
 export const IGNORED_EVENTS: StatementProxyEvents = {
-  gateway: {onRequestEnd: () => {}, onSession: () => {}},
+  gateway: {
+    onRequestEnd: () => {},
+    onPlacement: () => {},
+    onSession: () => {},
+  },
   targets: () => ({
     onReachability: () => {},
     onLeader: () => {},
