--- a/packages/gateway/__tests__/select_read_target.spec.ts
+++ b/packages/gateway/__tests__/select_read_target.spec.ts
@@ -13,6 +13,7 @@
     setupTime: user => (user === undefined ? 0 : setupTime),
     roundTrip: () => 1,
     isStarved: () => false,
+    connectionWait: () => ({untilRelease: 0, isPinned: false}),
   };
   return link as TargetLink;
 }
@@ -32,6 +33,7 @@
         group,
         kind: 'read',
         user,
+        isBegin: false,
         position,
         triedAt: new Map(),
         now: 100,
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -79,8 +79,18 @@
 export type RelayedStatement = z.infer<typeof relayedStatementSchema>;
 
 const relayResultSchema = z.discriminatedUnion('kind', [
-  /** The statement has certainly not run. */
-  z.object({kind: z.literal('notRun'), reason: z.string()}),
+  /** The statement has certainly not run, except for reads that were lost. */
+  z.object({
+    kind: z.literal('notRun'),
+    reason: z.string(),
+    /** Lost attempts of a read, which may have run; 0 if left out. */
+    runs: z.number().int().nonnegative().optional(),
+    /**
+     * Milliseconds until the sender of this answer expects to start such a
+     * statement; undefined if this is unknown.
+     */
+    wait: z.number().nonnegative().optional(),
+  }),
   z.object({
     kind: z.literal('ended'),
     answer: answerSchema,
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -62,6 +62,12 @@
    */
   setupTime(user: ConnectionUser): Milliseconds;
   mayOpen(): boolean;
+  /**
+   * True if the user's statement is expected to get a connection at once: an
+   * idle one of the user, or one that is opened. At the share, an idle one of
+   * another user is closed for it.
+   */
+  isAvailable(user: ConnectionUser): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
    */
@@ -161,6 +167,12 @@
     return count < (mayExceedShare ? share + EXTRA_CONNECTION_COUNT : share);
   }
 
+  function isAvailable(user: ConnectionUser): boolean {
+    const isAtLimit = all.size > 0 && options.timer.now() < atLimitUntil;
+    const mayReplace = mayOpen() ? !isAtLimit : idle.length > 0;
+    return mayReplace || idle.some(shared => shared.user === user);
+  }
+
   /**
    * The time is counted from the last call at which no connection was idle or
    * the pool didn't exceed the share.
@@ -204,6 +216,7 @@
         ? 0
         : measuredSetupTime.current(options.timer.now()),
     mayOpen,
+    isAvailable,
     isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
     evictIdle() {
       const [unused] = idle;
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -28,6 +28,8 @@
 import {createSharedConnections} from './shared_connections';
 import {createStatementRunner} from './statement_runner';
 import type {
+  ConnectionNeed,
+  ConnectionWait,
   PinnedStart,
   StatementOutcome,
   StatementRequest,
@@ -91,6 +93,10 @@
   probeStatus(): Future<TargetStatus | undefined>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /** Predicts when a new statement gets a connection of this proxy. */
+  connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** Predicted time for which a new statement of this kind is queued. */
+  queueTime(kind: string): Milliseconds;
   /**
    * Measured time to open a connection for the user; 0 while it has an idle
    * connection, and if it is undefined.
@@ -304,6 +310,8 @@
     probeStatus,
     expectedTime: runner.expectedTime,
     setupTime: connections.setupTime,
+    connectionWait: runner.connectionWait,
+    queueTime: runner.queueTime,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
