fix(relay): statements leave a proxy only for pinned connections

After a loss of power of all proxies, targets keep the former connections for seconds. A statement that met the connection limit went to peers that found the same, and owners reported a short wait, so that peers were asked again every 50 ms in place of 250 ms.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -20,6 +20,7 @@
   TargetLink,
 } from '@kelpstep/targets';
 
+import {RETRY_BACKOFF_MS, backoffAfter} from './attempt_backoff';
 import {
   DEFAULT_RETRY_AFTER_MS,
   type DispatchRequest,
@@ -32,7 +33,7 @@
   statementKindOf,
 } from './dispatch_types';
 import {type Attempt, awaitHedged, createRetryBudget} from './hedged_attempt';
-import {createStartWaits} from './start_wait';
+import {LONGEST_IMMEDIATE_WAIT_MS, createStartWaits} from './start_wait';
 import {
   type SelectedTarget,
   type TargetSearch,
@@ -68,19 +69,17 @@
    * target is expected to be available or to accept a connection.
    */
   expectedWait(request: DispatchRequest): Milliseconds | undefined;
+  /**
+   * Predicted time until a transaction releases a connection; 0 unless
+   * transactions hold all connections that the statement could use.
+   */
+  pinnedWait(request: DispatchRequest): Milliseconds;
   /** Samples the state of the group's primary; to be called on every tick. */
   observePrimary(group: TargetGroup): void;
 }
 
 /** Maximum number of attempts that are sent for one statement. */
 const MAXIMUM_ATTEMPTS = 8;
-/**
- * Backoff after an attempt failed, unless the target lagged or no connection
- * could be opened; also the interval between look-ups of an unknown group.
- */
-const RETRY_BACKOFF_MS: Milliseconds = 15;
-/** Backoff after no connection to a target could be opened. */
-const RECONNECT_BACKOFF_MS: Milliseconds = 40;
 /**
  * Minimum hedge delay. If a read is unanswered for this time, its answer is
  * lost or the target is slow, and a second attempt is made. The delay is below
@@ -283,11 +282,13 @@
         outcome.kind === 'unreached' &&
         outcome.failure === 'tooManyConnections';
       if (isConnectionMissing) {
-        if (!isPrimaryChanging(group.group) && mayTryPeers()) {
+        const wait = pinnedWait(request);
+        // Without pinned connections, the target is at its limit for other
+        // proxies. Peers would find the same, so the statement is retried here.
+        const hasNoRoom = wait > LONGEST_IMMEDIATE_WAIT_MS;
+        if (hasNoRoom && !isPrimaryChanging(group.group) && mayTryPeers()) {
           return undefined;
         }
-        const links = selector.linksFor(group, request) ?? [];
-        const wait = startWaits.untilRelease(links, request);
         if (timer.now() + wait > until) {
           progress.retryAfter = retryAfterWait(runtime.random, wait);
           return refuse(progress, NO_ROOM);
@@ -296,12 +297,18 @@
       const endWait = isConnectionMissing
         ? startWaits.begin(selected.link.target, request)
         : () => {};
-      yield* sleep(backoffAfter(outcome, progress));
+      yield* sleep(backoffAfter(outcome, progress.reason));
       endWait();
     }
     return refuse(progress, progress.reason);
   }
 
+  function pinnedWait(request: DispatchRequest): Milliseconds {
+    const group = options.group(request.route.group);
+    const links = group && selector.linksFor(group, request);
+    return links === undefined ? 0 : startWaits.untilUnpinned(links, request);
+  }
+
   /**
    * Finds the group; waits while it is unknown, as it may be after the start.
    */
@@ -315,16 +322,6 @@
     return options.group(name);
   }
 
-  function backoffAfter(
-    outcome: StatementOutcome,
-    {reason}: DispatchProgress,
-  ): Milliseconds {
-    if (outcome.kind === 'unreached') {
-      return RECONNECT_BACKOFF_MS;
-    }
-    return reason === 'lagging' ? 0 : RETRY_BACKOFF_MS;
-  }
-
   /**
    * The result after an attempt; undefined if the statement is to be tried
    * again.
@@ -412,6 +409,7 @@
     dispatch,
     tryDispatch,
     observePrimary: selector.observePrimary,
+    pinnedWait,
     expectedWait(request) {
       const group = options.group(request.route.group);
       const links = group && selector.linksFor(group, request);
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -291,14 +291,15 @@
 }
 
 /**
- * The answer to a statement for which there was no connection after all. The
- * sender does not ask again at once.
+ * The answer to a statement for which there was no connection after all. A
+ * short prediction is left out, as it was wrong: the target is at its limit for
+ * an unknown time, and the sender is not to ask again soon.
  */
 function noRoom(wait: Milliseconds | undefined, runs: number): RelayResult {
   const answer = {kind: 'notRun' as const, reason: NO_ROOM, runs};
-  return wait === undefined
+  return wait === undefined || wait <= LONGEST_IMMEDIATE_WAIT_MS
     ? answer
-    : {...answer, wait: Math.max(wait, LONGEST_IMMEDIATE_WAIT_MS)};
+    : {...answer, wait};
 }
 
 /** Sets the session's current variables; a session never removes variables. */
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -269,9 +269,13 @@
     return undefined;
   }
 
-  /** True if the request has to wait longer here than to be sent to a peer. */
+  /**
+   * True if transactions hold all connections here for longer than it takes to
+   * send the request to a peer. A queue alone is no reason: after a loss of
+   * power the peers have queues as well.
+   */
   function hasNoRoom(request: DispatchRequest): boolean {
-    return (local.expectedWait(request) ?? 0) > LONGEST_IMMEDIATE_WAIT_MS;
+    return local.pinnedWait(request) > LONGEST_IMMEDIATE_WAIT_MS;
   }
 
   function* dispatchLocally(request: DispatchRequest): Task<DispatchResult> {
--- a/packages/gateway/src/start_wait.ts
+++ b/packages/gateway/src/start_wait.ts
@@ -37,8 +37,11 @@
     links: readonly AwaitedLink[],
     request: DispatchRequest,
   ): Milliseconds;
-  /** Like `expected`, for a statement that is the first to be started. */
-  untilRelease(
+  /**
+   * Predicted time until a transaction releases a connection to one of the
+   * targets; 0 unless transactions hold all connections.
+   */
+  untilUnpinned(
     links: readonly AwaitedLink[],
     request: DispatchRequest,
   ): Milliseconds;
@@ -123,13 +126,12 @@
       const need = needOf(request);
       return shortest(links, request, link => waitAt(link, need));
     },
-    untilRelease(links, request) {
+    untilUnpinned(links, request) {
       const need = needOf(request);
-      return shortest(
-        links,
-        request,
-        link => link.connectionWait(need).untilRelease,
-      );
+      return shortest(links, request, link => {
+        const {untilRelease, isPinned} = link.connectionWait(need);
+        return isPinned ? untilRelease : 0;
+      });
     },
   };
 }
