--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -65,15 +65,11 @@
     mayTryPeers: () => boolean,
   ): Task<DispatchResult | undefined>;
   /**
-   * Predicted time until a target starts the statement; undefined while no
-   * target is expected to be available or to accept a connection.
+   * Predicted time until there is a connection for the statement, 0 unless
+   * transactions hold all of them; undefined while no target is expected to be
+   * available or to accept a connection.
    */
   expectedWait(request: DispatchRequest): Milliseconds | undefined;
-  /**
-   * Predicted time until a transaction releases a connection; 0 unless
-   * transactions hold all connections that the statement could use.
-   */
-  pinnedWait(request: DispatchRequest): Milliseconds;
   /** Samples the state of the group's primary; to be called on every tick. */
   observePrimary(group: TargetGroup): void;
 }
@@ -282,7 +278,7 @@
         outcome.kind === 'unreached' &&
         outcome.failure === 'tooManyConnections';
       if (isConnectionMissing) {
-        const wait = pinnedWait(request);
+        const wait = expectedWait(request) ?? 0;
         // Without pinned connections, the target is at its limit for other
         // proxies. Peers would find the same, so the statement is retried here.
         const hasNoRoom = wait > LONGEST_IMMEDIATE_WAIT_MS;
@@ -303,10 +299,10 @@
     return refuse(progress, progress.reason);
   }
 
-  function pinnedWait(request: DispatchRequest): Milliseconds {
+  function expectedWait(request: DispatchRequest): Milliseconds | undefined {
     const group = options.group(request.route.group);
     const links = group && selector.linksFor(group, request);
-    return links === undefined ? 0 : startWaits.untilUnpinned(links, request);
+    return links && startWaits.expected(links, request);
   }
 
   /**
@@ -409,11 +405,6 @@
     dispatch,
     tryDispatch,
     observePrimary: selector.observePrimary,
-    pinnedWait,
-    expectedWait(request) {
-      const group = options.group(request.route.group);
-      const links = group && selector.linksFor(group, request);
-      return links && startWaits.expected(links, request);
-    },
+    expectedWait,
   };
 }
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -271,11 +271,10 @@
 
   /**
    * True if transactions hold all connections here for longer than it takes to
-   * send the request to a peer. A queue alone is no reason: after a loss of
-   * power the peers have queues as well.
+   * send the request to a peer.
    */
   function hasNoRoom(request: DispatchRequest): boolean {
-    return local.pinnedWait(request) > LONGEST_IMMEDIATE_WAIT_MS;
+    return (local.expectedWait(request) ?? 0) > LONGEST_IMMEDIATE_WAIT_MS;
   }
 
   function* dispatchLocally(request: DispatchRequest): Task<DispatchResult> {
--- a/packages/gateway/src/start_wait.ts
+++ b/packages/gateway/src/start_wait.ts
@@ -1,7 +1,7 @@
 /**
- * Predicts when a statement can start at this proxy, from the state of its
- * connections, the statements that wait for one, and the queues of targets.
- * Does no input or output.
+ * Predicts when a statement gets a connection of this proxy while transactions
+ * hold all of them, from the times of transactions and the statements that wait
+ * already. Does no input or output.
  *
  * This matters when idle transactions hold this proxy's connections while other
  * connection owners have free ones.
@@ -14,12 +14,7 @@
 /** What the prediction needs to know of a target. */
 export type AwaitedLink = Pick<
   TargetLink,
-  | 'target'
-  | 'registration'
-  | 'connectionWait'
-  | 'queueTime'
-  | 'isReached'
-  | 'isStarved'
+  'target' | 'registration' | 'connectionWait' | 'isReached' | 'isStarved'
 >;
 
 /** Predictions for new statements, with the statements that wait already. */
@@ -30,21 +25,15 @@
    */
   begin(target: string, request: DispatchRequest): () => void;
   /**
-   * Predicted time until the first of the targets starts the statement; 0 if
-   * none is reached, because an attempt then shows which ones are.
+   * Predicted time until the first of the targets has a connection for the
+   * statement; 0 unless transactions hold all connections. A queue counts
+   * nothing: it is ordered by worth, so only the queue itself can decide whether
+   * a statement would start too late in it.
    */
   expected(
     links: readonly AwaitedLink[],
     request: DispatchRequest,
   ): Milliseconds;
-  /**
-   * Predicted time until a transaction releases a connection to one of the
-   * targets; 0 unless transactions hold all connections.
-   */
-  untilUnpinned(
-    links: readonly AwaitedLink[],
-    request: DispatchRequest,
-  ): Milliseconds;
 }
 
 /**
@@ -52,18 +41,6 @@
  * round trip between regions, which trying another owner takes.
  */
 export const LONGEST_IMMEDIATE_WAIT_MS: Milliseconds = 50;
-/**
- * Maximum part of a prediction that is due to the queue. A queue is ordered by
- * the worth of statements, so only the queue itself can decide whether a
- * statement would start too late in it.
- */
-const MAXIMUM_QUEUE_TIME_MS: Milliseconds = 250;
-
-interface WaitingCounts {
-  statements: number;
-  begins: number;
-}
-
 function needOf(request: DispatchRequest): ConnectionNeed {
   return {
     user: request.account,
@@ -90,31 +67,19 @@
 
 /** Creates predictions without waiting statements. */
 export function createStartWaits(): StartWaits {
-  const waiting = new Map<string, WaitingCounts>();
-
-  function countsOf(target: string): WaitingCounts {
-    const counts = waiting.get(target) ?? {statements: 0, begins: 0};
-    waiting.set(target, counts);
-    return counts;
-  }
+  /** Transactions that wait for a connection, by target. */
+  const waitingBegins = new Map<string, number>();
 
   function add(target: string, {statement}: DispatchRequest, count: number) {
-    const counts = countsOf(target);
-    counts.statements += count;
-    counts.begins += statement.kind === 'begin' ? count : 0;
+    const change = statement.kind === 'begin' ? count : 0;
+    waitingBegins.set(target, (waitingBegins.get(target) ?? 0) + change);
   }
 
   function waitAt(link: AwaitedLink, need: ConnectionNeed): Milliseconds {
     const {untilRelease, isPinned} = link.connectionWait(need);
-    const {statements, begins} = countsOf(link.target);
-    // A single statement soon passes a released connection on; a transaction
-    // keeps it.
-    const ahead = isPinned ? begins : statements;
-    const queueTime = Math.min(
-      MAXIMUM_QUEUE_TIME_MS,
-      link.queueTime(need.kind),
-    );
-    return untilRelease * (1 + ahead) + queueTime;
+    // Each of the transactions ahead keeps a connection that is released.
+    const ahead = waitingBegins.get(link.target) ?? 0;
+    return isPinned ? untilRelease * (1 + ahead) : 0;
   }
 
   return {
@@ -126,12 +91,5 @@
       const need = needOf(request);
       return shortest(links, request, link => waitAt(link, need));
     },
-    untilUnpinned(links, request) {
-      const need = needOf(request);
-      return shortest(links, request, link => {
-        const {untilRelease, isPinned} = link.connectionWait(need);
-        return isPinned ? untilRelease : 0;
-      });
-    },
   };
 }
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -66,8 +66,6 @@
   expectedTime(kind: string): Milliseconds;
   /** See `TargetLink.connectionWait`. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
-  /** Predicted time for which a new statement of this kind is queued. */
-  queueTime(kind: string): Milliseconds;
   /** Starts queued statements; call it when a connection becomes available. */
   dispatch(): void;
   /** Refuses all queued statements and starts no more. */
@@ -255,12 +253,6 @@
       : {untilRelease: pins.expectedRelease(timer.now()), isPinned: true};
   }
 
-  function queueTime(kind: string): Milliseconds {
-    return admission.queued() === 0
-      ? 0
-      : admission.expectedTime(kind) - admission.expected(kind);
-  }
-
   function admit(
     statement: StatementRequest,
     serve: (run: RunningRequest) => Task<void>,
@@ -307,7 +299,6 @@
     },
     expectedTime: admission.expectedTime,
     connectionWait,
-    queueTime,
     dispatch,
     close() {
       isClosed = true;
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -95,8 +95,6 @@
   expectedTime(kind: string): Milliseconds;
   /** Predicts when a new statement gets a connection of this proxy. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
-  /** Predicted time for which a new statement of this kind is queued. */
-  queueTime(kind: string): Milliseconds;
   /**
    * Measured time to open a connection for the user; 0 while it has an idle
    * connection, and if it is undefined.
@@ -311,7 +309,6 @@
     expectedTime: runner.expectedTime,
     setupTime: connections.setupTime,
     connectionWait: runner.connectionWait,
-    queueTime: runner.queueTime,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
