fix(scenarios): a caller retries after a frozen proxy missed its deadline

Cause: a proxy that thaws more than 3 s after a request was sent, but within the caller's margin of 500 ms for the answer, answers DEADLINE_PASSED. The caller of the tests took this as final, although each of its attempts has a deadline of its own. An attempt that is lost at the same frozen proxy was already sent again.

The caller now retries if the deadline of the attempt has passed by its own clock. An answer before the deadline still ends the request, so a proxy that refuses too early is found as before. Ruled out: a longer time for an attempt (only moves the window of 500 ms).

--- a/packages/scenarios/src/processes/session_caller.ts
+++ b/packages/scenarios/src/processes/session_caller.ts
@@ -68,8 +68,15 @@
   return {text: 'append ? ?', parameters: [list, entry]};
 }
 
-function isRetryable(failure: Failure): boolean {
-  return ERRORS[failure.name].retryable || failure.outcome === 'unknown';
+/**
+ * True if a new attempt may succeed. `DEADLINE_PASSED` is final for a request,
+ * but each attempt has a deadline of its own: a proxy that was frozen answers
+ * so when it thaws. Before the deadline, the answer is an error of the proxy.
+ */
+function isRetryable(failure: Failure, deadline: number): boolean {
+  return failure.name === 'DEADLINE_PASSED'
+    ? realClock.wallClock() >= deadline
+    : ERRORS[failure.name].retryable || failure.outcome === 'unknown';
 }
 
 /** Creates a caller with a new session. */
@@ -82,17 +89,18 @@
   let token = '';
   let nextIndex = 0;
 
-  async function sendOnce<P extends object, R>(
+  async function attempt<P extends object, R>(
     address: string,
     method: Method<P, R>,
     parameters: Omit<P, 'group' | 'token' | 'deadline'>,
+    deadline: number,
   ): Promise<Result<R, Failure>> {
     const timeout = attemptTime + ANSWER_MARGIN_MS;
     const fullParameters = {
       ...parameters,
       group: options.group,
       token,
-      deadline: realClock.wallClock() + attemptTime,
+      deadline,
     } as unknown as P;
     const reply = await createHttpClient({address, timeout}).request(
       method,
@@ -108,6 +116,10 @@
     return reply;
   }
 
+  function nextDeadline(): number {
+    return realClock.wallClock() + attemptTime;
+  }
+
   /** Skips a proxy for a time after it answered that it is stopping. */
   function avoidStoppingProxy(address: string, {name}: Failure): void {
     if (name === 'STOPPING') {
@@ -132,12 +144,13 @@
     while (realClock.now() < giveUpAt) {
       const address = nextProxy();
       if (address !== undefined) {
-        const reply = await sendOnce(address, method, parameters);
+        const deadline = nextDeadline();
+        const reply = await attempt(address, method, parameters, deadline);
         if (reply.ok) {
           return reply.val;
         }
         lastFailure = `${reply.val.name} ${reply.val.message}`;
-        if (!isRetryable(reply.val)) {
+        if (!isRetryable(reply.val, deadline)) {
           break;
         }
       }
@@ -157,5 +170,12 @@
     return rows.map(row => String(row[0]));
   }
 
-  return {sendOnce, send, append, list, failures: () => failures};
+  return {
+    sendOnce: (address, method, parameters) =>
+      attempt(address, method, parameters, nextDeadline()),
+    send,
+    append,
+    list,
+    failures: () => failures,
+  };
 }
