fix(succession): repeat unanswered promotion orders sooner where they are fenced

Cause: after an unanswered order, the proxy polled the target for 1,250 ms before it repeated the order, the time of the longest promotion. That wait protects nothing where the platform refuses orders of lower epochs: each repetition names the same target with a higher epoch.

With the setting arePromotionsFenced (on the platform: bounds.fencing) the wait is 350 ms. Without it nothing changes. Orders are bounded by 9 s and by 6 answered ones, as before by 6 orders of 1.55 s.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -123,6 +123,11 @@
   readonly open: OpenTargetConnection;
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
+  /**
+   * True if the platform refuses promotion orders with a lower epoch than an
+   * earlier one; false by default.
+   */
+  readonly arePromotionsFenced?: boolean;
   readonly policies: AdmissionPolicies;
   readonly events: StatementProxyEvents;
   /** Addresses of proxies to contact first; they may be out of date. */
@@ -244,6 +249,7 @@
       store,
       rowWriter,
       orderPromotion,
+      arePromotionsFenced: options.arePromotionsFenced ?? false,
       self: self.proxy,
       table: layout.successionTable,
       readStatus: options.readStatus,
--- a/packages/scenarios/__tests__/succession.spec.ts
+++ b/packages/scenarios/__tests__/succession.spec.ts
@@ -11,6 +11,8 @@
  * Time for detection, decision and round trips, in addition to the promotion.
  */
 const DECISION_TIME_MS = 1000;
+/** Time for an order to count as unanswered, and to be repeated. */
+const REPETITION_TIME_MS = 700;
 
 describe('a succession', () => {
   test('pauses every replica before one is promoted', () => {
@@ -47,6 +49,34 @@
     }
   });
 
+  // Guards against a group without a primary for seconds because orders are
+  // left unanswered and are executed late.
+  test('repeats unanswered promotion orders soon if late ones are refused', () => {
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+      const simulation = createStatementSimulation({
+        seed,
+        duration: 2 * DURATION_MS,
+        arePromotionsFenced: true,
+      });
+      const {group, timer} = simulation;
+      timer.advance(WARM_UP_MS);
+      group.crash(PRIMARY);
+      simulation.latePromotionShare = 1;
+      timer.advance(DECISION_TIME_MS - 100);
+      simulation.latePromotionShare = 0;
+      const isReplaced = timer.runUntil(
+        () => group.primary() !== undefined,
+        REPETITION_TIME_MS + PROMOTION_TIME_MS,
+      );
+      simulation.finish();
+      expect({seed, isReplaced, broken: simulation.checker.broken()}).toEqual({
+        seed,
+        isReplaced: true,
+        broken: [],
+      });
+    }
+  });
+
   test('that is planned completes before the old primary stops', () => {
     for (const seed of [1, 2, 3, 4, 5]) {
       const simulation = createStatementSimulation({
--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -66,6 +66,8 @@
   readonly openingTime?: Milliseconds;
   /** False if proxies do not relay statements to each other. */
   readonly relays?: boolean;
+  /** True if proxies know that late promotions are refused; false by default. */
+  readonly arePromotionsFenced?: boolean;
 }
 
 /** A running simulation. Tests inject faults and read results through it. */
@@ -262,6 +264,7 @@
         group.open(endpoint, address, user, timeout, firstRequests),
       readStatus,
       orderPromotion,
+      arePromotionsFenced: options.arePromotionsFenced ?? false,
       policies: {
         queue: VALUE_PER_SLOT_TIME,
         createConcurrencyLimit: createAdaptiveLimit,
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -65,6 +65,8 @@
   readonly table: string;
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
+  /** True if the platform refuses orders with a lower epoch than an earlier one. */
+  readonly arePromotionsFenced: boolean;
   readonly events: SuccessionEvents;
   /** True if another proxy reports that it reaches the group's primary. */
   isLeaderReachedElsewhere(): Task<boolean>;
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -35,6 +35,8 @@
   readonly group: TargetGroup;
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
+  /** True if the platform refuses orders with a lower epoch than an earlier one. */
+  readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
 }
 
@@ -107,11 +109,13 @@
 const POLL_INTERVAL_MS: Milliseconds = 20;
 /** Time for a target to report the primary role after a confirmed promotion. */
 const LEADERSHIP_TIMEOUT_MS: Milliseconds = 3000;
+/** Maximum number of answered orders per selected target. */
+const MAXIMUM_ANSWERED_ORDERS = 6;
 /**
- * Maximum number of promotion orders per selected target, each with its own
+ * Time for which orders for a selected target are repeated, each with its own
  * epoch.
  */
-const MAXIMUM_ORDERS = 6;
+const PROMOTION_TIMEOUT_MS: Milliseconds = 9000;
 /**
  * A promotion order is usually answered within milliseconds. Without an answer
  * it may have been executed or lost, or may be executed seconds later; the
@@ -123,6 +127,12 @@
  * detects it.
  */
 const UNANSWERED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 1250;
+/**
+ * The same time where the platform refuses orders of lower epochs: an order that
+ * is repeated too early then does no harm, and the group has no primary
+ * meanwhile.
+ */
+const FENCED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 350;
 /**
  * A primary is isolated if this many probes in a row find all replicas behind.
  */
@@ -142,6 +152,9 @@
 ): SuccessionSteps {
   const {runtime, group, self, onStep} = options;
   const {timer} = runtime;
+  const unansweredLeadershipTimeout = options.arePromotionsFenced
+    ? FENCED_LEADERSHIP_TIMEOUT_MS
+    : UNANSWERED_LEADERSHIP_TIMEOUT_MS;
 
   function* promoteSuccessor(
     rowWriter: SuccessionRowWriter,
@@ -314,7 +327,9 @@
     rowWriter: SuccessionRowWriter,
     target: string,
   ): Task<boolean> {
-    for (let attempt = 0; attempt < MAXIMUM_ORDERS; attempt++) {
+    const giveUpAt = timer.now() + PROMOTION_TIMEOUT_MS;
+    let answeredOrders = 0;
+    while (answeredOrders < MAXIMUM_ANSWERED_ORDERS && timer.now() < giveUpAt) {
       const {epoch} = rowWriter.succession();
       const pendingReply = options.orderPromotion({
         group: group.group,
@@ -326,10 +341,9 @@
         (yield* waitWithTimeout(pendingReply, PROMOTION_REPLY_TIMEOUT_MS)) ??
         'unanswered';
       onStep(`promotion ${reply}`, target, epoch);
+      answeredOrders += reply === 'unanswered' ? 0 : 1;
       const leadershipTimeout =
-        reply === 'done'
-          ? LEADERSHIP_TIMEOUT_MS
-          : UNANSWERED_LEADERSHIP_TIMEOUT_MS;
+        reply === 'done' ? LEADERSHIP_TIMEOUT_MS : unansweredLeadershipTimeout;
       const mayLead = reply === 'done' || reply === 'unanswered';
       if (mayLead && (yield* becomesPrimary(target, leadershipTimeout))) {
         return true;
