--- a/packages/table-feed/__tests__/tables_at_start.spec.ts
+++ b/packages/table-feed/__tests__/tables_at_start.spec.ts
@@ -18,6 +18,8 @@
 const TABLES_BOUND_WITHOUT_DISTRIBUTORS_MS = 600;
 const CALLS_PER_PROXY = 2;
 const CALLS_PER_DISTRIBUTOR = 20;
+/** Without the wait for named distributors at least 743. */
+const MOST_CALLS_IN_100_MS = 700;
 const CENTRE = 'centre-1';
 
 type Stop = 'kill' | 'powerOff';
@@ -142,6 +144,25 @@
     }
   });
 
+  test('do not call the store more often at a time if all distributors are gone', () => {
+    for (const seed of SEEDS) {
+      const {fleet, others} = stopFleet(seed, 'kill');
+      others.forEach(fleet.start);
+      const callsByTenth: number[] = [];
+      for (let tenth = 0; tenth < 10; tenth++) {
+        const before = fleet.store.calls();
+        fleet.timer.advance(100);
+        callsByTenth.push(fleet.store.calls() - before);
+      }
+      const isSpread = Math.max(...callsByTenth) <= MOST_CALLS_IN_100_MS;
+      expect({seed, missing: withoutTables(fleet, others), isSpread}).toEqual({
+        seed,
+        missing: [],
+        isSpread: true,
+      });
+    }
+  });
+
   test('have the tables although the store refuses a distributor of each data centre', () => {
     for (const seed of SEEDS) {
       const {fleet, distributors, others} = stopFleet(seed, 'kill');
