fix(targets): replace an idle connection while the target is at its limit

Cause: below its share, a connection owner whose idle connections all belong to other accounts tried to open an additional connection although the target had refused one within the last 500 ms, and kept the idle ones. mayOpen only compared with the share, so acquire never closed one, and isAvailable reported none. Apart from that, closing a connection started queued statements before its replacement was counted, so an owner at its share opened two for one.

Change: mayOpen is false while the target is at its limit and a connection is idle; acquire then closes the least recently used one and opens in its place. The replacement is counted before the idle one is closed. isAvailable no longer depends on the user.

--- a/packages/targets/src/connection_source.ts
+++ b/packages/targets/src/connection_source.ts
@@ -56,10 +56,14 @@
       if (idle !== undefined) {
         return Ok(idle);
       }
-      if (!connections.mayOpen() && !connections.evictIdle()) {
+      const {user} = statement;
+      const opening = connections.mayOpen()
+        ? connections.open(user)
+        : connections.replaceIdle(user);
+      if (opening === undefined) {
         return borrowControlConnection(statement);
       }
-      const opened = yield* waitFor(connections.open(statement.user));
+      const opened = yield* waitFor(opening);
       if (opened.ok) {
         return opened;
       }
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -61,19 +61,28 @@
    * connection, and if it is undefined.
    */
   setupTime(user: ConnectionUser): Milliseconds;
+  /**
+   * True if an additional connection may be opened. False also while the target
+   * has lately been at its limit and an idle connection can be replaced.
+   */
   mayOpen(): boolean;
   /**
-   * True if the user's statement is expected to get a connection at once: an
-   * idle one of the user, or one that is opened. At the share, an idle one of
-   * another user is closed for it.
+   * True if a statement of any user is expected to get a connection at once: an
+   * idle one, or one that is opened. An idle one of another user is closed for
+   * it at the share, and while the target is at its limit.
    */
-  isAvailable(user: ConnectionUser): boolean;
+  isAvailable(): boolean;
   /**
    * True while no connection is open and the target's limit prevents a new one.
    */
   isStarved(): boolean;
-  /** Closes the least recently used idle connection; false if none is idle. */
-  evictIdle(): boolean;
+  /**
+   * Closes the least recently used idle connection and opens one for the user in
+   * its place; undefined if none is idle.
+   */
+  replaceIdle(
+    user: ConnectionUser,
+  ): Future<Result<SharedConnection, OpenFailure>> | undefined;
   /** Opens a connection for the user, who has then taken it. */
   open(user: ConnectionUser): Future<Result<SharedConnection, OpenFailure>>;
   /** Returns a taken connection; a closed one is dropped. */
@@ -102,7 +111,7 @@
 const EXTRA_CONNECTION_COUNT = 1;
 /**
  * Time for which no connection beyond the share is opened after the target was
- * at its limit.
+ * at its limit, and idle connections are replaced instead of adding others.
  */
 const LIMIT_BACKOFF_MS: Milliseconds = 500;
 /** Time for which the pool may exceed the share while a connection is idle. */
@@ -160,17 +169,40 @@
     }
   }
 
+  function isTargetAtLimit(): boolean {
+    return options.timer.now() < atLimitUntil;
+  }
+
   function mayOpen(): boolean {
     const count = all.size + opening;
     const share = options.share();
-    const mayExceedShare = options.timer.now() >= atLimitUntil;
-    return count < (mayExceedShare ? share + EXTRA_CONNECTION_COUNT : share);
+    // An additional connection would be refused again, while an account without
+    // one can have that of another account.
+    return isTargetAtLimit()
+      ? count < share && idle.length === 0
+      : count < share + EXTRA_CONNECTION_COUNT;
   }
 
-  function isAvailable(user: ConnectionUser): boolean {
-    const isAtLimit = all.size > 0 && options.timer.now() < atLimitUntil;
-    const mayReplace = mayOpen() ? !isAtLimit : idle.length > 0;
-    return mayReplace || idle.some(shared => shared.user === user);
+  function isAvailable(): boolean {
+    const isRefused = all.size > 0 && isTargetAtLimit();
+    return idle.length > 0 || (mayOpen() && !isRefused);
+  }
+
+  /**
+   * The new connection is counted before the idle one is closed: closing starts
+   * queued statements, which must not open another connection in its place.
+   */
+  function replaceIdle(
+    user: ConnectionUser,
+  ): Future<Result<SharedConnection, OpenFailure>> | undefined {
+    const [unused] = idle;
+    if (unused === undefined) {
+      return undefined;
+    }
+    opening += 1;
+    unused.connection.close();
+    opening -= 1;
+    return open(user);
   }
 
   /**
@@ -217,12 +249,8 @@
         : measuredSetupTime.current(options.timer.now()),
     mayOpen,
     isAvailable,
-    isStarved: () => all.size === 0 && options.timer.now() < atLimitUntil,
-    evictIdle() {
-      const [unused] = idle;
-      unused?.connection.close();
-      return unused !== undefined;
-    },
+    isStarved: () => all.size === 0 && isTargetAtLimit(),
+    replaceIdle,
     open,
     release(shared) {
       if (shared.connection.isOpen()) {
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -244,7 +244,7 @@
   }: ConnectionNeed): ConnectionWait {
     const mayBorrow =
       user === undefined && !isBegin && options.controlConnection.canBorrow();
-    if (connections.isAvailable(user) || mayBorrow) {
+    if (connections.isAvailable() || mayBorrow) {
       return {untilRelease: 0, isPinned: false};
     }
     const unpinned = connections.count() - pins.count();
