--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -290,8 +290,10 @@
           return refuse(progress, NO_ROOM);
         }
       }
-      const endWait = isConnectionMissing
-        ? startWaits.begin(selected.link.target, request)
+      const isWaitingBegin =
+        isConnectionMissing && request.statement.kind === 'begin';
+      const endWait = isWaitingBegin
+        ? startWaits.addWaitingBegin(selected.link.target)
         : () => {};
       yield* sleep(backoffAfter(outcome, progress.reason));
       endWait();
--- a/packages/gateway/src/start_wait.ts
+++ b/packages/gateway/src/start_wait.ts
@@ -20,10 +20,10 @@
 /** Predictions for new statements, with the statements that wait already. */
 export interface StartWaits {
   /**
-   * Records that a statement waits for a connection to the target. The returned
-   * function is to be called when it no longer does.
+   * Records that a transaction waits for a connection to the target. The
+   * returned function is to be called once when it no longer does.
    */
-  begin(target: string, request: DispatchRequest): () => void;
+  addWaitingBegin(target: string): () => void;
   /**
    * Predicted time until the first of the targets has a connection for the
    * statement; 0 unless transactions hold all connections. A queue counts
@@ -41,6 +41,7 @@
  * round trip between regions, which trying another owner takes.
  */
 export const LONGEST_IMMEDIATE_WAIT_MS: Milliseconds = 50;
+
 function needOf(request: DispatchRequest): ConnectionNeed {
   return {
     user: request.account,
@@ -70,9 +71,13 @@
   /** Transactions that wait for a connection, by target. */
   const waitingBegins = new Map<string, number>();
 
-  function add(target: string, {statement}: DispatchRequest, count: number) {
-    const change = statement.kind === 'begin' ? count : 0;
-    waitingBegins.set(target, (waitingBegins.get(target) ?? 0) + change);
+  function add(target: string, change: 1 | -1): void {
+    const count = (waitingBegins.get(target) ?? 0) + change;
+    if (count === 0) {
+      waitingBegins.delete(target);
+    } else {
+      waitingBegins.set(target, count);
+    }
   }
 
   function waitAt(link: AwaitedLink, need: ConnectionNeed): Milliseconds {
@@ -83,9 +88,9 @@
   }
 
   return {
-    begin(target, request) {
-      add(target, request, 1);
-      return () => add(target, request, -1);
+    addWaitingBegin(target) {
+      add(target, 1);
+      return () => add(target, -1);
     },
     expected(links, request) {
       const need = needOf(request);
