fix(relay): ask older peers before a statement is refused for lack of room

Cause: a peer that answers notRun with reason 'no room' but without wait, as an older one does, counted as unknown. If another owner reported a wait that was too long, the statement was refused at once, although the older peer could have started it in time.

Change: such answers are remembered like other reports. Owners of this version give the reason 'no connection' where they know no wait, so nothing changes among them. A simulation can replace the messages that a proxy sends.

--- a/packages/gateway/__tests__/peer_reports.spec.ts
+++ b/packages/gateway/__tests__/peer_reports.spec.ts
@@ -29,6 +29,27 @@
   });
 });
 
+describe('a peer that had no room but reported no wait', () => {
+  // Guards against refusals while an older peer could start the statement.
+  test('is known as such until its report ends or another one follows', () => {
+    const reports = createPeerReports();
+    reports.recordWithoutWait('records', 'older', 0);
+    reports.record('records', 'lost', undefined, 0);
+    const at = (now: number) =>
+      ['older', 'lost', 'other'].map(proxy =>
+        reports.isWithoutWait('records', proxy, now),
+      );
+    expect([at(0), at(249), at(250)]).toEqual([
+      [true, false, false],
+      [true, false, false],
+      [false, false, false],
+    ]);
+    expect(reports.current('records', 'older', 1)).toEqual({wait: undefined});
+    reports.record('records', 'older', 100, 1);
+    expect(reports.isWithoutWait('records', 'older', 1)).toEqual(false);
+  });
+});
+
 describe('a statement that no peer starts at once', () => {
   const near = {peer: 'near', roundTrip: 1, wait: 300};
   const far = {peer: 'far', roundTrip: 40, wait: 200};
--- a/packages/gateway/src/relay/peer_reports.ts
+++ b/packages/gateway/src/relay/peer_reports.ts
@@ -23,6 +23,13 @@
     wait: Milliseconds | undefined,
     now: Milliseconds,
   ): void;
+  /**
+   * Records that a peer had no room for a statement and reported no wait, as
+   * older peers do: it may still start the statement in time.
+   */
+  recordWithoutWait(workload: string, proxy: string, now: Milliseconds): void;
+  /** True if the recent report is one of `recordWithoutWait`. */
+  isWithoutWait(workload: string, proxy: string, now: Milliseconds): boolean;
   /** The peer's report; undefined without a recent one. */
   current(
     workload: string,
@@ -40,21 +47,45 @@
  */
 const REPORT_LIFETIME_MS: Milliseconds = 250;
 
+interface StoredReport extends PeerReport {
+  readonly at: Milliseconds;
+  readonly until: Milliseconds;
+  readonly isWithoutWait: boolean;
+}
+
 /** Creates a store without reports. */
 export function createPeerReports(): PeerReports {
-  const reports = new Map<
-    string,
-    PeerReport & {readonly at: Milliseconds; readonly until: Milliseconds}
-  >();
+  const reports = new Map<string, StoredReport>();
+
+  function store(
+    workload: string,
+    proxy: string,
+    report: Omit<StoredReport, 'until'>,
+  ): void {
+    const {wait = Infinity, at} = report;
+    const until = at + Math.min(wait, REPORT_LIFETIME_MS);
+    reports.set(`${workload} ${proxy}`, {...report, until});
+  }
+
+  function find(
+    workload: string,
+    proxy: string,
+    now: Milliseconds,
+  ): StoredReport | undefined {
+    const report = reports.get(`${workload} ${proxy}`);
+    return report === undefined || now >= report.until ? undefined : report;
+  }
+
   return {
-    record(workload, proxy, wait, now) {
-      const lifetime = Math.min(wait ?? Infinity, REPORT_LIFETIME_MS);
-      const report = {wait, at: now, until: now + lifetime};
-      reports.set(`${workload} ${proxy}`, report);
-    },
+    record: (workload, proxy, wait, at) =>
+      store(workload, proxy, {wait, at, isWithoutWait: false}),
+    recordWithoutWait: (workload, proxy, at) =>
+      store(workload, proxy, {wait: undefined, at, isWithoutWait: true}),
+    isWithoutWait: (workload, proxy, now) =>
+      find(workload, proxy, now)?.isWithoutWait ?? false,
     current(workload, proxy, now) {
-      const report = reports.get(`${workload} ${proxy}`);
-      if (report === undefined || now >= report.until) {
+      const report = find(workload, proxy, now);
+      if (report === undefined) {
         return undefined;
       }
       const {wait, at} = report;
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -83,6 +83,9 @@
 const SENDER_TIMEOUT_MS: Milliseconds = 2000;
 const SENDER_CHECK_INTERVAL_MS: Milliseconds = 500;
 
+/** Reason of a refusal whose end can't be predicted. */
+const NO_CONNECTION = 'no connection';
+
 /** Creates a server without connections. */
 export function createRelayServer(options: RelayServerOptions): RelayServer {
   const {runtime, local, events} = options;
@@ -293,13 +296,13 @@
 /**
  * The answer to a statement for which there was no connection after all. A
  * short prediction is left out, as it was wrong: the target is at its limit for
- * an unknown time, and the sender is not to ask again soon.
+ * an unknown time, and the sender is not to ask again soon. The reason then
+ * differs from that of older peers, which report no wait but may have room.
  */
 function noRoom(wait: Milliseconds | undefined, runs: number): RelayResult {
-  const answer = {kind: 'notRun' as const, reason: NO_ROOM, runs};
   return wait === undefined || wait <= LONGEST_IMMEDIATE_WAIT_MS
-    ? answer
-    : {...answer, wait};
+    ? {kind: 'notRun', reason: NO_CONNECTION, runs}
+    : {kind: 'notRun', reason: NO_ROOM, runs, wait};
 }
 
 /** Sets the session's current variables; a session never removes variables. */
--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -193,10 +193,7 @@
         }
         return refusal;
       }
-      const wait = outcome.kind === 'notRun' ? outcome.wait : undefined;
-      placement.refusals += wait === undefined ? 0 : 1;
-      const workload = reportKeyOf(request);
-      reports.record(workload, peer.proxy, wait, timer.now());
+      recordReport(peer, request, outcome, placement);
       if (outcome.kind === 'lost' && request.isWrite) {
         return unansweredResult(peer, 'inDoubt');
       }
@@ -207,6 +204,23 @@
     return refusal;
   }
 
+  function recordReport(
+    {proxy}: ProxyDescriptor,
+    request: DispatchRequest,
+    outcome: RelayOutcome,
+    placement: Placement,
+  ): void {
+    const workload = reportKeyOf(request);
+    const now = timer.now();
+    const {reason = '', wait} = outcome.kind === 'notRun' ? outcome : {};
+    if (reason === NO_ROOM && wait === undefined) {
+      reports.recordWithoutWait(workload, proxy, now);
+    } else {
+      placement.refusals += wait === undefined ? 0 : 1;
+      reports.record(workload, proxy, wait, now);
+    }
+  }
+
   function unansweredResult(
     {proxy}: ProxyDescriptor,
     name: 'inDoubt' | 'timedOut',
@@ -243,25 +257,46 @@
     return chooseWaitingPlace(places, timeLeft, ownWait);
   }
 
+  /** A peer that had no room, reported no wait, and is not in `tried`. */
+  function findWithoutWait(
+    request: DispatchRequest,
+    tried: ReadonlySet<ProxyDescriptor>,
+  ): ProxyDescriptor | undefined {
+    const workload = reportKeyOf(request);
+    return usablePeers(request).find(
+      peer =>
+        !tried.has(peer) &&
+        reports.isWithoutWait(workload, peer.proxy, timer.now()),
+    );
+  }
+
   /**
    * Sends the request to the peer with the shortest reported wait, or refuses
-   * it if it can't start in time. Undefined if no peer has reported a wait, or
-   * if this proxy has the shortest one.
+   * it if it can't start in time and each older peer has refused it as well.
+   * Undefined if no peer has reported a wait, or if this proxy has the shortest
+   * one.
    */
   function* waitAtPeer(
     request: DispatchRequest,
     placement: Placement,
     ownWait: () => Milliseconds | undefined,
   ): Task<DispatchResult | undefined> {
+    const tried = new Set<ProxyDescriptor>();
     for (let count = 0; count < MAXIMUM_REFUSALS; count++) {
       const choice = chooseToWait(request, ownWait());
-      if (choice.kind === 'refused') {
-        return refuse(NO_ROOM, retryAfterWait(random, choice.wait));
-      }
-      if (choice.kind !== 'peer') {
-        return undefined;
+      const peer =
+        choice.kind === 'refused'
+          ? findWithoutWait(request, tried)
+          : choice.kind === 'peer'
+            ? choice.peer
+            : undefined;
+      if (peer === undefined) {
+        return choice.kind === 'refused'
+          ? refuse(NO_ROOM, retryAfterWait(random, choice.wait))
+          : undefined;
       }
-      const result = yield* tryPeers(request, [choice.peer], true, placement);
+      tried.add(peer);
+      const result = yield* tryPeers(request, [peer], true, placement);
       if (result !== undefined) {
         return result;
       }
--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -31,6 +31,7 @@
   createStandInGroup,
   createStandInStore,
 } from '@kelpstep/stand-ins';
+import type {Transport} from '@kelpstep/rpc';
 import type {OrderPromotion, PromotionReply} from '@kelpstep/succession';
 import type {TargetRegistration} from '@kelpstep/targets';
 
@@ -38,6 +39,10 @@
 import {GROUP, ROUTES, createConfiguration} from './statement_routes';
 import type {OperationCounts} from './operation_counts';
 import {IGNORED_EVENTS, readStatus} from './proxy_stubs';
+import {
+  type ReplaceMessage,
+  createReplacingTransport,
+} from './replacing_transport';
 import {startSessionCallers} from './session_callers';
 
 /**
@@ -66,6 +71,11 @@
   readonly openingTime?: Milliseconds;
   /** False if proxies do not relay statements to each other. */
   readonly relays?: boolean;
+  /**
+   * Replaces a message that a proxy sends to another one; for proxies of an
+   * older version. By default messages are sent unchanged.
+   */
+  readonly replaceMessage?: ReplaceMessage;
 }
 
 /** A running simulation. Tests inject faults and read results through it. */
@@ -221,6 +231,14 @@
     return `incarnation ${incarnations.get(proxy) ?? 0} of ${proxy}`;
   }
 
+  function transportOf(proxy: string): Transport {
+    const transport = relays.transportFor(hostOf(proxy));
+    const {replaceMessage: replace} = options;
+    return replace === undefined
+      ? transport
+      : createReplacingTransport(transport, sent => replace(proxy, sent));
+  }
+
   function startProxy(proxy: string): void {
     incarnations.set(proxy, (incarnations.get(proxy) ?? 0) + 1);
     const endpoint = endpointOf(proxy);
@@ -234,7 +252,7 @@
         address: feedAddressOf(proxy),
         relayAddress: relayAddressOf(proxy),
       },
-      transport: relays.transportFor(hostOf(proxy)),
+      transport: transportOf(proxy),
       capacity: 1,
       store: store.clientOf(proxy),
       stalenessBounds: {...STALENESS_BOUNDS, revocation: options.revocation},
