--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -14,6 +14,7 @@
 import {
   type GroupSettings,
   TICK_PERIOD_MS,
+  type LinkLoad,
   type TargetGroup,
   type TargetGroupEvents,
   type TargetRegistration,
@@ -68,6 +69,12 @@
   stop(): void;
 }
 
+/** Load of a target of a group. */
+export interface GroupTargetLoad extends LinkLoad {
+  readonly group: string;
+  readonly target: string;
+}
+
 /** Serves the sessions of callers by running their statements on targets. */
 export interface Gateway {
   readonly configuration: ActiveConfiguration;
@@ -80,6 +87,8 @@
    * them.
    */
   group(name: string): TargetGroup | undefined;
+  /** The load of each target to which this proxy keeps connections. */
+  targetLoads(): readonly GroupTargetLoad[];
   /** Starts to serve a session; returns at once. */
   serve(caller: CallerConnection): void;
   /**
@@ -275,6 +284,12 @@
       updateGroups();
     },
     group: name => groups.get(name)?.group,
+    targetLoads: () =>
+      [...groups.values()].flatMap(({group}) =>
+        group
+          .links()
+          .map(({target, load}) => ({group: group.group, target, ...load()})),
+      ),
     serve(caller) {
       sessions.add(caller);
       const {events} = options;
--- a/packages/targets/src/shared_connections.ts
+++ b/packages/targets/src/shared_connections.ts
@@ -89,6 +89,10 @@
   release(shared: SharedConnection): void;
   /** Number of connections that are open or being opened. */
   count(): number;
+  /** Number of open connections. */
+  openCount(): number;
+  /** Number of open connections that nothing uses. */
+  idleCount(): number;
   /**
    * Closes the least recently used idle connection if, at all calls for
    * `IDLE_TIMEOUT_MS`, the pool exceeded the share and had an idle connection.
@@ -259,6 +263,8 @@
       options.onAvailable();
     },
     count: () => all.size + opening,
+    openCount: () => all.size,
+    idleCount: () => idle.length,
     trim,
     closeAll() {
       for (const shared of [...all]) {
--- a/packages/targets/src/statement_request.ts
+++ b/packages/targets/src/statement_request.ts
@@ -46,6 +46,17 @@
   readonly isPinned: boolean;
 }
 
+/** Connections for statements to a target, and statements queued for it. */
+export interface LinkLoad {
+  /** Open connections that nothing uses. */
+  readonly idle: number;
+  /** Connections that single statements, or begins of transactions, use. */
+  readonly used: number;
+  /** Connections that transactions keep. */
+  readonly pinned: number;
+  readonly queued: number;
+}
+
 /** Whether a statement was answered, and if not, whether it was sent. */
 export type StatementOutcome =
   | {readonly kind: 'answered'; readonly answer: StatementAnswer}
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -32,6 +32,7 @@
   ConnectionWait,
   StatementOutcome,
   StatementRequest,
+  LinkLoad,
 } from './statement_request';
 import type {WriteProgress} from './write_progress';
 
@@ -66,6 +67,8 @@
   expectedTime(kind: string): Milliseconds;
   /** See `TargetLink.connectionWait`. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** See `TargetLink.load`. */
+  load(): LinkLoad;
   /** Starts queued statements; call it when a connection becomes available. */
   dispatch(): void;
   /** Refuses all queued statements and starts no more. */
@@ -253,6 +256,14 @@
       : {untilRelease: pins.expectedRelease(timer.now()), isPinned: true};
   }
 
+  function load(): LinkLoad {
+    const idle = connections.idleCount();
+    const inUse = connections.openCount() - idle;
+    // A pin may last longer than its connection, which the target can close.
+    const pinned = Math.min(pins.count(), inUse);
+    return {idle, used: inUse - pinned, pinned, queued: admission.queued()};
+  }
+
   function admit(
     statement: StatementRequest,
     serve: (run: RunningRequest) => Task<void>,
@@ -299,6 +310,7 @@
     },
     expectedTime: admission.expectedTime,
     connectionWait,
+    load,
     dispatch,
     close() {
       isClosed = true;
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -33,6 +33,7 @@
   PinnedStart,
   StatementOutcome,
   StatementRequest,
+  LinkLoad,
 } from './statement_request';
 import {type CommandReply, createTargetCommands} from './target_commands';
 import {createWriteProgress} from './write_progress';
@@ -95,6 +96,8 @@
   expectedTime(kind: string): Milliseconds;
   /** Predicts when a new statement gets a connection of this proxy. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** Current connections for statements, and statements queued. */
+  load(): LinkLoad;
   /**
    * Measured time to open a connection for the user; 0 while it has an idle
    * connection, and if it is undefined.
@@ -309,6 +312,7 @@
     expectedTime: runner.expectedTime,
     setupTime: connections.setupTime,
     connectionWait: runner.connectionWait,
+    load: runner.load,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
