--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -7,6 +7,7 @@
 import {addAuditCommand} from './commands/audit';
 import {addCallCommands} from './commands/call';
 import {addDemoCommand} from './commands/demo';
+import {addLoadCommand} from './commands/load';
 import {addManifestCommands} from './commands/manifest';
 import {addProxyCommand} from './commands/proxy';
 import {addRequestsCommand} from './commands/requests';
@@ -19,6 +20,7 @@
   addManifestCommands,
   addAccountCommand,
   addStatusCommand,
+  addLoadCommand,
   addAuditCommand,
   addRequestsCommand,
   addCallCommands,
