fix(relay): looking for older peers draws no random numbers without any

Only peers without a reported wait are sorted, so the sequence of random numbers is unchanged where all peers report one.

--- a/packages/gateway/src/relay/relaying_dispatcher.ts
+++ b/packages/gateway/src/relay/relaying_dispatcher.ts
@@ -120,8 +120,15 @@
 
   function usablePeers(request: DispatchRequest): ProxyDescriptor[] {
     const usable = options.peers(request.route.group).filter(isUsable);
+    return sortNearestFirst(usable, request);
+  }
+
+  function sortNearestFirst(
+    peers: readonly ProxyDescriptor[],
+    request: DispatchRequest,
+  ): ProxyDescriptor[] {
     const rank = (peer: ProxyDescriptor) => rankOf(peer, request);
-    return nearestFirst(random, usable, rank, request.account);
+    return nearestFirst(random, peers, rank, request.account);
   }
 
   function rankOf(peer: ProxyDescriptor, request: DispatchRequest): PeerRank {
@@ -263,11 +270,15 @@
     tried: ReadonlySet<ProxyDescriptor>,
   ): ProxyDescriptor | undefined {
     const workload = reportKeyOf(request);
-    return usablePeers(request).find(
-      peer =>
-        !tried.has(peer) &&
-        reports.isWithoutWait(workload, peer.proxy, timer.now()),
-    );
+    const candidates = options
+      .peers(request.route.group)
+      .filter(
+        peer =>
+          isUsable(peer) &&
+          !tried.has(peer) &&
+          reports.isWithoutWait(workload, peer.proxy, timer.now()),
+      );
+    return sortNearestFirst(candidates, request)[0];
   }
 
   /**
