--- a/packages/table-feed/__tests__/table_feed.spec.ts
+++ b/packages/table-feed/__tests__/table_feed.spec.ts
@@ -373,6 +373,35 @@
     }
   });
 
+  // Guards against quota shares that add up to less than the whole: at the
+  // first start, proxies subscribe to seeds in other data centres.
+  test('are counted once, although some subscribe in several data centres', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const sizes = new Set(fleet.names.map(fleet.fleetSize));
+      expect({seed, sizes: [...sizes]}).toEqual({
+        seed,
+        sizes: [FLEET.proxies],
+      });
+    }
+  });
+
+  // Guards against quota shares that add up to more than the whole: those of
+  // lost proxies still count, as they may be partitioned and serve.
+  test('still count while they are lost', () => {
+    for (const seed of SEEDS) {
+      const fleet = startFleet(seed);
+      const lost = fleet.names.slice(-20);
+      lost.forEach(fleet.powerOff);
+      fleet.timer.advance(SETTLING_TIME_MS);
+      const sizes = fleet.names.slice(0, -20).map(fleet.fleetSize);
+      expect({seed, size: Math.min(...sizes.map(size => size ?? 0))}).toEqual({
+        seed,
+        size: FLEET.proxies,
+      });
+    }
+  });
+
   test('get the tables soon and with few store calls if they start together', () => {
     for (const seed of SEEDS) {
       const fleet = startFleet(seed, LARGE_FLEET);
