fix(succession): replace the primary of a split group

Cause: a proxy that has lost the primary left it in place while any peer reached it.

Change: the answer about the primary has the optional field `reachesReplica`. If no peer that reaches the primary reaches a replica, a proxy that reaches all targets to be paused replaces the primary (`split`). The steps of the succession are the same. A proxy that knows no primary no longer begins a change in which it could not pause every target. The wait after a check for an isolated primary ends early when the primary turns out to be unresponsive; it delayed the start by up to 1.5 s.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -28,6 +28,8 @@
 } from '@kelpstep/statements';
 import {
   type OrderPromotion,
+  type PeerView,
+  type PrimaryView,
   type SuccessionEvents,
   type SuccessionMonitor,
   createSuccessionRecords,
@@ -166,8 +168,8 @@
 const NO_PEERS_FAILURE = createFailure('OUTCOME_UNKNOWN', {outcome: 'not_run'});
 
 /** Primary check while there is no relay: no peer can be asked. */
-function* reachedByNoPeer(): Task<boolean> {
-  return false;
+function* reachedByNoPeer(): Task<PrimaryView> {
+  return 'unreached';
 }
 
 /** Creates a proxy, whose parts run until the runtime is shut down. */
@@ -185,7 +187,7 @@
   const self: ProxyDescriptor = {...options.self, capacity: options.capacity};
   const {timer} = runtime;
   const reportedFindings = new Set<string>();
-  let isPrimaryReachedByPeer: PrimaryCheck = reachedByNoPeer;
+  let primaryViewOfPeers: PrimaryCheck = reachedByNoPeer;
   let lostPeers: () => ReadonlySet<string> = () => NO_PEERS;
   let relay: Relay | undefined;
   /** True while the store's configuration is older than the one in force. */
@@ -214,6 +216,21 @@
     return link.isReached() && age < PRIMARY_ANSWER_WINDOW_MS;
   }
 
+  function viewOfGroup(name: string): Required<PeerView> {
+    const group = gateway.group(name);
+    const primary = group?.leader();
+    const replicas = group?.links().filter(link => link !== primary) ?? [];
+    // A replica counts as reached until its probes fail: a false answer has the
+    // primary replaced.
+    const isAnyReached = replicas.some(
+      link => link.isReached() && link.lastContactAt() !== -Infinity,
+    );
+    return {
+      reachesPrimary: primary !== undefined && hasAnsweredRecently(primary),
+      reachesReplica: !group?.hasSynchronousReplicas() || isAnyReached,
+    };
+  }
+
   function isPrimaryChanging(group: string): boolean {
     const row = successions.get(group);
     const phase = row?.succession.phase;
@@ -248,7 +265,7 @@
       table: layout.successionTable,
       readStatus: options.readStatus,
       events: events.succession(group.group),
-      isLeaderReachedElsewhere: () => isPrimaryReachedByPeer(group.group),
+      viewOfPeers: () => primaryViewOfPeers(group.group),
       row: () => successions.get(group.group),
       rowSeenAt: () =>
         Math.max(
@@ -309,15 +326,12 @@
         connectionOwners,
         events: events.gateway,
         settings: name => gateway.configuration.group(name),
-        reachesPrimary(name) {
-          const primary = gateway.group(name)?.leader();
-          return primary !== undefined && hasAnsweredRecently(primary);
-        },
+        viewOf: viewOfGroup,
         isStopping,
         registerHandlers: quota.serve,
         onListenFailure: events.onListenFailure,
       });
-      isPrimaryReachedByPeer = relay.isPrimaryReachedByPeer;
+      primaryViewOfPeers = relay.primaryViewOfPeers;
       lostPeers = relay.lost;
       return relay;
     },
--- a/packages/gateway/src/relay/create_relay.ts
+++ b/packages/gateway/src/relay/create_relay.ts
@@ -9,6 +9,7 @@
   acceptConnections,
 } from '@kelpstep/rpc';
 import type {Runtime} from '@kelpstep/runtime';
+import type {PeerView} from '@kelpstep/succession';
 import type {GroupSettings} from '@kelpstep/targets';
 
 import type {GatewayRelay} from '../create_gateway';
@@ -28,8 +29,8 @@
   readonly connectionOwners: ConnectionOwners;
   readonly events: GatewayEvents;
   settings(group: string): GroupSettings | undefined;
-  /** True if the group's primary has recently answered this proxy. */
-  reachesPrimary(group: string): boolean;
+  /** Which targets of the group have recently answered this proxy. */
+  viewOf(group: string): Required<PeerView>;
   isStopping(): boolean;
   /** Registers further request handlers for other proxies. */
   registerHandlers(handlers: HandlerTable): void;
@@ -39,8 +40,8 @@
 
 /** A relay that listens for other proxies and can send them requests. */
 export interface Relay extends GatewayRelay {
-  /** Checks whether another proxy reaches the group's primary. */
-  readonly isPrimaryReachedByPeer: PrimaryCheck;
+  /** Checks how other proxies reach the group's primary. */
+  readonly primaryViewOfPeers: PrimaryCheck;
   readonly request: RelayClient['request'];
   readonly isUsable: RelayClient['isUsable'];
   /** Relay addresses of proxies that have been unreachable for some time. */
@@ -60,7 +61,7 @@
     runtime,
     local,
     events,
-    reachesPrimary: options.reachesPrimary,
+    viewOf: options.viewOf,
     isStopping: options.isStopping,
     registerHandlers: options.registerHandlers,
   });
@@ -96,10 +97,10 @@
     stopListening();
   }
 
-  const isPrimaryReachedByPeer = createPrimaryCheck({runtime, client, peers});
+  const primaryViewOfPeers = createPrimaryCheck({runtime, client, peers});
   return {
     dispatcher,
-    isPrimaryReachedByPeer,
+    primaryViewOfPeers,
     request: client.request,
     isUsable: client.isUsable,
     lost: client.lost,
--- a/packages/gateway/src/relay/primary_check.ts
+++ b/packages/gateway/src/relay/primary_check.ts
@@ -4,6 +4,11 @@
  */
 import type {ProxyDescriptor} from '@kelpstep/table-feed';
 import {type Runtime, type Task, waitFor} from '@kelpstep/runtime';
+import {
+  type PeerView,
+  type PrimaryView,
+  combinePeerViews,
+} from '@kelpstep/succession';
 
 import {inRandomOrder} from './peer_order';
 import type {RelayClient} from './relay_client';
@@ -15,11 +20,8 @@
   peers(group: string): readonly ProxyDescriptor[];
 }
 
-/**
- * Settles with true if another proxy reaches the group's primary, and with
- * false if none is known to reach it.
- */
-export type PrimaryCheck = (group: string) => Task<boolean>;
+/** Settles with how the asked proxies reach the group's primary. */
+export type PrimaryCheck = (group: string) => Task<PrimaryView>;
 
 /**
  * Maximum number of peers that receive the request. If half of all proxies are
@@ -33,17 +35,17 @@
   const {random} = options.runtime;
   const {client} = options;
 
-  return function* isReachedByPeer(group) {
+  return function* viewOfPeers(group) {
     const usablePeers = options
       .peers(group)
       .filter(({relayAddress}) => client.isUsable(relayAddress));
     const answers = inRandomOrder(random, usablePeers)
       .slice(0, MAXIMUM_PEERS)
-      .map(({relayAddress}) => client.reachesPrimary(relayAddress, group));
-    let isReached = false;
+      .map(({relayAddress}) => client.viewOf(relayAddress, group));
+    const views: PeerView[] = [];
     for (const answer of answers) {
-      isReached = (yield* waitFor(answer)) || isReached;
+      views.push(yield* waitFor(answer));
     }
-    return isReached;
+    return combinePeerViews(views);
   };
 }
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -18,6 +18,7 @@
   waitFor,
 } from '@kelpstep/runtime';
 import type {SessionStatement, TargetRequest} from '@kelpstep/statements';
+import type {PeerView} from '@kelpstep/succession';
 import type {PinnedConnection} from '@kelpstep/targets';
 import {Err, Ok, type Result} from 'ts-results';
 
@@ -76,10 +77,10 @@
     mayWait: boolean,
   ): Task<RelayOutcome>;
   /**
-   * True if the other proxy reaches the group's primary; false if it doesn't or
-   * if this is unknown.
+   * Which targets of the group the other proxy reaches. If it doesn't answer, it
+   * counts as not reaching the primary.
    */
-  reachesPrimary(address: string, group: string): Future<boolean>;
+  viewOf(address: string, group: string): Future<PeerView>;
   /** Sends another proxy a request that is not a statement. */
   request<P, R>(
     address: string,
@@ -352,10 +353,16 @@
     return {kind: 'lost'};
   }
 
-  function reachesPrimary(address: string, group: string): Future<boolean> {
+  function viewOf(address: string, group: string): Future<PeerView> {
     return mapFuture(
       links.request(address, relayLeader, {group}, PRIMARY_CHECK_TIMEOUT_MS),
-      reply => reply.ok && reply.val.isReached,
+      reply =>
+        reply.ok
+          ? {
+              reachesPrimary: reply.val.isReached,
+              reachesReplica: reply.val.reachesReplica,
+            }
+          : {reachesPrimary: false},
     );
   }
 
@@ -377,7 +384,7 @@
   return {
     dispatch,
     request: sendRequest,
-    reachesPrimary,
+    viewOf,
     isUsable: reachability.isUsable,
     lost: reachability.lost,
     close: links.close,
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -142,7 +142,14 @@
 export const relayLeader = defineMethod(
   'relay.leader',
   z.object({group: z.string()}),
-  z.object({isReached: z.boolean()}),
+  z.object({
+    isReached: z.boolean(),
+    /**
+     * True if it reaches a target other than the primary, or if the group has no
+     * synchronous replicas. Older proxies don't send it; it then counts as true.
+     */
+    reachesReplica: z.boolean().optional(),
+  }),
 );
 
 /** Heartbeat; an answer shows that the other proxy is responsive. */
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -22,6 +22,7 @@
   type SessionSettings,
   createSessionSettings,
 } from '@kelpstep/statements';
+import type {PeerView} from '@kelpstep/succession';
 import type {PinnedConnection} from '@kelpstep/targets';
 import {Ok} from 'ts-results';
 
@@ -52,8 +53,8 @@
   readonly runtime: Runtime;
   readonly local: LocalDispatcher;
   readonly events: GatewayEvents;
-  /** True if the group's primary has recently answered this proxy. */
-  reachesPrimary(group: string): boolean;
+  /** Which targets of the group have recently answered this proxy. */
+  viewOf(group: string): Required<PeerView>;
   /** True once this proxy is stopping and accepts no new requests. */
   isStopping(): boolean;
   /** Registers further request handlers for other proxies. */
@@ -250,9 +251,10 @@
       .handle(relayPinned, message =>
         spawnFor<PinnedResult>(result => servePinned(message, result)),
       )
-      .handle(relayLeader, ({group}) =>
-        settledFuture(Ok({isReached: options.reachesPrimary(group)})),
-      )
+      .handle(relayLeader, ({group}) => {
+        const {reachesPrimary, reachesReplica} = options.viewOf(group);
+        return settledFuture(Ok({isReached: reachesPrimary, reachesReplica}));
+      })
       .handle(relayPing, () => settledFuture(Ok({})));
     options.registerHandlers(handlers);
     const peer = createRpcPeer({connection, timer, handlers});
--- a/packages/succession/index.ts
+++ b/packages/succession/index.ts
@@ -3,4 +3,5 @@
 export * from './src/succession_monitor';
 export * from './src/succession_records';
 export * from './src/succession_row';
+export * from './src/split_group';
 export type {SuccessionOutcome} from './src/succession_steps';
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,6 +15,7 @@
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
 import type {SuccessorCandidate} from './choose_successor';
+import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
 import {
   type OrderPromotion,
@@ -40,6 +41,8 @@
   | 'lost'
   /** The primary is reachable, but no replica receives records from it. */
   | 'isolated'
+  /** Peers reach the primary, but none of these reaches a replica. */
+  | 'split'
   | 'missing'
   | 'unfinished';
 
@@ -66,8 +69,8 @@
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
   readonly events: SuccessionEvents;
-  /** True if another proxy reports that it reaches the group's primary. */
-  isLeaderReachedElsewhere(): Task<boolean>;
+  /** How other proxies reach the group's primary. */
+  viewOfPeers(): Task<PrimaryView>;
   /** The group's last known succession. */
   row(): VersionedSuccession | undefined;
   /**
@@ -191,13 +194,13 @@
         continue;
       }
       yield* sleep(MAXIMUM_START_DELAY_MS * random.fraction());
-      if (yield* isPartitionedFromLeader()) {
+      const reason = yield* findConfirmedReason();
+      if (reason === 'partitioned') {
         yield* sleep(random.jitter(PARTITION_RECHECK_BACKOFF_MS, 0.5));
         continue;
       }
-      const reason = findReasonForChange();
       if (reason === 'isolated' && !(yield* steps.isIsolated(group.leader()))) {
-        yield* sleep(random.jitter(ISOLATION_RECHECK_BACKOFF_MS, 0.5));
+        yield* backOffFromIsolation();
         continue;
       }
       if (reason !== undefined && !mustDefer()) {
@@ -207,13 +210,63 @@
   }
 
   /**
-   * True if this proxy can't reach the primary but another proxy reports that
-   * it does.
+   * Waits before a primary with stalled writes is checked again. The wait ends
+   * early if there is another reason for a change: writes stall before an
+   * unresponsive primary is detected, which delayed the change by up to 1.5 s.
+   */
+  function* backOffFromIsolation(): Task<void> {
+    const backoff = random.jitter(ISOLATION_RECHECK_BACKOFF_MS, 0.5);
+    const until = timer.now() + backoff;
+    const interval = group.hasSynchronousReplicas()
+      ? MONITOR_INTERVAL_MS
+      : backoff;
+    while (timer.now() < until) {
+      yield* sleep(Math.min(interval, until - timer.now()));
+      updateMissingSince();
+      const reason = findReasonForChange();
+      if (reason !== undefined && reason !== 'isolated') {
+        return;
+      }
+    }
+  }
+
+  /**
+   * The reason for a change after peers were asked about a primary that this
+   * proxy can't reach. `partitioned`: it stays, as peers reach it or this proxy
+   * can't replace it.
    */
-  function* isPartitionedFromLeader(): Task<boolean> {
+  function* findConfirmedReason(): Task<
+    SuccessionReason | 'partitioned' | undefined
+  > {
+    const first = findReasonForChange();
+    if (first !== 'lost' && first !== 'missing') {
+      return first;
+    }
+    const view = yield* options.viewOfPeers();
+    if (view === 'serving') {
+      return 'partitioned';
+    }
     const reason = findReasonForChange();
-    const isUnreachable = reason === 'lost' || reason === 'missing';
-    return isUnreachable && (yield* options.isLeaderReachedElsewhere());
+    if (reason !== 'lost' && reason !== 'missing') {
+      return reason;
+    }
+    const hasSynchronousReplicas = group.hasSynchronousReplicas();
+    const canFinish = canFinishChange();
+    const lost = {reason, view, hasSynchronousReplicas, canFinish};
+    return reasonToReplace(lost) ?? 'partitioned';
+  }
+
+  /**
+   * True if this proxy reaches all targets that a change would pause, or the
+   * target whose promotion is already ordered.
+   */
+  function canFinishChange(): boolean {
+    const row = options.row()?.succession;
+    const leader = group.leader() ?? recordedLeader(row);
+    const others = group.links().filter(link => link !== leader);
+    const areReached =
+      others.length > 0 && others.every(link => link.isReached());
+    return areReached || findPendingTarget(row) !== '';
   }
 
   function* changePrimary(reason: SuccessionReason): Task<void> {
@@ -303,8 +356,9 @@
       return undefined;
     }
     const term = (yield* steps.highestTerm()) + 1;
-    if (reason === 'missing' && group.leader()?.isReached()) {
-      // The probe for the highest term has found a primary.
+    const isUnknown = reason === 'missing' || reason === 'split';
+    if (isUnknown && group.leader()?.isReached()) {
+      // The probe for the highest term has reached a primary.
       return undefined;
     }
     return reason === 'leaving' && leader !== undefined
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -65,6 +65,8 @@
   link(target: string): TargetLink | undefined;
   /** The newest known leader; its leadership may have ended. */
   leader(): TargetLink | undefined;
+  /** True if a commit is acknowledged only after a replica received it. */
+  hasSynchronousReplicas(): boolean;
   readonly positions: GroupPositions;
   /**
    * Waits for a position that provably covers all commits before `time`;
@@ -342,6 +344,7 @@
     links,
     link: target => members.get(target)?.link,
     leader,
+    hasSynchronousReplicas: () => settings.synchronousReplicas > 0,
     positions,
     awaitCovering,
     changes,
