fix(gateway): refuse statements that can have no proof of freshness

Cause: a proxy that reaches the primary but two or more other targets not can't prove freshness. Writes were sent to the primary, which nothing here shows to be in office.

Change: the estimator of primary outages is generic and also estimates outages of the proof. A statement goes to a peer at once if one may be tried; otherwise it is refused at once with a retry time if the proof is expected after its latest start. Such writes try peers first as well.

--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -162,7 +162,7 @@
   const stopTicks = timer.every(TICK_PERIOD_MS, () => {
     for (const {group} of groups.values()) {
       group.tick();
-      local.observePrimary(group);
+      local.observe(group);
     }
   });
   const stopOwnershipChecks = timer.every(
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -70,8 +70,8 @@
    * available or to accept a connection.
    */
   expectedWait(request: DispatchRequest): Milliseconds | undefined;
-  /** Samples the state of the group's primary; to be called on every tick. */
-  observePrimary(group: TargetGroup): void;
+  /** Samples the state of the group; to be called on every tick. */
+  observe(group: TargetGroup): void;
 }
 
 /** Maximum number of attempts that are sent for one statement. */
@@ -259,7 +259,8 @@
       }
       if (selected === undefined || 'retryAfter' in selected) {
         progress.retryAfter = selected?.retryAfter ?? progress.retryAfter;
-        return refuse(progress, progress.reason || 'no target may run it');
+        const reason = selected?.reason ?? progress.reason;
+        return refuse(progress, reason || 'no target may run it');
       }
       progress.target = selected.link.target;
       const {outcome, pinned} = yield* runCounted(search, selected, progress);
@@ -404,7 +405,7 @@
   return {
     dispatch,
     tryDispatch,
-    observePrimary: selector.observePrimary,
+    observe: selector.observe,
     expectedWait,
   };
 }
--- a/packages/gateway/src/select_target.ts
+++ b/packages/gateway/src/select_target.ts
@@ -9,10 +9,9 @@
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
 import {type DispatchRequest, statementKindOf} from './dispatch_types';
-import {
-  type PrimaryState,
-  createPrimaryOutageEstimator,
-} from './primary_outage';
+import {type NoTarget, createLateRefusals} from './late_refusals';
+import type {PrimaryState} from './primary_outage';
+import {proofState} from './proof_outage';
 import {selectReadTarget} from './select_read_target';
 
 /** A target, and the log position that it must have reached, if any. */
@@ -21,11 +20,6 @@
   readonly after: LogPosition | undefined;
 }
 
-/** No target is expected in time; one is expected after `retryAfter`. */
-export interface NoTarget {
-  readonly retryAfter: Milliseconds;
-}
-
 /**
  * Where a statement may run. `elsewhere`: a peer may have a target for it;
  * undefined: no target was available in time.
@@ -64,8 +58,11 @@
     search: TargetSearch,
     selected: SelectedTarget,
   ): SelectedTarget | undefined;
-  /** Samples the state of the group's primary; to be called on every tick. */
-  observePrimary(group: TargetGroup): void;
+  /**
+   * Samples the states of the group's primary and of its proof of freshness; to
+   * be called on every tick.
+   */
+  observe(group: TargetGroup): void;
   /**
    * Targets of which one is expected to be selected without waiting; undefined
    * if none is.
@@ -92,7 +89,7 @@
  * Maximum age of a proof of freshness with which a read is expected to run at
  * once. Traffic and status probes keep the proof younger than this.
  */
-const MAXIMUM_PROOF_AGE_MS: Milliseconds = 1000;
+export const MAXIMUM_PROOF_AGE_MS: Milliseconds = 1000;
 
 function isPosition(
   after: LogPosition | NoTarget | string | undefined,
@@ -112,11 +109,7 @@
   options: TargetSelectorOptions,
 ): TargetSelector {
   const {timer} = options.runtime;
-  const outages = createPrimaryOutageEstimator();
-
-  function observePrimary(group: TargetGroup): void {
-    outages.recordState(group.group, primaryState(group), timer.now());
-  }
+  const refusals = createLateRefusals({timer, primaryState});
 
   function primaryState(group: TargetGroup): PrimaryState {
     if (usablePrimary(group) !== undefined) {
@@ -127,21 +120,6 @@
     return isLeaving && primary?.isReached() ? 'leaving' : 'lost';
   }
 
-  /**
-   * Returns a refusal if a missing primary is expected back only after
-   * `waitUntil`.
-   */
-  function refusalIfPrimaryIsLate({
-    group,
-    waitUntil,
-  }: TargetSearch): NoTarget | undefined {
-    const now = timer.now();
-    observePrimary(group);
-    const retryAfter = outages.expected(group.group, now);
-    const isLate = retryAfter > 0 && now + retryAfter > waitUntil;
-    return isLate ? {retryAfter} : undefined;
-  }
-
   function requiredCoverageTime({
     route,
     arrivedAt,
@@ -153,6 +131,24 @@
     return arrivedAt - usable;
   }
 
+  /**
+   * Ends the selection of a statement whose proof of freshness can't be obtained
+   * here and isn't expected in time; undefined if it may wait for the proof.
+   */
+  function endWithoutProof(
+    search: TargetSearch,
+    coverageTime: Milliseconds,
+  ): NoTarget | 'elsewhere' | undefined {
+    const {group, waitUntil} = search;
+    const isProved = group.positions.lowestCovering(coverageTime) !== undefined;
+    if (isProved || proofState(group) === 'present') {
+      return undefined;
+    }
+    return shouldTryPeers(search)
+      ? 'elsewhere'
+      : refusals.ifProofIsLate(group, waitUntil);
+  }
+
   /**
    * The log position that the target must have reached. `again`: it is not
    * known yet, but there is time left; undefined: there is no time left. Other
@@ -162,9 +158,14 @@
     search: TargetSearch,
   ): Task<LogPosition | NoTarget | 'again' | 'elsewhere' | undefined> {
     const {group, work: request, waitUntil} = search;
+    const coverageTime = requiredCoverageTime(request);
+    const early = endWithoutProof(search, coverageTime);
+    if (early !== undefined) {
+      return early;
+    }
     // Only a primary proves freshness, and it may be lost during the wait.
     const covering = yield* group.awaitCovering(
-      requiredCoverageTime(request),
+      coverageTime,
       Math.min(waitUntil, timer.now() + FRESHNESS_PROOF_TIMEOUT_MS),
     );
     if (covering === undefined) {
@@ -172,7 +173,7 @@
         return 'elsewhere';
       }
       return (
-        refusalIfPrimaryIsLate(search) ??
+        refusals.ifPrimaryIsLate(group, waitUntil) ??
         (timer.now() >= waitUntil ? undefined : 'again')
       );
     }
@@ -215,7 +216,7 @@
         if (shouldTryPeers(search)) {
           return 'elsewhere';
         }
-        const late = refusalIfPrimaryIsLate(search);
+        const late = refusals.ifPrimaryIsLate(group, waitUntil);
         if (late !== undefined) {
           return late;
         }
@@ -225,7 +226,11 @@
         );
         continue;
       }
-      if (link.isStarved(request.account) && shouldTryPeers(search)) {
+      // A peer that reaches more targets knows the primary better: with two
+      // unresponsive targets it may have been replaced without notice here.
+      const isDoubtful = request.isWrite && proofState(group) === 'unproved';
+      const isUnsuitable = isDoubtful || link.isStarved(request.account);
+      if (isUnsuitable && shouldTryPeers(search)) {
         return 'elsewhere';
       }
       if (request.isWrite) {
@@ -281,7 +286,7 @@
   }
 
   return {
-    observePrimary,
+    observe: refusals.observe,
     find: search =>
       search.work.needsPrimary ? selectPrimary(search) : selectForRead(search),
     selectAlternative({group, work: request, triedAt}, selected) {
