--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -28,7 +28,6 @@
 } from '@kelpstep/statements';
 import {
   type OrderPromotion,
-  type PeerView,
   type PrimaryView,
   type SuccessionEvents,
   type SuccessionMonitor,
@@ -42,9 +41,9 @@
   createTableFeed,
 } from '@kelpstep/table-feed';
 import type {
+  GroupSettings,
   TargetGroup,
   TargetGroupEvents,
-  TargetLink,
   TargetRegistration,
 } from '@kelpstep/targets';
 import {Err} from 'ts-results';
@@ -54,7 +53,9 @@
 import type {GatewayEvents} from './gateway_events';
 import {createConnectionOwners} from './relay/connection_owners';
 import {type Relay, createRelay} from './relay/create_relay';
+import {viewOfGroup} from './relay/group_view';
 import type {PrimaryCheck} from './relay/primary_check';
+import {MAXIMUM_PROOF_AGE_MS} from './select_target';
 
 /** A decoded value, with a message for each entry that had to be ignored. */
 export interface Decoded<T> {
@@ -140,6 +141,11 @@
   quotaShare(): number;
   /** Number of groups of which this proxy is a connection owner. */
   ownedGroups(): number;
+  /**
+   * Number of groups of which this proxy is a connection owner and has no recent
+   * proof of freshness.
+   */
+  unprovedGroups(): number;
   /** Stops serving, and closes the connections of other proxies. */
   close(): void;
 }
@@ -150,12 +156,6 @@
  */
 const SUCCESSION_ROW_TIMEOUT_MS: Milliseconds = 2500;
 
-/**
- * How long a primary counts as reached after its last answered request was
- * sent: the interval between two probes and a round trip between regions.
- */
-const PRIMARY_ANSWER_WINDOW_MS: Milliseconds = 450;
-
 /**
  * Staleness bound of the succession table. It may be long: targets report the
  * primary, and the rows only make it known sooner.
@@ -211,26 +211,6 @@
     hasAccounts: () => gateway.configuration.current()?.accounts !== undefined,
   });
 
-  function hasAnsweredRecently(link: TargetLink): boolean {
-    const age = timer.now() - link.lastContactAt();
-    return link.isReached() && age < PRIMARY_ANSWER_WINDOW_MS;
-  }
-
-  function viewOfGroup(name: string): Required<PeerView> {
-    const group = gateway.group(name);
-    const primary = group?.leader();
-    const replicas = group?.links().filter(link => link !== primary) ?? [];
-    // A replica counts as reached until its probes fail: a false answer has the
-    // primary replaced.
-    const isAnyReached = replicas.some(
-      link => link.isReached() && link.lastContactAt() !== -Infinity,
-    );
-    return {
-      reachesPrimary: primary !== undefined && hasAnsweredRecently(primary),
-      reachesReplica: !group?.hasSynchronousReplicas() || isAnyReached,
-    };
-  }
-
   function isPrimaryChanging(group: string): boolean {
     const row = successions.get(group);
     const phase = row?.succession.phase;
@@ -326,7 +306,7 @@
         connectionOwners,
         events: events.gateway,
         settings: name => gateway.configuration.group(name),
-        viewOf: viewOfGroup,
+        viewOf: name => viewOfGroup(gateway.group(name), timer.now()),
         isStopping,
         registerHandlers: quota.serve,
         onListenFailure: events.onListenFailure,
@@ -393,9 +373,14 @@
     events: events.tables,
   });
 
-  function countOwnedGroups(): number {
+  function listOwnedGroups(): GroupSettings[] {
     const groups = gateway.configuration.current()?.groups ?? [];
-    return groups.filter(connectionOwners.ownsConnections).length;
+    return groups.filter(connectionOwners.ownsConnections);
+  }
+
+  function isUnproved({group}: GroupSettings): boolean {
+    const coveredAt = gateway.group(group)?.positions.coveredAt() ?? -Infinity;
+    return timer.now() - coveredAt >= MAXIMUM_PROOF_AGE_MS;
   }
 
   function close(): void {
@@ -407,7 +392,8 @@
     gateway,
     tableAges: feed.ages,
     quotaShare: quota.leasedShare,
-    ownedGroups: countOwnedGroups,
+    ownedGroups: () => listOwnedGroups().length,
+    unprovedGroups: () => listOwnedGroups().filter(isUnproved).length,
     close,
   };
 }
--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -21,6 +21,7 @@
   createRuntime,
   createVirtualTimer,
 } from '@kelpstep/runtime';
+import type {Transport} from '@kelpstep/rpc';
 import {
   type FakeNetwork,
   type LinkNetwork,
@@ -66,6 +67,8 @@
   readonly openingTime?: Milliseconds;
   /** False if proxies do not relay statements to each other. */
   readonly relays?: boolean;
+  /** Changes the transport of a proxy; unchanged by default. */
+  wrapTransport?(proxy: string, transport: Transport): Transport;
 }
 
 /** A running simulation. Tests inject faults and read results through it. */
@@ -225,6 +228,7 @@
     incarnations.set(proxy, (incarnations.get(proxy) ?? 0) + 1);
     const endpoint = endpointOf(proxy);
     const runtime = createRuntime({timer, random: random.split()});
+    const transport = relays.transportFor(hostOf(proxy));
     const {gateway, close} = createStatementProxy({
       runtime,
       self: {
@@ -234,7 +238,7 @@
         address: feedAddressOf(proxy),
         relayAddress: relayAddressOf(proxy),
       },
-      transport: relays.transportFor(hostOf(proxy)),
+      transport: options.wrapTransport?.(proxy, transport) ?? transport,
       capacity: 1,
       store: store.clientOf(proxy),
       stalenessBounds: {...STALENESS_BOUNDS, revocation: options.revocation},
