fix(gateway): refuse at once while no succession is possible

Cause: an outage of the primary that lasts longer than estimated was expected to end at any time, so that statements waited to 0.85 of their timeout. In a split group without the store nothing replaces the primary.

Change: with synchronous replicas, an outage of more than 3 s, which is longer than any change of primary, is expected to last as long again. The retry time is at most 1 s.

--- a/packages/gateway/src/late_refusals.ts
+++ b/packages/gateway/src/late_refusals.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {TargetGroup} from '@kelpstep/targets';
 
+import {MAXIMUM_FAILOVER_MS} from './outage_estimator';
 import {
   type PrimaryState,
   createPrimaryOutageEstimator,
@@ -52,10 +53,10 @@
 }
 
 /**
- * Longest retry time of refusals without a proof. The estimate grows with the
- * outage, but a peer may have a proof as soon as the primary has been replaced.
+ * Longest retry time of refusals by an estimate that grows with the outage. A
+ * peer may serve the statement as soon as the primary has been replaced.
  */
-const MAXIMUM_PROOF_RETRY_MS: Milliseconds = 1000;
+const MAXIMUM_PARTITION_RETRY_MS: Milliseconds = 1000;
 
 /** Creates refusals without observed outages. */
 export function createLateRefusals(options: LateRefusalsOptions): LateRefusals {
@@ -74,20 +75,34 @@
     return expected > 0 && timer.now() + expected > waitUntil;
   }
 
+  function refusal(
+    expected: Milliseconds,
+    waitUntil: Milliseconds,
+    reason?: string,
+  ): NoTarget | undefined {
+    const retryAfter = Math.min(expected, MAXIMUM_PARTITION_RETRY_MS);
+    return isLate(expected, waitUntil)
+      ? {retryAfter, ...(reason === undefined ? {} : {reason})}
+      : undefined;
+  }
+
   return {
     observe,
     ifPrimaryIsLate(group, waitUntil) {
       observe(group);
+      // With synchronous replicas, an outage that lasts longer than any change
+      // of primary is a partition, and is expected to last as long again.
+      const elapsed = primaryOutages.elapsed(group.group, timer.now());
+      if (group.hasSynchronousReplicas() && elapsed > MAXIMUM_FAILOVER_MS) {
+        return refusal(elapsed, waitUntil);
+      }
       const retryAfter = primaryOutages.expected(group.group, timer.now());
       return isLate(retryAfter, waitUntil) ? {retryAfter} : undefined;
     },
     ifProofIsLate(group, waitUntil) {
       observe(group);
       const expected = proofOutages.expected(group.group, timer.now());
-      const retryAfter = Math.min(expected, MAXIMUM_PROOF_RETRY_MS);
-      return isLate(expected, waitUntil)
-        ? {retryAfter, reason: NO_PROOF}
-        : undefined;
+      return refusal(expected, waitUntil, NO_PROOF);
     },
   };
 }
--- a/packages/gateway/src/outage_estimator.ts
+++ b/packages/gateway/src/outage_estimator.ts
@@ -17,6 +17,8 @@
    * group that was never served, as after the start, has no outage.
    */
   expected(group: string, now: Milliseconds): Milliseconds;
+  /** Time since the group's outage began; 0 if there is none. */
+  elapsed(group: string, now: Milliseconds): Milliseconds;
 }
 
 /** The kinds of outages and their estimates. */
@@ -39,7 +41,7 @@
  * Longest outage that changes the estimate. A longer one indicates a network
  * partition or a failure of the platform, not a change of primary.
  */
-const MAXIMUM_FAILOVER_MS: Milliseconds = 3000;
+export const MAXIMUM_FAILOVER_MS: Milliseconds = 3000;
 /**
  * Lower limit of the remaining time: an outage that lasts longer than estimated
  * may end at any time.
@@ -72,6 +74,10 @@
     }
   }
 
+  function elapsed(group: string, now: Milliseconds): Milliseconds {
+    return now - (outages.get(group)?.since ?? now);
+  }
+
   return {
     recordState(group, state, now) {
       if (state === 'present') {
@@ -85,11 +91,11 @@
       if (outage === undefined) {
         return 0;
       }
-      const elapsed = now - outage.since;
-      const remaining = estimates[outage.cause] - elapsed;
+      const remaining = estimates[outage.cause] - elapsed(group, now);
       return remaining > 0
         ? Math.max(MINIMUM_ESTIMATE_MS, remaining)
-        : remainingBeyondEstimate(elapsed);
+        : remainingBeyondEstimate(elapsed(group, now));
     },
+    elapsed,
   };
 }
