fix(succession): a proxy without replicas takes no change over

Cause: when the proxy that replaces the primary of a split group is killed, a proxy that reaches only the old primary could take the change over. It reached none of the paused replicas and abandoned the change, which delayed the others by the time between two changes.

Change: with synchronous replicas, a proxy that reaches no target other than the primary leaves an unfinished change to others.

--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -158,7 +158,7 @@
     if (leader.registration().isLeaving && hasReplacement) {
       return 'leaving';
     }
-    if (isChangeInProgress()) {
+    if (isChangeInProgress() && mayTakeOver(leader)) {
       return 'unfinished';
     }
     return hasStalledWrites(leader) ? 'isolated' : undefined;
@@ -174,6 +174,17 @@
     return phase === 'stopping' || phase === 'ordered';
   }
 
+  /**
+   * False if this proxy reaches no target that the change has paused: it could
+   * only abandon the change, which delays the proxies that can complete it.
+   */
+  function mayTakeOver(leader: TargetLink): boolean {
+    const others = group.links().filter(link => link !== leader);
+    const isCutOff =
+      others.length > 0 && !others.some(link => link.isReached());
+    return !group.hasSynchronousReplicas() || !isCutOff;
+  }
+
   /**
    * True while another proxy may still be performing a change, or the last
    * change is too recent.
