--- a/packages/scenarios/__tests__/split_groups.spec.ts
+++ b/packages/scenarios/__tests__/split_groups.spec.ts
@@ -10,11 +10,12 @@
 } from '../src/statements/statement_simulation';
 
 const SEEDS = [1, 2, 3, 4];
-const DURATION_MS = 13_000;
 const WARM_UP_MS = 4000;
 /** Time after the partition within which the group is served again. */
 const RECOVERY_TIME_MS = 2500;
 const MEASUREMENT_TIME_MS = 2000;
+/** Time after which another proxy takes a change over, and a margin. */
+const TAKEOVER_TIME_MS = 3000;
 /** An outage this long outlasts the latest start of statements of all routes. */
 const OUTAGE_MS = 3000;
 /** Refusals include the round trips to peers that have no proof either. */
@@ -24,6 +25,36 @@
 const NEAR_PRIMARY = ['proxy-1', 'proxy-3'];
 const NEAR_REPLICAS = ['proxy-2', 'proxy-4'];
 
+type WrapTransport = (proxy: string, transport: Transport) => Transport;
+
+/**
+ * Runs a simulation with each seed, heals all partitions at its end, and checks
+ * the result of `act` and that no rule was broken.
+ */
+function expectWithEachSeed(
+  expected: boolean,
+  act: (simulation: StatementSimulation) => boolean,
+  wrapTransport: WrapTransport = (proxy, transport) => transport,
+): void {
+  for (const seed of SEEDS) {
+    const simulation = createStatementSimulation({
+      seed,
+      duration: 13_000,
+      wrapTransport,
+    });
+    simulation.timer.advance(WARM_UP_MS);
+    const result = act(simulation);
+    simulation.network.healAll();
+    simulation.finish();
+    const broken = simulation.checker.broken();
+    expect({seed, result, broken}).toEqual({
+      seed,
+      result: expected,
+      broken: [],
+    });
+  }
+}
+
 function separate(
   {network, endpointOf}: StatementSimulation,
   proxies: readonly string[],
@@ -41,60 +72,42 @@
   separate(simulation, NEAR_REPLICAS, [PRIMARY]);
 }
 
-function hasNewPrimary({group}: StatementSimulation): boolean {
-  return REPLICAS.some(name => group.target(name).role() === 'primary');
-}
-
-/** Checks that the group is served in time, also when the partition heals. */
-function expectRecovery(seed: number, simulation: StatementSimulation): void {
-  const {timer, counts, network, checker} = simulation;
-  timer.advance(RECOVERY_TIME_MS);
+function isServed({timer, counts}: StatementSimulation): boolean {
   const from = timer.now();
   timer.advance(MEASUREMENT_TIME_MS);
   const {started, served} = counts.countsSince(from);
-  network.healAll();
-  simulation.finish();
-  const isServed = served / started > 0.97;
-  expect({seed, isServed, broken: checker.broken()}).toEqual({
-    seed,
-    isServed: true,
-    broken: [],
-  });
+  return served / started > 0.97;
 }
 
-/** Checks that no succession takes place, and that no rule is broken. */
-function expectSamePrimary(
-  seed: number,
-  simulation: StatementSimulation,
-): void {
-  const {timer, network, checker} = simulation;
-  const isReplaced = timer.runUntil(
-    () => hasNewPrimary(simulation),
+function isPrimaryReplaced({timer, group}: StatementSimulation): boolean {
+  return timer.runUntil(
+    () => REPLICAS.some(name => group.target(name).role() === 'primary'),
     RECOVERY_TIME_MS + MEASUREMENT_TIME_MS,
   );
-  network.healAll();
-  simulation.finish();
-  expect({seed, isReplaced, broken: checker.broken()}).toEqual({
-    seed,
-    isReplaced: false,
-    broken: [],
+}
+
+function killHolder(simulation: StatementSimulation): void {
+  const rows = simulation.store.clientOf('test').readTable('successions');
+  rows.onSettled(result => {
+    const changes = result.ok ? result.val.rows : [];
+    const values = changes.map(({value}) => JSON.stringify(value)).join();
+    NEAR_REPLICAS.filter(name => values.includes(name)).forEach(
+      simulation.killProxy,
+    );
   });
 }
 
 /** Sends messages like an older proxy, which does not know the field. */
 function asOlderProxy(transport: Transport): Transport {
-  function withoutField(connection: Connection): Connection {
-    return {
-      ...connection,
-      send(message) {
-        const text = JSON.stringify(message, (key, value: unknown) =>
-          key === 'reachesReplica' ? undefined : value,
-        );
-        connection.send(JSON.parse(text) as object);
-      },
-    };
-  }
-
+  const withoutField = (connection: Connection): Connection => ({
+    ...connection,
+    send(message) {
+      const text = JSON.stringify(message, (key, value: unknown) =>
+        key === 'reachesReplica' ? undefined : value,
+      );
+      connection.send(JSON.parse(text) as object);
+    },
+  });
   return {
     dial: (address, timeout) =>
       mapFuture(transport.dial(address, timeout), dialled =>
@@ -107,88 +120,74 @@
 
 describe('a group whose primary is partitioned from its replicas', () => {
   test('is served again although no proxy reaches both sides', () => {
-    for (const seed of SEEDS) {
-      const simulation = createStatementSimulation({
-        seed,
-        duration: DURATION_MS,
-      });
-      simulation.timer.advance(WARM_UP_MS);
+    expectWithEachSeed(true, simulation => {
       splitGroup(simulation);
-      expectRecovery(seed, simulation);
-    }
+      simulation.timer.advance(RECOVERY_TIME_MS);
+      return isServed(simulation);
+    });
   });
 
   test('is not held up by a proxy that has never known the primary', () => {
-    for (const seed of SEEDS) {
-      const simulation = createStatementSimulation({
-        seed,
-        duration: DURATION_MS,
-      });
-      const {timer} = simulation;
-      timer.advance(WARM_UP_MS);
+    expectWithEachSeed(true, simulation => {
       simulation.killProxy('proxy-2');
       simulation.startProxy('proxy-2');
       separate(simulation, ['proxy-2'], [PRIMARY]);
-      timer.advance(MEASUREMENT_TIME_MS);
+      simulation.timer.advance(MEASUREMENT_TIME_MS);
       splitGroup(simulation);
-      expectRecovery(seed, simulation);
-    }
+      simulation.timer.advance(RECOVERY_TIME_MS);
+      return isServed(simulation);
+    });
   });
 
-  test('keeps its primary if only older peers reach it', () => {
-    for (const seed of SEEDS) {
-      const simulation = createStatementSimulation({
-        seed,
-        duration: DURATION_MS,
-        wrapTransport: (proxy, transport) =>
-          NEAR_PRIMARY.includes(proxy) ? asOlderProxy(transport) : transport,
-      });
-      simulation.timer.advance(WARM_UP_MS);
+  // Guards against proxies that take the change over but can't complete it.
+  test('is served again if the proxy that replaces the primary is killed', () => {
+    expectWithEachSeed(true, simulation => {
+      const {timer, group} = simulation;
       splitGroup(simulation);
-      expectSamePrimary(seed, simulation);
-    }
+      timer.runUntil(
+        () => REPLICAS.every(target => group.target(target).isPaused()),
+        RECOVERY_TIME_MS,
+      );
+      killHolder(simulation);
+      timer.advance(TAKEOVER_TIME_MS);
+      return isServed(simulation);
+    });
+  });
+
+  test('keeps its primary if only older peers reach it', () => {
+    const wrap: WrapTransport = (proxy, transport) =>
+      NEAR_PRIMARY.includes(proxy) ? asOlderProxy(transport) : transport;
+    expectWithEachSeed(
+      false,
+      simulation => {
+        splitGroup(simulation);
+        return isPrimaryReplaced(simulation);
+      },
+      wrap,
+    );
   });
 });
 
 describe('a group that one proxy reaches completely', () => {
   test('keeps its primary although no other proxy reaches both sides', () => {
-    for (const seed of SEEDS) {
-      const simulation = createStatementSimulation({
-        seed,
-        duration: DURATION_MS,
-      });
-      simulation.timer.advance(WARM_UP_MS);
+    expectWithEachSeed(false, simulation => {
       separate(simulation, ['proxy-1'], REPLICAS);
       separate(simulation, NEAR_REPLICAS, [PRIMARY]);
-      expectSamePrimary(seed, simulation);
-    }
+      return isPrimaryReplaced(simulation);
+    });
   });
 });
 
 describe('statements without a possible proof of freshness', () => {
   test('are refused immediately instead of waiting for a proof', () => {
-    for (const seed of SEEDS) {
-      const simulation = createStatementSimulation({
-        seed,
-        duration: DURATION_MS,
-      });
+    expectWithEachSeed(true, simulation => {
       const {timer, counts, proxies} = simulation;
-      timer.advance(WARM_UP_MS);
       separate(simulation, proxies, REPLICAS);
       timer.advance(OUTAGE_MS);
       const from = timer.now();
       timer.advance(MEASUREMENT_TIME_MS);
       const times = counts.refusalDurationsBetween(from, timer.now());
-      const isImmediate =
-        times.length > 0 && Math.max(...times) <= MAXIMUM_REFUSAL_TIME_MS;
-      simulation.network.healAll();
-      simulation.finish();
-      const broken = simulation.checker.broken();
-      expect({seed, isImmediate, broken}).toEqual({
-        seed,
-        isImmediate: true,
-        broken: [],
-      });
-    }
+      return times.length > 0 && Math.max(...times) <= MAXIMUM_REFUSAL_TIME_MS;
+    });
   });
 });
