--- a/packages/gateway/src/proof_outage.ts
+++ b/packages/gateway/src/proof_outage.ts
@@ -28,9 +28,11 @@
 export function proofState(
   group: Pick<TargetGroup, 'links' | 'hasSynchronousReplicas'>,
 ): ProofState {
+  if (!group.hasSynchronousReplicas()) {
+    return 'present';
+  }
   const unresponsive = group.links().filter(link => !link.isReached());
-  return group.hasSynchronousReplicas() &&
-    unresponsive.length >= UNRESPONSIVE_WITHOUT_PROOF
+  return unresponsive.length >= UNRESPONSIVE_WITHOUT_PROOF
     ? 'unproved'
     : 'present';
 }
--- a/packages/gateway/src/select_target.ts
+++ b/packages/gateway/src/select_target.ts
@@ -140,8 +140,11 @@
     coverageTime: Milliseconds,
   ): NoTarget | 'elsewhere' | undefined {
     const {group, waitUntil} = search;
-    const isProved = group.positions.lowestCovering(coverageTime) !== undefined;
-    if (isProved || proofState(group) === 'present') {
+    // The state is checked first: it is cheap, and there is rarely an outage.
+    if (
+      proofState(group) === 'present' ||
+      group.positions.lowestCovering(coverageTime) !== undefined
+    ) {
       return undefined;
     }
     return shouldTryPeers(search)
