fix(relay): ask all owners before a group counts as split

Cause: six peers are asked about a primary. Where a group has more owners, the only one that reaches both the primary and a replica could be left out, and the primary would be replaced although it is served.

Change: if the answers say split, the remaining peers are asked as well, six at a time. The wait after a check for an isolated primary is the same as before in groups without synchronous replicas.

--- a/packages/gateway/src/relay/primary_check.ts
+++ b/packages/gateway/src/relay/primary_check.ts
@@ -24,7 +24,7 @@
 export type PrimaryCheck = (group: string) => Task<PrimaryView>;
 
 /**
- * Maximum number of peers that receive the request. If half of all proxies are
+ * Maximum number of peers that receive the request at the same time. If half of all proxies are
  * partitioned from the primary, the probability that all of these are is 1 in
  * 64.
  */
@@ -39,13 +39,21 @@
     const usablePeers = options
       .peers(group)
       .filter(({relayAddress}) => client.isUsable(relayAddress));
-    const answers = inRandomOrder(random, usablePeers)
-      .slice(0, MAXIMUM_PEERS)
-      .map(({relayAddress}) => client.viewOf(relayAddress, group));
+    const order = inRandomOrder(random, usablePeers);
     const views: PeerView[] = [];
-    for (const answer of answers) {
-      views.push(yield* waitFor(answer));
+    for (;;) {
+      const answers = order
+        .slice(views.length, views.length + MAXIMUM_PEERS)
+        .map(({relayAddress}) => client.viewOf(relayAddress, group));
+      for (const answer of answers) {
+        views.push(yield* waitFor(answer));
+      }
+      const view = combinePeerViews(views);
+      // A single peer that serves the group keeps its primary in place, so all
+      // of them are asked before the group counts as split.
+      if (view !== 'split' || views.length === order.length) {
+        return view;
+      }
     }
-    return combinePeerViews(views);
   };
 }
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -227,12 +227,13 @@
    */
   function* backOffFromIsolation(): Task<void> {
     const backoff = random.jitter(ISOLATION_RECHECK_BACKOFF_MS, 0.5);
+    if (!group.hasSynchronousReplicas()) {
+      yield* sleep(backoff);
+      return;
+    }
     const until = timer.now() + backoff;
-    const interval = group.hasSynchronousReplicas()
-      ? MONITOR_INTERVAL_MS
-      : backoff;
     while (timer.now() < until) {
-      yield* sleep(Math.min(interval, until - timer.now()));
+      yield* sleep(Math.min(MONITOR_INTERVAL_MS, until - timer.now()));
       updateMissingSince();
       const reason = findReasonForChange();
       if (reason !== undefined && reason !== 'isolated') {
