--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -28,6 +28,7 @@
 } from '@kelpstep/statements';
 import {
   type OrderPromotion,
+  type PrimaryView,
   type SuccessionEvents,
   type SuccessionMonitor,
   createSuccessionRecords,
@@ -40,9 +41,9 @@
   createTableFeed,
 } from '@kelpstep/table-feed';
 import type {
+  GroupSettings,
   TargetGroup,
   TargetGroupEvents,
-  TargetLink,
   TargetRegistration,
 } from '@kelpstep/targets';
 import {Err} from 'ts-results';
@@ -52,7 +53,9 @@
 import type {GatewayEvents} from './gateway_events';
 import {createConnectionOwners} from './relay/connection_owners';
 import {type Relay, createRelay} from './relay/create_relay';
+import {viewOfGroup} from './relay/group_view';
 import type {PrimaryCheck} from './relay/primary_check';
+import {MAXIMUM_PROOF_AGE_MS} from './select_target';
 
 /** A decoded value, with a message for each entry that had to be ignored. */
 export interface Decoded<T> {
@@ -145,6 +148,11 @@
   quotaShare(): number;
   /** Number of groups of which this proxy is a connection owner. */
   ownedGroups(): number;
+  /**
+   * Number of groups of which this proxy is a connection owner and has no recent
+   * proof of freshness.
+   */
+  unprovedGroups(): number;
   /** Stops serving, and closes the connections of other proxies. */
   close(): void;
 }
@@ -155,12 +163,6 @@
  */
 const SUCCESSION_ROW_TIMEOUT_MS: Milliseconds = 2500;
 
-/**
- * How long a primary counts as reached after its last answered request was
- * sent: the interval between two probes and a round trip between regions.
- */
-const PRIMARY_ANSWER_WINDOW_MS: Milliseconds = 450;
-
 /**
  * Staleness bound of the succession table. It may be long: targets report the
  * primary, and the rows only make it known sooner.
@@ -173,8 +175,8 @@
 const NO_PEERS_FAILURE = createFailure('OUTCOME_UNKNOWN', {outcome: 'not_run'});
 
 /** Primary check while there is no relay: no peer can be asked. */
-function* reachedByNoPeer(): Task<boolean> {
-  return false;
+function* reachedByNoPeer(): Task<PrimaryView> {
+  return 'unreached';
 }
 
 /** Creates a proxy, whose parts run until the runtime is shut down. */
@@ -192,7 +194,7 @@
   const self: ProxyDescriptor = {...options.self, capacity: options.capacity};
   const {timer} = runtime;
   const reportedFindings = new Set<string>();
-  let isPrimaryReachedByPeer: PrimaryCheck = reachedByNoPeer;
+  let primaryViewOfPeers: PrimaryCheck = reachedByNoPeer;
   let lostPeers: () => ReadonlySet<string> = () => NO_PEERS;
   let relay: Relay | undefined;
   /** True while the store's configuration is older than the one in force. */
@@ -216,11 +218,6 @@
     hasAccounts: () => gateway.configuration.current()?.accounts !== undefined,
   });
 
-  function hasAnsweredRecently(link: TargetLink): boolean {
-    const age = timer.now() - link.lastContactAt();
-    return link.isReached() && age < PRIMARY_ANSWER_WINDOW_MS;
-  }
-
   function isPrimaryChanging(group: string): boolean {
     const row = successions.get(group);
     const phase = row?.succession.phase;
@@ -256,7 +253,7 @@
       table: layout.successionTable,
       readStatus: options.readStatus,
       events: events.succession(group.group),
-      isLeaderReachedElsewhere: () => isPrimaryReachedByPeer(group.group),
+      viewOfPeers: () => primaryViewOfPeers(group.group),
       row: () => successions.get(group.group),
       rowSeenAt: () =>
         Math.max(
@@ -317,15 +314,12 @@
         connectionOwners,
         events: events.gateway,
         settings: name => gateway.configuration.group(name),
-        reachesPrimary(name) {
-          const primary = gateway.group(name)?.leader();
-          return primary !== undefined && hasAnsweredRecently(primary);
-        },
+        viewOf: name => viewOfGroup(gateway.group(name), timer.now()),
         isStopping,
         registerHandlers: quota.serve,
         onListenFailure: events.onListenFailure,
       });
-      isPrimaryReachedByPeer = relay.isPrimaryReachedByPeer;
+      primaryViewOfPeers = relay.primaryViewOfPeers;
       lostPeers = relay.lost;
       return relay;
     },
@@ -387,9 +381,14 @@
     events: events.tables,
   });
 
-  function countOwnedGroups(): number {
+  function listOwnedGroups(): GroupSettings[] {
     const groups = gateway.configuration.current()?.groups ?? [];
-    return groups.filter(connectionOwners.ownsConnections).length;
+    return groups.filter(connectionOwners.ownsConnections);
+  }
+
+  function isUnproved({group}: GroupSettings): boolean {
+    const coveredAt = gateway.group(group)?.positions.coveredAt() ?? -Infinity;
+    return timer.now() - coveredAt >= MAXIMUM_PROOF_AGE_MS;
   }
 
   function close(): void {
@@ -402,7 +401,8 @@
     tableAges: feed.ages,
     firstTablesAfter: feed.firstTablesAfter,
     quotaShare: quota.leasedShare,
-    ownedGroups: countOwnedGroups,
+    ownedGroups: () => listOwnedGroups().length,
+    unprovedGroups: () => listOwnedGroups().filter(isUnproved).length,
     close,
   };
 }
