--- a/packages/pool/src/admission.ts
+++ b/packages/pool/src/admission.ts
@@ -84,6 +84,8 @@
    */
   next(): E | undefined;
   takeAll(): E[];
+  /** Removes and returns the queued requests for which `matches` is true. */
+  takeMatching(matches: (entry: E) => boolean): E[];
   /** Marks a request as started and sent. */
   start(entry: E): RunningRequest;
   /** Requeues a request that found no free slot, and pauses for a backoff. */
@@ -95,6 +97,10 @@
   usefulConnections(): number;
   /** Predicted time until a new request of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /** Predicted time until a new request starts. */
+  startWait(): Milliseconds;
+  /** Drops all measured service times. */
+  resetServiceTimes(): void;
   inFlight(): number;
   queued(): number;
   limit(): number;
@@ -157,6 +163,10 @@
     return (slotTimeInFlight / 2 + queue.backlog()) / parallelism();
   }
 
+  function startWait(): Milliseconds {
+    return queue.size() === 0 && mayStart() ? 0 : drainTime();
+  }
+
   function mayStart(): boolean {
     if (running >= availableConcurrency()) {
       return false;
@@ -232,6 +242,7 @@
     add: queue.add,
     next,
     takeAll: queue.takeAll,
+    takeMatching: queue.takeMatching,
     start,
     waitForSlot,
     addLease() {
@@ -242,10 +253,9 @@
     },
     usefulConnections: () =>
       leases + Math.min(availableConcurrency(), running + queue.size()),
-    expectedTime(kind) {
-      const wait = queue.size() === 0 && mayStart() ? 0 : drainTime();
-      return wait + serviceTimes.expected(kind);
-    },
+    expectedTime: kind => startWait() + serviceTimes.expected(kind),
+    startWait,
+    resetServiceTimes: serviceTimes.reset,
     inFlight: () => running + leases,
     queued: queue.size,
     limit: limit.current,
--- a/packages/pool/src/admission_queue.ts
+++ b/packages/pool/src/admission_queue.ts
@@ -47,6 +47,8 @@
   recordStart(request: R): void;
   /** Removes and returns all requests. */
   takeAll(): R[];
+  /** Removes and returns the requests for which `matches` is true. */
+  takeMatching(matches: (request: R) => boolean): R[];
   size(): number;
   /** Expected slot time of all queued requests. */
   backlog(): Milliseconds;
@@ -98,11 +100,16 @@
   }
 
   /**
-   * Keeps the requests for which `keep` is true. The others are reported once
-   * the queue is consistent.
+   * Refuses the requests for which `keep` is false, once the queue is
+   * consistent.
    */
   function retain(keep: (request: R, index: number) => boolean): void {
-    const refused: R[] = [];
+    removeExcept(keep).forEach(onRefused);
+  }
+
+  /** Removes and returns the requests for which `keep` is false. */
+  function removeExcept(keep: (request: R, index: number) => boolean): R[] {
+    const removed: R[] = [];
     const kept: R[] = [];
     let keptBacklog = 0;
     waiting.forEach((request, index) => {
@@ -110,12 +117,12 @@
         kept.push(request);
         keptBacklog += request.expected;
       } else {
-        refused.push(request);
+        removed.push(request);
       }
     });
     waiting = kept;
     backlog = keptBacklog;
-    refused.forEach(onRefused);
+    return removed;
   }
 
   /**
@@ -206,6 +213,7 @@
     take,
     recordStart: shares.recordStart,
     takeAll,
+    takeMatching: matches => removeExcept(request => !matches(request)),
     size: () => waiting.length,
     backlog: () => backlog,
   };
--- a/packages/pool/src/service_times.ts
+++ b/packages/pool/src/service_times.ts
@@ -11,6 +11,8 @@
    * Approximately the shortest recent time, as an estimate for an idle target.
    */
   shortest(kind: string): Milliseconds;
+  /** Drops all observations. */
+  reset(): void;
 }
 
 /** Estimate before the first observation. */
@@ -52,6 +54,10 @@
 
   return {
     observe,
+    reset() {
+      estimates.clear();
+      overall = undefined;
+    },
     expected: kind =>
       estimates.get(kind)?.average ?? overall ?? INITIAL_SERVICE_TIME_MS,
     shortest: kind =>
--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -16,6 +16,7 @@
     onTarget: () => {},
     onConnectionOpened: () => {},
     onStatementStart: () => {},
+    onOutlier: () => {},
   }),
   succession: () => ({
     onStart: () => {},
--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -127,6 +127,7 @@
       onTarget: () => {},
       onConnectionOpened: () => {},
       onStatementStart: () => {},
+      onOutlier: () => {},
     },
     ownerCount: () => 1,
   });
--- a/packages/targets/index.ts
+++ b/packages/targets/index.ts
@@ -5,6 +5,7 @@
 export * from './src/change_signal';
 export * from './src/connection_shares';
 export * from './src/group_positions';
+export * from './src/outlier_detection';
 export * from './src/registration';
 export * from './src/shared_connections';
 export * from './src/statement_request';
--- a/packages/targets/src/statement_request.ts
+++ b/packages/targets/src/statement_request.ts
@@ -26,6 +26,8 @@
   readonly request: TargetRequest;
   /** True once the caller no longer waits for the answer. */
   isAbandoned(): boolean;
+  /** True if another target may run it instead; false by default. */
+  readonly isMovable?: boolean;
   /** Called when the statement is sent to the target. */
   onSent(): void;
 }
@@ -51,6 +53,8 @@
   | {readonly kind: 'answered'; readonly answer: StatementAnswer}
   /** Refused by admission, nothing was sent; `retryAfter` in milliseconds. */
   | {readonly kind: 'refused'; readonly retryAfter: Milliseconds}
+  /** Left the queue of an ejected target; nothing was sent. */
+  | {readonly kind: 'withdrawn'}
   /** No connection was available: nothing was sent. */
   | {readonly kind: 'unreached'; readonly failure: OpenFailure}
   /** Sent, but not answered. */
--- a/packages/targets/src/statement_runner.ts
+++ b/packages/targets/src/statement_runner.ts
@@ -66,6 +66,17 @@
   expectedTime(kind: string): Milliseconds;
   /** See `TargetLink.connectionWait`. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
+  /** Predicted time until a new statement starts. */
+  startWait(): Milliseconds;
+  /** Number of statements that may run concurrently; at least 1. */
+  concurrencyLimit(): number;
+  /**
+   * Drops measured service times, which may date from a time when the target
+   * was slow: no read would be sent there to correct them.
+   */
+  resetServiceTimes(): void;
+  /** Ends all queued statements that another target may run. */
+  withdrawQueued(): void;
   /** Starts queued statements; call it when a connection becomes available. */
   dispatch(): void;
   /** Refuses all queued statements and starts no more. */
@@ -86,6 +97,7 @@
   readonly statement: StatementRequest;
   readonly queuedAt: Milliseconds;
   serve(run: RunningRequest): Task<void>;
+  end(outcome: StatementOutcome): void;
 }
 
 /** Creates a runner with an empty queue. */
@@ -256,7 +268,7 @@
   function admit(
     statement: StatementRequest,
     serve: (run: RunningRequest) => Task<void>,
-    refuse: (retryAfter: Milliseconds) => void,
+    end: (outcome: StatementOutcome) => void,
   ): void {
     arrivals += 1;
     admission.add({
@@ -269,7 +281,8 @@
       account: statement.user,
       queuedAt: timer.now(),
       serve,
-      refuse: failure => refuse(failure.retryAfter ?? 0),
+      end,
+      refuse: ({retryAfter = 0}) => end({kind: 'refused', retryAfter}),
     });
     dispatch();
   }
@@ -280,7 +293,7 @@
       admit(
         statement,
         run => serveStatement(statement, run, result),
-        retryAfter => result.settle({kind: 'refused', retryAfter}),
+        outcome => result.settle(outcome),
       );
       return result.future;
     },
@@ -289,16 +302,21 @@
       admit(
         statement,
         run => servePin(statement, run, result),
-        retryAfter =>
-          result.settle({
-            outcome: {kind: 'refused', retryAfter},
-            pinned: undefined,
-          }),
+        outcome => result.settle({outcome, pinned: undefined}),
       );
       return result.future;
     },
     expectedTime: admission.expectedTime,
     connectionWait,
+    startWait: admission.startWait,
+    concurrencyLimit: admission.limit,
+    resetServiceTimes: admission.resetServiceTimes,
+    withdrawQueued() {
+      const withdrawn = admission.takeMatching(
+        ({statement}) => statement.isMovable === true,
+      );
+      withdrawn.forEach(({end}) => end({kind: 'withdrawn'}));
+    },
     dispatch,
     close() {
       isClosed = true;
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -19,6 +19,11 @@
 import {type ChangeSignal, createChangeSignal} from './change_signal';
 import {connectionsPerOwner} from './connection_shares';
 import {type GroupPositions, createGroupPositions} from './group_positions';
+import {
+  type OutlierDetection,
+  type OutlierEvent,
+  createOutlierDetection,
+} from './outlier_detection';
 import type {GroupSettings, TargetRegistration} from './registration';
 import {type TargetLink, createTargetLink} from './target_link';
 
@@ -34,6 +39,7 @@
   onConnectionOpened(target: string): void;
   /** Called when a statement starts, with the time that it was queued. */
   onStatementStart(target: string, queueTime: Milliseconds): void;
+  onOutlier(event: OutlierEvent): void;
 }
 
 /** What a group needs to open links to its targets. */
@@ -46,6 +52,8 @@
   readonly events: TargetGroupEvents;
   /** Number of connection owners; `Infinity` while it is unknown. */
   ownerCount(): number;
+  /** True if targets that do not answer statements are ejected. */
+  readonly outlierDetection?: boolean | undefined;
 }
 
 /** The targets of a group, as far as they are known to this proxy. */
@@ -66,6 +74,8 @@
   /** The newest known leader; its leadership may have ended. */
   leader(): TargetLink | undefined;
   readonly positions: GroupPositions;
+  /** Undefined if it is switched off. */
+  readonly outliers: OutlierDetection | undefined;
   /**
    * Waits for a position that provably covers all commits before `time`;
    * `undefined` if there is none by the deadline. Both are monotonic times.
@@ -126,6 +136,17 @@
     connectionLimit: 1,
     synchronousReplicas: 0,
   };
+  const outliers = options.outlierDetection
+    ? createOutlierDetection({
+        now: timer.now,
+        targets: () => [...members.keys()],
+        mayRunReads(target) {
+          const link = members.get(target)?.link;
+          return link?.isReached() === true && !link.registration().isLeaving;
+        },
+        onEvent: handleOutlier,
+      })
+    : undefined;
   let probeRoundStartedAt = -Infinity;
   let reportedLeader = '';
 
@@ -133,6 +154,15 @@
     return connectionsPerOwner(settings.connectionLimit, options.ownerCount());
   }
 
+  function handleOutlier(event: OutlierEvent): void {
+    events.onOutlier(event);
+    if (event.kind === 'ejected') {
+      members.get(event.target)?.link.withdrawQueued();
+    } else if (event.kind === 'readmitted') {
+      members.get(event.target)?.link.resetServiceTimes();
+    }
+  }
+
   function reportLeader(): void {
     const leadership = positions.leader();
     const name = leadership ? `${leadership.target}@${leadership.term}` : '';
@@ -175,6 +205,7 @@
     members.get(target)?.link.close();
     members.delete(target);
     positions.discard(target);
+    outliers?.forget(target);
     events.onTarget(target, event);
   }
 
@@ -292,6 +323,7 @@
   function tick(): void {
     checkSuspension();
     removeMissing();
+    outliers?.tick();
     const now = timer.now();
     for (const link of links()) {
       link.trim();
@@ -309,6 +341,7 @@
   function checkSuspension(): void {
     if (suspension.wasSuspended()) {
       positions.discardAll();
+      outliers?.dropSamples();
     }
   }
 
@@ -343,10 +376,12 @@
     link: target => members.get(target)?.link,
     leader,
     positions,
+    outliers,
     awaitCovering,
     changes,
     tick,
     close() {
+      outliers?.close();
       for (const link of links()) {
         link.close();
       }
--- a/packages/targets/src/target_link.ts
+++ b/packages/targets/src/target_link.ts
@@ -93,6 +93,17 @@
   probeStatus(): Future<TargetStatus | undefined>;
   /** Predicted time until a statement of this kind is answered. */
   expectedTime(kind: string): Milliseconds;
+  /** Predicted time until a new statement starts. */
+  startWait(): Milliseconds;
+  /** Number of statements that this proxy runs concurrently; at least 1. */
+  concurrencyLimit(): number;
+  /**
+   * Drops measured service times, which may date from a time when the target
+   * was slow: no read would be sent there to correct them.
+   */
+  resetServiceTimes(): void;
+  /** Ends all queued statements that another target may run. */
+  withdrawQueued(): void;
   /** Predicts when a new statement gets a connection of this proxy. */
   connectionWait(need: ConnectionNeed): ConnectionWait;
   /**
@@ -309,6 +320,10 @@
     expectedTime: runner.expectedTime,
     setupTime: connections.setupTime,
     connectionWait: runner.connectionWait,
+    startWait: runner.startWait,
+    concurrencyLimit: runner.concurrencyLimit,
+    resetServiceTimes: runner.resetServiceTimes,
+    withdrawQueued: runner.withdrawQueued,
     roundTrip: () => shortestRoundTrip,
     isReached: () => unresponsiveSince === undefined,
     unresponsiveSince: () => unresponsiveSince,
