feat(gateway): reads avoid ejected targets

Cause: reads are selected by expected time alone, so a target that leaves statements unanswered is selected until its queue is full.

Attempts move from dispatch.ts to attempt_runner.ts. Without outlier detection nothing changes.

--- a/packages/gateway/src/attempt_backoff.ts
+++ b/packages/gateway/src/attempt_backoff.ts
@@ -18,5 +18,8 @@
   if (kind === 'unreached') {
     return RECONNECT_BACKOFF_MS;
   }
+  if (kind === 'withdrawn') {
+    return 0;
+  }
   return reason === 'lagging' ? 0 : RETRY_BACKOFF_MS;
 }
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -45,6 +45,8 @@
   /** Number of the group's connection owners; `Infinity` while unknown. */
   ownerCount(settings: GroupSettings): number;
   isPrimaryChanging(group: string): boolean;
+  /** True if targets that do not answer statements are ejected. */
+  readonly outlierDetection?: boolean | undefined;
   /** False if the known configuration may be older than its staleness bound. */
   isConfigurationCurrent(): boolean;
   /** False if keys may have been revoked unnoticed; no key is accepted then. */
@@ -184,6 +186,7 @@
       readStatus: options.readStatus,
       policies: options.policies,
       events: options.groupEvents(name),
+      outlierDetection: options.outlierDetection,
       ownerCount: () =>
         options.ownerCount(configuration.group(name) ?? settings),
     });
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -124,6 +124,8 @@
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
   readonly policies: AdmissionPolicies;
+  /** True if targets that do not answer statements are ejected. */
+  readonly outlierDetection?: boolean | undefined;
   readonly events: StatementProxyEvents;
   /** Addresses of proxies to contact first; they may be out of date. */
   readonly seeds: readonly string[];
@@ -288,6 +290,7 @@
     open: options.open,
     readStatus: options.readStatus,
     policies: options.policies,
+    outlierDetection: options.outlierDetection,
     quota,
     events: events.gateway,
     groupEvents: events.targets,
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -2,25 +2,21 @@
  * Runs statements at targets: selects a target, bounds the wait for one, and
  * retries or refuses the statement.
  */
-import {type LogPosition, worthOfPriority} from '@kelpstep/protocol';
 import {
   type Milliseconds,
   type Runtime,
   type Task,
-  mapFuture,
   sleep,
-  waitFor,
 } from '@kelpstep/runtime';
 import {type StatementAnswer, errorAnswer} from '@kelpstep/statements';
 import type {
-  PinnedStart,
   StatementOutcome,
-  StatementRequest,
   TargetGroup,
   TargetLink,
 } from '@kelpstep/targets';
 
 import {RETRY_BACKOFF_MS, backoffAfter} from './attempt_backoff';
+import {type DispatchProgress, createAttemptRunner} from './attempt_runner';
 import {
   DEFAULT_RETRY_AFTER_MS,
   type DispatchRequest,
@@ -30,20 +26,15 @@
   latestStart,
   refusalAnswer,
   retryAfterWait,
-  statementKindOf,
 } from './dispatch_types';
-import {type Attempt, awaitHedged, createRetryBudget} from './hedged_attempt';
 import {LONGEST_IMMEDIATE_WAIT_MS, createStartWaits} from './start_wait';
 import {
   type SelectedTarget,
+  type SelectionResult,
   type TargetSearch,
   createTargetSelector,
 } from './select_target';
-import {
-  REFUSED_BY_TARGET,
-  type TrackedAttempt,
-  mayHaveRun,
-} from './statement_runs';
+import {REFUSED_BY_TARGET} from './statement_runs';
 
 /** What a local dispatcher needs: groups of targets and their state. */
 export interface DispatcherOptions {
@@ -76,23 +67,11 @@
 
 /** Maximum number of attempts that are sent for one statement. */
 const MAXIMUM_ATTEMPTS = 8;
-/**
- * Minimum hedge delay. If a read is unanswered for this time, its answer is
- * lost or the target is slow, and a second attempt is made. The delay is below
- * the tightest latency objective of callers and above the time that a target's
- * own queue adds under load.
- */
-const MINIMUM_HEDGE_DELAY_MS: Milliseconds = 280;
-/** Hedge delay of slow statements, in multiples of their expected time. */
-const HEDGE_DELAY_FACTOR = 4;
-
-interface DispatchProgress {
-  attempts: number;
-  target: string;
-  reason: string;
-  retryAfter: Milliseconds;
-  readonly triedTargets: Map<string, Milliseconds>;
-}
+/** Outcomes of attempts of which nothing was sent, and which are repeated. */
+const NOT_SENT: ReadonlySet<StatementOutcome['kind']> = new Set([
+  'unreached',
+  'withdrawn',
+]);
 
 /** Creates a dispatcher that uses only this proxy's own connections. */
 export function createDispatcher(options: DispatcherOptions): LocalDispatcher {
@@ -102,129 +81,9 @@
     runtime,
     isPrimaryChanging,
   });
-  const budget = createRetryBudget();
+  const attempts = createAttemptRunner({timer, selector});
   const startWaits = createStartWaits();
 
-  function toTargetWork(
-    request: DispatchRequest,
-    after: LogPosition | undefined,
-    onSent: () => void,
-  ): StatementRequest {
-    const {id, route, statement, shape, settings} = request;
-    const isBegin = statement.kind === 'begin';
-    return {
-      kind: statementKindOf(request),
-      worth: worthOfPriority(route.priority),
-      deadline: request.arrivedAt + route.timeout,
-      user: request.account,
-      settings,
-      shape,
-      request: {
-        ...(isBegin ? {} : {id}),
-        body: statement,
-        ...(after === undefined ? {} : {after}),
-      },
-      isAbandoned: request.isAbandoned,
-      onSent,
-    };
-  }
-
-  function startAttempt(
-    {link, after}: SelectedTarget,
-    request: DispatchRequest,
-    onSent: () => void,
-  ): Attempt {
-    const work = toTargetWork(request, after, onSent);
-    return request.statement.kind === 'begin'
-      ? link.pin(work)
-      : mapFuture(link.run(work), outcome => ({
-          outcome,
-          pinned: undefined,
-        }));
-  }
-
-  /**
-   * Runs a statement and counts the attempts that may have run. No attempt that
-   * is still queued at the end is sent later.
-   */
-  function* runCounted(
-    search: TargetSearch,
-    selected: SelectedTarget,
-    progress: DispatchProgress,
-  ): Task<PinnedStart> {
-    const attempts: TrackedAttempt[] = [];
-
-    function startTracked(
-      target: SelectedTarget,
-      request: DispatchRequest,
-      onSent: () => void,
-    ): Attempt {
-      const tracked: TrackedAttempt = {isSent: false, outcome: undefined};
-      attempts.push(tracked);
-      const attempt = startAttempt(target, request, () => {
-        tracked.isSent = true;
-        onSent();
-      });
-      attempt.onSettled(({outcome}) => {
-        tracked.outcome = outcome;
-      });
-      return attempt;
-    }
-
-    const end = yield* runAttempts(search, selected, progress, startTracked);
-    search.work.runs.add(attempts.filter(mayHaveRun).length);
-    return end;
-  }
-
-  /**
-   * Runs a statement. A read that stays unanswered gets a second attempt if the
-   * retry budget allows it.
-   */
-  function* runAttempts(
-    search: TargetSearch,
-    selected: SelectedTarget,
-    progress: DispatchProgress,
-    start: typeof startAttempt,
-  ): Task<PinnedStart> {
-    const {work: request} = search;
-    let sentAt: Milliseconds | undefined;
-    let hasEnded = false;
-    // An attempt whose answer is no longer needed leaves its queue.
-    const cancellable = {
-      ...request,
-      isAbandoned: () => hasEnded || request.isAbandoned(),
-    };
-    const first = start(selected, cancellable, () => {
-      sentAt = timer.now();
-    });
-    if (request.isWrite) {
-      return yield* waitFor(first);
-    }
-    budget.deposit();
-    const expected = selected.link.expectedTime(statementKindOf(request));
-    const end = yield* awaitHedged({
-      timer,
-      first,
-      sentAt: () => sentAt,
-      hedgeDelay: Math.max(
-        MINIMUM_HEDGE_DELAY_MS,
-        HEDGE_DELAY_FACTOR * expected,
-      ),
-      start() {
-        progress.triedTargets.set(selected.link.target, timer.now());
-        const alternative = selector.selectAlternative(search, selected);
-        if (alternative === undefined || !budget.tryWithdraw()) {
-          return undefined;
-        }
-        progress.attempts += 1;
-        progress.reason = `second attempt at ${alternative.link.target}`;
-        return start(alternative, cancellable, () => {});
-      },
-    });
-    hasEnded = true;
-    return end;
-  }
-
   function* tryDispatch(
     request: DispatchRequest,
     mayTryPeers: () => boolean,
@@ -235,12 +94,14 @@
       reason: '',
       retryAfter: DEFAULT_RETRY_AFTER_MS,
       triedTargets: new Map(),
+      refusedBy: new Set(),
     };
     const until = latestStart(request);
     const group = yield* findGroup(request.route.group, until);
     if (group === undefined) {
       return refuse(progress, 'no targets');
     }
+    let next: SelectedTarget | undefined;
     while (progress.attempts < MAXIMUM_ATTEMPTS) {
       // Unsent statements don't count as attempts; only the time bounds them.
       if (timer.now() >= until && progress.attempts === 0) {
@@ -253,7 +114,7 @@
         triedAt: progress.triedTargets,
         mayTryPeers,
       };
-      const selected = yield* selector.find(search);
+      const selected: SelectionResult = next ?? (yield* selector.find(search));
       if (selected === 'elsewhere') {
         return undefined;
       }
@@ -262,8 +123,15 @@
         return refuse(progress, progress.reason || 'no target may run it');
       }
       progress.target = selected.link.target;
-      const {outcome, pinned} = yield* runCounted(search, selected, progress);
-      progress.attempts += outcome.kind === 'unreached' ? 0 : 1;
+      const {outcome, pinned} = yield* attempts.run(search, selected, progress);
+      progress.attempts += NOT_SENT.has(outcome.kind) ? 0 : 1;
+      next =
+        outcome.kind === 'refused'
+          ? findAfterRefusal(search, selected, progress)
+          : undefined;
+      if (next !== undefined) {
+        continue;
+      }
       const result = handleOutcome(
         group,
         request,
@@ -299,6 +167,24 @@
     return refuse(progress, progress.reason);
   }
 
+  /**
+   * With outlier detection, another target that is expected to start a read in
+   * time after a target's queue has refused it.
+   */
+  function findAfterRefusal(
+    search: TargetSearch,
+    selected: SelectedTarget,
+    progress: DispatchProgress,
+  ): SelectedTarget | undefined {
+    const {group, work} = search;
+    if (group.outliers === undefined || work.needsPrimary) {
+      return undefined;
+    }
+    progress.refusedBy.add(selected.link.target);
+    progress.reason = 'overloaded';
+    return selector.selectAfterRefusal(search, selected, progress.refusedBy);
+  }
+
   function expectedWait(request: DispatchRequest): Milliseconds | undefined {
     const group = options.group(request.route.group);
     const links = group && selector.linksFor(group, request);
@@ -339,6 +225,9 @@
       case 'unreached':
         progress.reason = outcome.failure;
         return undefined;
+      case 'withdrawn':
+        progress.reason = 'target ejected';
+        return undefined;
       case 'lost':
         progress.reason = 'answer lost';
         return request.isWrite
--- a/packages/gateway/src/select_read_target.ts
+++ b/packages/gateway/src/select_read_target.ts
@@ -16,6 +16,8 @@
   /** Monotonic times at which targets were tried for this statement. */
   readonly triedAt: ReadonlyMap<string, Milliseconds>;
   readonly now: Milliseconds;
+  /** Further condition; by default all targets are admitted. */
+  isAdmitted?(link: TargetLink): boolean;
 }
 
 /**
@@ -53,14 +55,27 @@
 }
 
 function isExcluded(
-  {triedAt, now}: ReadTargetCriteria,
+  {triedAt, now, isAdmitted}: ReadTargetCriteria,
   link: TargetLink,
 ): boolean {
   const lastTriedAt = triedAt.get(link.target) ?? -Infinity;
   return (
     !link.isReached() ||
     link.registration().isLeaving ||
-    now - lastTriedAt < EXCLUSION_TIME_MS
+    now - lastTriedAt < EXCLUSION_TIME_MS ||
+    isAdmitted?.(link) === false
+  );
+}
+
+/** True if the target may run the read, however long it takes. */
+export function isEligible(
+  criteria: ReadTargetCriteria,
+  link: TargetLink,
+): boolean {
+  const isPrimary = link === criteria.group.leader();
+  return (
+    !isExcluded(criteria, link) &&
+    (isPrimary || lagPenalty(criteria, link) < Infinity)
   );
 }
 
--- a/packages/gateway/src/select_target.ts
+++ b/packages/gateway/src/select_target.ts
@@ -8,17 +8,20 @@
 } from '@kelpstep/runtime';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {selectAdmittedTarget} from './admitted_target';
 import {type DispatchRequest, statementKindOf} from './dispatch_types';
 import {
   type PrimaryState,
   createPrimaryOutageEstimator,
 } from './primary_outage';
-import {selectReadTarget} from './select_read_target';
+import type {ReadTargetCriteria} from './select_read_target';
 
 /** A target, and the log position that it must have reached, if any. */
 export interface SelectedTarget {
   readonly link: TargetLink;
   readonly after: LogPosition | undefined;
+  /** True if the read is a trial after the target's ejection. */
+  readonly isTrial?: boolean;
 }
 
 /** No target is expected in time; one is expected after `retryAfter`. */
@@ -64,6 +67,15 @@
     search: TargetSearch,
     selected: SelectedTarget,
   ): SelectedTarget | undefined;
+  /**
+   * A target for a read that a target's queue has refused; undefined if none
+   * other than those in `refusedBy` is expected to start it in time.
+   */
+  selectAfterRefusal(
+    search: TargetSearch,
+    selected: SelectedTarget,
+    refusedBy: ReadonlySet<string>,
+  ): SelectedTarget | undefined;
   /** Samples the state of the group's primary; to be called on every tick. */
   observePrimary(group: TargetGroup): void;
   /**
@@ -244,8 +256,23 @@
     }
   }
 
+  function criteriaOf(
+    {group, work: request, triedAt}: TargetSearch,
+    position: LogPosition,
+  ): ReadTargetCriteria {
+    return {
+      group,
+      kind: statementKindOf(request),
+      user: request.account,
+      isBegin: request.statement.kind === 'begin',
+      position,
+      triedAt,
+      now: timer.now(),
+    };
+  }
+
   function* selectForRead(search: TargetSearch): Task<SelectionResult> {
-    const {group, work: request, waitUntil, triedAt} = search;
+    const {group, work: request, waitUntil} = search;
     for (;;) {
       const after = yield* requiredPosition(search);
       if (after === 'again') {
@@ -254,17 +281,9 @@
       if (!isPosition(after)) {
         return after;
       }
-      const link = selectReadTarget({
-        group,
-        kind: statementKindOf(request),
-        user: request.account,
-        isBegin: request.statement.kind === 'begin',
-        position: after,
-        triedAt,
-        now: timer.now(),
-      });
-      if (link !== undefined) {
-        return {link, after};
+      const admitted = selectAdmittedTarget(criteriaOf(search, after), true);
+      if (admitted !== undefined) {
+        return {...admitted, after};
       }
       if (cannotConnect(group.links(), request) && shouldTryPeers(search)) {
         return 'elsewhere';
@@ -284,25 +303,26 @@
     observePrimary,
     find: search =>
       search.work.needsPrimary ? selectPrimary(search) : selectForRead(search),
-    selectAlternative({group, work: request, triedAt}, selected) {
-      if (request.needsPrimary || selected.after === undefined) {
+    selectAlternative(search, selected) {
+      const {after} = selected;
+      if (search.work.needsPrimary || after === undefined) {
         return selected;
       }
-      const {after} = selected;
-      const now = timer.now();
-      const kind = statementKindOf(request);
-      const user = request.account;
-      const position = after;
-      const link = selectReadTarget({
-        group,
-        kind,
-        user,
-        isBegin: request.statement.kind === 'begin',
-        position,
-        triedAt,
-        now,
-      });
-      return link && {link, after};
+      const admitted = selectAdmittedTarget(criteriaOf(search, after), false);
+      return admitted && {link: admitted.link, after};
+    },
+    selectAfterRefusal(search, {after}, refusedBy) {
+      if (after === undefined) {
+        return undefined;
+      }
+      const remaining = search.waitUntil - timer.now();
+      const criteria: ReadTargetCriteria = {
+        ...criteriaOf(search, after),
+        isAdmitted: link =>
+          !refusedBy.has(link.target) && link.startWait() <= remaining,
+      };
+      const admitted = selectAdmittedTarget(criteria, false);
+      return admitted && {link: admitted.link, after};
     },
     linksFor(group, request) {
       const primary = usablePrimary(group);
--- a/packages/gateway/src/statement_runs.ts
+++ b/packages/gateway/src/statement_runs.ts
@@ -57,6 +57,7 @@
     case 'lost':
       return true;
     case 'refused':
+    case 'withdrawn':
     case 'unreached':
       return false;
   }
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -54,6 +54,8 @@
   const faults: StandInTargetFaults = {
     refusal: undefined,
     refusesConnections: false,
+    readOutcome: () => 'answered',
+    slowness: 1,
   };
   let nextNumber = 1;
   const slots = createTargetSlots(
@@ -151,6 +153,13 @@
       answerFailure(session, answer, 'lagging');
       return;
     }
+    const outcome = faults.readOutcome();
+    if (outcome !== 'answered') {
+      if (outcome === 'failed') {
+        answerFailure(session, answer, 'failed');
+      }
+      return;
+    }
     slots.run(
       () => {
         recordRun('read', session, id, shape);
@@ -160,6 +169,7 @@
         answer({...localAnswer(state), rows, receipt: `r-${id}`, position});
       },
       () => answerFailure(session, answer, 'busy'),
+      faults.slowness * options.statementDuration,
     );
   }
 
--- a/packages/stand-ins/src/statement_group/stand_in_target_types.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target_types.ts
@@ -78,4 +78,8 @@
   refusal: 'busy' | 'lagging' | undefined;
   /** True if the target refuses to open connections. */
   refusesConnections: boolean;
+  /** Outcome of the next read; `unanswered` reads take no slot. */
+  readOutcome(): 'answered' | 'unanswered' | 'failed';
+  /** Factor of the duration of reads. */
+  slowness: number;
 }
