--- a/packages/targets/src/attempt_samples.ts
+++ b/packages/targets/src/attempt_samples.ts
@@ -19,7 +19,7 @@
   /** Monotonic time. */
   readonly sentAt: Milliseconds;
   readonly state: SampleState;
-  /** Time until the answer; 0 unless `answered`. */
+  /** Time until the state was set, or until now while `pending`. */
   readonly duration: Milliseconds;
 }
 
@@ -30,7 +30,7 @@
     kind: string,
     now: Milliseconds,
   ): (state: SampleState, now: Milliseconds) => void;
-  /** Attempts old enough to be compared whose outcome is known; newest last. */
+  /** Attempts that are old enough to be compared; newest last. */
   comparable(now: Milliseconds): readonly AttemptSample[];
   /** Time at which the newest of the answered attempts was sent. */
   lastAnsweredSentAt(): Milliseconds;
@@ -58,17 +58,19 @@
   let samples: MutableSample[] = [];
   let lastAnsweredSentAt = -Infinity;
 
-  function comparable(now: Milliseconds): MutableSample[] {
+  function comparable(now: Milliseconds): AttemptSample[] {
     const newest = now - COMPARABLE_AGE_MS;
     const end = samples.findLastIndex(({sentAt}) => sentAt <= newest) + 1;
     const oldest = newest - COMPARABLE_TIME_MS;
     return samples
       .slice(0, end)
-      .filter(
-        ({state, sentAt}) =>
-          sentAt >= oldest && state !== 'pending' && state !== 'ignored',
-      )
-      .slice(-COMPARABLE_COUNT);
+      .filter(({state, sentAt}) => sentAt >= oldest && state !== 'ignored')
+      .slice(-COMPARABLE_COUNT)
+      .map(sample =>
+        sample.state === 'pending'
+          ? {...sample, duration: now - sample.sentAt}
+          : sample,
+      );
   }
 
   return {
@@ -82,8 +84,8 @@
       samples.push(sample);
       return (state, now) => {
         sample.state = state;
+        sample.duration = now - sentAt;
         if (state === 'answered') {
-          sample.duration = now - sentAt;
           lastAnsweredSentAt = Math.max(lastAnsweredSentAt, sentAt);
         }
       };
