--- a/packages/gateway/src/admitted_target.ts
+++ b/packages/gateway/src/admitted_target.ts
@@ -73,8 +73,12 @@
   const isIn = ({target}: TargetLink) => outliers.admission(target) === 'all';
   const isAdmitted = (link: TargetLink) =>
     isIn(link) && (criteria.isAdmitted?.(link) ?? true);
-  // Targets that were tried are excluded for a short time only.
-  const untried = {...criteria, triedAt: new Map()};
+  // Targets that were tried or have refused the read could run another one.
+  const untried: ReadTargetCriteria = {
+    ...criteria,
+    triedAt: new Map(),
+    isAdmitted: () => true,
+  };
   const mayAnyRun = criteria.group
     .links()
     .some(link => isIn(link) && isEligible(untried, link));
--- a/packages/targets/__tests__/order_at_target.spec.ts
+++ b/packages/targets/__tests__/order_at_target.spec.ts
@@ -114,3 +114,26 @@
     expect(answeredAt).toBeLessThan(100);
   });
 });
+
+describe('statements that are queued for an ejected target', () => {
+  // Guards against statements that wait there although others could run them.
+  test('leave the queue if another target may run them', () => {
+    const {timer, link, createStatement} = createLoadedLink(1);
+    const ends: string[] = [];
+    for (let count = 1; count <= 16; count++) {
+      const isMovable = count % 2 === 0;
+      const statement = {
+        ...createStatement(COSTLY_ROUTE, undefined),
+        isMovable,
+      };
+      link.run(statement).onSettled(({kind}) => ends.push(kind));
+    }
+    timer.advance(1);
+    link.withdrawQueued();
+    const withdrawn = ends.filter(kind => kind === 'withdrawn').length;
+    timer.advance(COSTLY_ROUTE.timeout);
+    const answered = ends.filter(kind => kind === 'answered').length;
+    // Four statements had started, two of which are movable.
+    expect([withdrawn, answered]).toEqual([6, 10]);
+  });
+});
