fix(targets): attempts at a removed target leave no state behind

Cause: an attempt or trial that ended after its target was removed created the target's state again, or reported a change for it.

Change: only the state that is current is evaluated or changed. The spec ends a trial after the target was forgotten.

--- a/packages/targets/__tests__/outlier_detection.spec.ts
+++ b/packages/targets/__tests__/outlier_detection.spec.ts
@@ -174,7 +174,10 @@
     timer.advance(1000);
     behaviours.set('b', UNANSWERED);
     timer.advance(400);
+    timer.advance(500);
+    const trial = detection.startTrial('b', 'read');
     detection.forget('b');
+    trial.end('failure');
     expect([ejections().length, detection.admission('b')]).toEqual([2, 'all']);
   });
 });
--- a/packages/targets/src/outlier_detection.ts
+++ b/packages/targets/src/outlier_detection.ts
@@ -176,8 +176,8 @@
   }
 
   function evaluate(target: string): void {
-    const state = stateOf(target);
-    if (state.recovery.isOut() || !mayEject(target)) {
+    const state = observed.get(target);
+    if (state === undefined || isOut(target) || !mayEject(target)) {
       return;
     }
     const {samples} = state;
@@ -212,7 +212,8 @@
           ? COMPARABLE_AGE_MS
           : Math.max(TRIAL_HEDGE_DELAY_MS, slowFrom(typical)),
       end(result) {
-        if (state.trial === trial) {
+        // The target may have been removed or restarted meanwhile.
+        if (state.trial === trial && observed.get(target) === state) {
           state.trial = undefined;
           endTrial(target, state, result);
         }
