--- a/packages/gateway/__tests__/reads_with_ejected_targets.spec.ts
+++ b/packages/gateway/__tests__/reads_with_ejected_targets.spec.ts
@@ -72,6 +72,7 @@
   const group = {
     group: 'g',
     links: () => links,
+    hasSynchronousReplicas: () => true,
     leader: () => undefined,
     positions: {logOf: () => ({position: POSITION, requestedAt: 0})},
     *awaitCovering() {
