--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -65,8 +65,6 @@
   /** Running proxies without the newest configuration. */
   outdated(): string[];
   live(name: string): readonly ProxyDescriptor[] | undefined;
-  /** Number of running and recently lost proxies as one proxy knows it. */
-  fleetSize(name: string): number | undefined;
   /** Time since a proxy's configuration was known to be up to date. */
   age(name: string): Milliseconds;
   /** Time from the latest start of a proxy to its first copy of all tables. */
@@ -311,7 +309,6 @@
         version === newestVersion ? [] : [name],
       ),
     live: name => running.get(name)?.feed.live(),
-    fleetSize: name => running.get(name)?.feed.fleetSize(),
     age: name => running.get(name)?.feed.age(CONFIGURATION_TABLE) ?? Infinity,
     firstTablesAfter(name) {
       const {startedAt = 0, completeAt = Infinity} = records.get(name) ?? {};
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -176,8 +176,6 @@
     capacity: options.capacity,
     copy: distributors,
     rows: localRows,
-    hasDistributor: dataCentre =>
-      directory.rows().some(row => row.dataCentre === dataCentre),
     subscribers: server.subscribers,
     isFresh: () => stalenessOf(copies, age) <= FRESHNESS_THRESHOLD_RATIO,
     receivesFreshUpdates,
--- a/packages/table-feed/src/distributor_role.ts
+++ b/packages/table-feed/src/distributor_role.ts
@@ -41,8 +41,6 @@
   readonly copy: TableCopy;
   /** Rows of this data centre. */
   rows(): readonly DistributorRow[];
-  /** True if the rows name a distributor of a data centre. */
-  hasDistributor(dataCentre: string): boolean;
   /** Proxies that are subscribed to this one. */
   subscribers(): readonly ProxyDescriptor[];
   /** True if all table copies are fresh. */
@@ -216,22 +214,6 @@
     );
   }
 
-  /**
-   * Proxies that only this row counts: those of its data centre, and those of
-   * data centres without a distributor. While all proxies start, no data centre
-   * has one yet, so these count only after a takeover's time.
-   */
-  function countProxies(subscribers: readonly ProxyDescriptor[]): number {
-    const isStarting =
-      timer.now() - (heldSince ?? timer.now()) < TAKEOVER_PERIOD_MS;
-    const counted = subscribers.filter(
-      ({dataCentre}) =>
-        dataCentre === self.dataCentre ||
-        !(isStarting || options.hasDistributor(dataCentre)),
-    );
-    return counted.length + 1;
-  }
-
   function* maintainRow(row: DistributorRow): Task<void> {
     if (heldSince === undefined) {
       heldSince = timer.now();
@@ -241,7 +223,7 @@
         timer.now() + random.jitter(ROW_RENEWAL_PERIOD_MS, PERIOD_JITTER_RATIO);
     }
     const subscribers = currentSubscribers();
-    const recentMost = recentMaximum.recordValue(countProxies(subscribers));
+    const recentMost = recentMaximum.recordValue(subscribers.length + 1);
     const isChanged =
       recentMost !== row.most ||
       !isSameProxy(self, row.distributor) ||
--- a/packages/table-feed/src/distributor_row.ts
+++ b/packages/table-feed/src/distributor_row.ts
@@ -39,8 +39,7 @@
   subscribers: z.array(proxyDescriptorSchema).readonly(),
   /**
    * Recent maximum of the proxies that the row lists, including the
-   * distributor. Subscribers from a data centre with distributors of its own
-   * are left out, as the rows of that data centre count them.
+   * distributor.
    */
   most: z.number().int().nonnegative().default(0),
 });
@@ -103,10 +102,7 @@
 export function countRecentProxies(rows: readonly DistributorRow[]): number {
   const maximumByDataCentre = new Map<string, number>();
   for (const row of rows) {
-    const local = row.subscribers.filter(
-      ({dataCentre}) => dataCentre === row.dataCentre,
-    );
-    const count = Math.max(row.most, local.length + 1);
+    const count = Math.max(row.most, row.subscribers.length + 1);
     maximumByDataCentre.set(
       row.dataCentre,
       Math.max(count, maximumByDataCentre.get(row.dataCentre) ?? 0),
