--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -144,8 +144,6 @@
   readonly gateway: Gateway;
   /** Ages of the local copies of the store's tables. */
   tableAges(): readonly TableAge[];
-  /** Time from the start to the first copy of all tables; undefined before. */
-  firstTablesAfter(): Milliseconds | undefined;
   /** Sum of the shares of all quotas leased to this proxy now, from 0 to 1. */
   quotaShare(): number;
   /** Number of groups of which this proxy is a connection owner. */
@@ -402,7 +400,6 @@
   return {
     gateway,
     tableAges: feed.ages,
-    firstTablesAfter: feed.firstTablesAfter,
     quotaShare: quota.leasedShare,
     ownedGroups: () => listOwnedGroups().length,
     unprovedGroups: () => listOwnedGroups().filter(isUnproved).length,
--- a/packages/table-feed/__tests__/feed_fleet.ts
+++ b/packages/table-feed/__tests__/feed_fleet.ts
@@ -1,9 +1,5 @@
 /** A fleet of proxies with table feeds and one store, in virtual time. */
-import {
-  type TableRows,
-  type TableStore,
-  createRowWriter,
-} from '@kelpstep/platform';
+import {type TableRows, createRowWriter} from '@kelpstep/platform';
 import {
   type Milliseconds,
   type Runtime,
@@ -31,13 +27,8 @@
   readonly seed: number;
   readonly proxies: number;
   readonly dataCentres: number;
-  /** Number of tables, the distributor table included; 2 by default. */
-  readonly tables?: number;
 }
 
-/** Calls of the store by a process of a proxy, by table. */
-export type CallsByTable = Readonly<Record<string, number>>;
-
 /**
  * A fleet with the faults that a test can inject and the state that it can
  * read.
@@ -67,10 +58,6 @@
   live(name: string): readonly ProxyDescriptor[] | undefined;
   /** Time since a proxy's configuration was known to be up to date. */
   age(name: string): Milliseconds;
-  /** Time from the latest start of a proxy to its first copy of all tables. */
-  firstTablesAfter(name: string): Milliseconds;
-  /** Calls of the store by a proxy since its latest start. */
-  callsOf(name: string): CallsByTable;
   /** Distributors of a data centre according to the store. */
   distributors(dataCentre: string): string[];
   /** Number of subscriptions that ended because of a gap between updates. */
@@ -83,8 +70,6 @@
 
 const CONFIGURATION_TABLE = 'configuration';
 const CONFIGURATION_STALENESS_BOUND_MS: Milliseconds = 3000;
-/** Staleness bounds of the tables after the first two. */
-const OTHER_STALENESS_BOUNDS_MS: readonly Milliseconds[] = [7000, 12_000];
 const UNREADABLE_ROW_KEY = 'foreign';
 const DISTRIBUTOR_TABLE = 'distributors';
 const FEED_PORT = 7001;
@@ -100,35 +85,6 @@
   readonly runtime: Runtime;
 }
 
-/** Observations of a process since its start. */
-interface ProcessRecord {
-  readonly startedAt: Milliseconds;
-  readonly calls: Record<string, number>;
-  readonly receivedTables: Set<string>;
-  completeAt: Milliseconds;
-}
-
-/** Reports the table of each call before it is made. */
-function observeCalls(
-  store: TableStore,
-  onCall: (table: string) => void,
-): TableStore {
-  return {
-    readTable(table) {
-      onCall(table);
-      return store.readTable(table);
-    },
-    awaitChanges(table, after, wait) {
-      onCall(table);
-      return store.awaitChanges(table, after, wait);
-    },
-    transact(transaction) {
-      onCall(transaction.puts[0]?.table ?? '');
-      return store.transact(transaction);
-    },
-  };
-}
-
 /** Creates a fleet without running proxies. */
 export function createFeedFleet(options: FeedFleetOptions): FeedFleet {
   const {seed, dataCentres} = options;
@@ -160,15 +116,7 @@
     random: random.split(),
     answerTime: REPLY_TIME_MS,
   });
-  const otherTables = OTHER_STALENESS_BOUNDS_MS.slice(
-    0,
-    (options.tables ?? 2) - 2,
-  ).map((stalenessBound, index) => ({
-    table: `table-${index + 3}`,
-    stalenessBound,
-  }));
   const running = new Map<string, RunningFeed>();
-  const records = new Map<string, ProcessRecord>();
   const installedVersions = new Map<string, number>();
   const unreadableRowHolders = new Set<string>();
   let distributorRows: TableRows = new Map();
@@ -187,24 +135,7 @@
     }
   }
 
-  function recordTable(record: ProcessRecord, table: string): void {
-    record.receivedTables.add(table);
-    if (record.receivedTables.size === otherTables.length + 1) {
-      record.completeAt = Math.min(record.completeAt, timer.now());
-    }
-  }
-
   function start(name: string): void {
-    const record: ProcessRecord = {
-      startedAt: timer.now(),
-      calls: {},
-      receivedTables: new Set(),
-      completeAt: Infinity,
-    };
-    records.set(name, record);
-    const client = observeCalls(store.clientOf(name), table => {
-      record.calls[table] = (record.calls[table] ?? 0) + 1;
-    });
     const host = hostOf(name);
     const transport = network.transportFor(host);
     const runtime = createRuntime({
@@ -215,8 +146,8 @@
     const feed = createTableFeed({
       runtime,
       transport,
-      store: client,
-      rowWriter: createRowWriter(client, DISTRIBUTOR_TABLE),
+      store: store.clientOf(name),
+      rowWriter: createRowWriter(store.clientOf(name), DISTRIBUTOR_TABLE),
       self: {
         proxy: name,
         dataCentre: dataCentreOf(name),
@@ -231,15 +162,8 @@
         {
           table: CONFIGURATION_TABLE,
           stalenessBound: CONFIGURATION_STALENESS_BOUND_MS,
-          onRows(rows) {
-            recordConfiguration(name, rows);
-            recordTable(record, CONFIGURATION_TABLE);
-          },
+          onRows: rows => recordConfiguration(name, rows),
         },
-        ...otherTables.map(bound => ({
-          ...bound,
-          onRows: () => recordTable(record, bound.table),
-        })),
       ],
       events: {
         ...IGNORED_FEED_EVENTS,
@@ -275,7 +199,6 @@
   }
 
   configure();
-  otherTables.forEach(({table}) => store.put(table, 'row', {}));
   return {
     timer,
     network,
@@ -310,11 +233,6 @@
       ),
     live: name => running.get(name)?.feed.live(),
     age: name => running.get(name)?.feed.age(CONFIGURATION_TABLE) ?? Infinity,
-    firstTablesAfter(name) {
-      const {startedAt = 0, completeAt = Infinity} = records.get(name) ?? {};
-      return completeAt - startedAt;
-    },
-    callsOf: name => records.get(name)?.calls ?? {},
     distributors(dataCentre) {
       readDistributors();
       timer.advance(REPLY_TIME_MS + 1);
--- a/packages/table-feed/src/choose_sources.ts
+++ b/packages/table-feed/src/choose_sources.ts
@@ -26,12 +26,6 @@
 const FRESHNESS_THRESHOLD_SPREAD_RATIO = 0.15;
 /** Longest wait of a starting proxy for its peers, per running proxy. */
 const STARTUP_DELAY_PER_PROXY_MS: Milliseconds = 0.5;
-/**
- * Time that a starting proxy leaves the distributors of its data centre for the
- * first updates. Less than the 300 ms for which a statement waits for the first
- * configuration.
- */
-const FIRST_COPY_TIMEOUT_MS: Milliseconds = 250;
 /** Shortest wait for the seeds when a whole new deployment starts. */
 const FIRST_DISTRIBUTORS_TIMEOUT_MS: Milliseconds = 400;
 /** Local staleness above which a fallback source is used. */
@@ -67,16 +61,8 @@
   readonly localStaleness: number;
   /** False while this data centre has no distributor. */
   readonly hasLocalDistributor: boolean;
-  /**
-   * Time since the rows first named another proxy of this data centre as a
-   * distributor; undefined if they never did, or if this proxy has no address
-   * for peers.
-   */
-  readonly timeSinceLocalSource: Milliseconds | undefined;
   /** Time since this proxy started. */
   readonly uptime: Milliseconds;
-  /** True if this proxy has a copy of each table, from whatever source. */
-  readonly hasAllTables: boolean;
   readonly isDistributor: boolean;
   /**
    * Number of running proxies; undefined until the distributor rows are known.
@@ -93,7 +79,7 @@
 
 /** True if this proxy should follow the store itself. */
 export function shouldFollowStore(view: SourceView): boolean {
-  const {staleness, isDistributor, isSeed, proxies, spread} = view;
+  const {staleness, uptime, isDistributor, isSeed, proxies, spread} = view;
   if (isDistributor || (isSeed && proxies === 1)) {
     return true;
   }
@@ -103,26 +89,17 @@
       FRESHNESS_THRESHOLD_RATIO + FRESHNESS_THRESHOLD_SPREAD_RATIO * spread
     );
   }
-  const {timeSinceLocalSource: waited = view.uptime} = view;
-  return proxies !== undefined && waited > startupDelay(view);
+  return proxies !== undefined && uptime > startupDelay(view);
 }
 
 /**
- * Time that a starting proxy waits for its peers before it follows the store:
- * from the first distributor of its data centre on if the rows name one,
- * otherwise from its start on.
+ * Time that a starting proxy waits for its peers before it follows the store.
  */
 export function startupDelay({
   proxies = 1,
-  timeSinceLocalSource,
   isSeed,
   spread,
 }: SourceView): Milliseconds {
-  if (timeSinceLocalSource !== undefined) {
-    return (
-      FIRST_COPY_TIMEOUT_MS + proxies * STARTUP_DELAY_PER_PROXY_MS * spread
-    );
-  }
   if (proxies > 1) {
     return proxies * STARTUP_DELAY_PER_PROXY_MS * spread;
   }
@@ -131,17 +108,6 @@
   return isSeed ? 0 : FIRST_DISTRIBUTORS_TIMEOUT_MS * (1 + spread);
 }
 
-/**
- * True while this proxy lacks a table and its distributors may be starting too:
- * it then retries its subscriptions to them at short intervals.
- */
-export function awaitsFirstCopies({
-  hasAllTables,
-  uptime,
-}: Pick<SourceView, 'hasAllTables' | 'uptime'>): boolean {
-  return !hasAllTables && uptime <= FIRST_UPDATE_TIMEOUT_MS;
-}
-
 /** True if this proxy needs a source besides the local distributors. */
 export function needsFallbackSource(view: SourceView): boolean {
   const {localStaleness, hasLocalDistributor, uptime, proxies} = view;
--- a/packages/table-feed/src/create_table_feed.ts
+++ b/packages/table-feed/src/create_table_feed.ts
@@ -15,7 +15,6 @@
 import {
   FRESHNESS_THRESHOLD_RATIO,
   type SourceView,
-  awaitsFirstCopies,
   needsFallbackSource,
   shouldFollowStore,
   startupDelay,
@@ -24,7 +23,6 @@
 import type {ProxyDescriptor} from './distributor_row';
 import type {TableFeedEvents} from './feed_events';
 import {createFeedServer} from './feed_server';
-import {createFirstTables} from './first_tables';
 import {
   type TableStalenessBound,
   createConfirmations,
@@ -91,11 +89,6 @@
   age(table: string): Milliseconds;
   /** Ages of all tables that were ever known to be up to date. */
   ages(): readonly TableAge[];
-  /**
-   * Time from the start to the first copy of all tables, the distributor table
-   * included; undefined before.
-   */
-  firstTablesAfter(): Milliseconds | undefined;
   /** Ends the subscriptions and stops serving subscribers. */
   close(): void;
 }
@@ -123,22 +116,15 @@
   const startedAt = timer.now();
   let spread = random.fraction();
   let reportedSlot: number | undefined;
-  let localSourceSince: Milliseconds | undefined;
   let knownEra = 0;
   /** Times at which the store's replies to this proxy confirmed its copies. */
   const storeConfirmations = createConfirmations(timer);
 
-  const firstTables = createFirstTables(timer, [
-    distributorTable,
-    ...options.tables.map(({table}) => table),
-  ]);
-
   const directory = createProxyDirectory({timer, self});
   const distributors = createTableCopy({
     table: distributorTable,
     stalenessBound: DISTRIBUTORS_STALENESS_BOUND_MS,
     onRows(rows, position) {
-      firstTables.record(distributorTable);
       directory.updateRows(rows, position);
       server.publish();
       update();
@@ -156,11 +142,6 @@
     seeds: options.seeds,
     rows: directory.rows,
     proxies: directory.listed,
-    awaitsFirstCopies: () =>
-      awaitsFirstCopies({
-        hasAllTables: firstTables.after() !== undefined,
-        uptime: timer.now() - startedAt,
-      }),
     onSubscription: events.onSubscription,
   });
   /** Tables with the tightest staleness bounds come first. */
@@ -191,7 +172,6 @@
       table,
       stalenessBound: bound,
       onRows(rows, position) {
-        firstTables.record(table);
         onRows(rows, position);
         server.publish();
         noteEra(position.era);
@@ -210,23 +190,11 @@
         role.slot() === undefined
           ? OTHER_MAXIMUM_RETRY_DELAY_MS
           : DISTRIBUTOR_MAXIMUM_RETRY_DELAY_MS,
-      onComplete: () => confirm(copy.table),
+      onComplete: () => storeConfirmations.confirm(copy.table, timer.now()),
       events,
     });
   }
 
-  /**
-   * Records that the store confirmed a copy. Subscribers have its rows by now,
-   * but use a source only once they know the ages of all tables.
-   */
-  function confirm(table: string): void {
-    const isFirst = !Number.isFinite(age(table));
-    storeConfirmations.confirm(table, timer.now());
-    if (isFirst) {
-      server.publish();
-    }
-  }
-
   /**
    * Begins the requests for all copies of earlier eras again, as the store may
    * have lost those that were pending when it was restored.
@@ -263,15 +231,6 @@
     return peerStaleness() <= FRESHNESS_THRESHOLD_RATIO;
   }
 
-  function timeSinceLocalSource(): Milliseconds | undefined {
-    if (self.address !== '' && sources.hasLocalSource()) {
-      localSourceSince ??= timer.now();
-    }
-    return localSourceSince === undefined
-      ? undefined
-      : timer.now() - localSourceSince;
-  }
-
   function sourceView(): SourceView {
     const isKnown = distributors.position() !== undefined;
     const isDistributor = role.slot() !== undefined;
@@ -282,9 +241,7 @@
       staleness: peerStaleness(),
       localStaleness: Math.min(ownStaleness, sources.localStaleness()),
       hasLocalDistributor: isDistributor || localRows().length > 0,
-      timeSinceLocalSource: timeSinceLocalSource(),
       uptime: timer.now() - startedAt,
-      hasAllTables: firstTables.after() !== undefined,
       isDistributor,
       proxies: isKnown ? directory.listed().length : undefined,
       isSeed: options.seeds.includes(self.address),
@@ -330,15 +287,14 @@
       const read = yield* waitFor(store.readTable(distributorTable));
       if (read.ok) {
         distributors.take({table: distributorTable, ...read.val});
-        confirm(distributorTable);
+        storeConfirmations.confirm(distributorTable, timer.now());
       } else {
         yield* sleep(
           random.jitter(FIRST_READ_RETRY_DELAY_MS, RETRY_JITTER_RATIO),
         );
       }
     }
-    // Rounded up, so that the delay is over when it is checked.
-    yield* sleep(Math.ceil(startupDelay(sourceView())));
+    yield* sleep(startupDelay(sourceView()));
     update();
   }
 
@@ -371,7 +327,6 @@
           position: position(),
         }))
         .filter(known => Number.isFinite(known.age)),
-    firstTablesAfter: firstTables.after,
     close() {
       stopTicks();
       sources.close();
--- a/packages/table-feed/src/source_subscriptions.ts
+++ b/packages/table-feed/src/source_subscriptions.ts
@@ -21,8 +21,6 @@
   rows(): readonly DistributorRow[];
   /** Proxies that are known to be running. */
   proxies(): readonly ProxyDescriptor[];
-  /** True while this proxy waits for its first copies of all tables. */
-  awaitsFirstCopies(): boolean;
   onSubscription(address: Address, isSubscribed: boolean, reason: string): void;
 }
 
@@ -31,8 +29,6 @@
  * source.
  */
 export interface SourceSubscriptions {
-  /** True if the rows name another proxy of this data centre to subscribe to. */
-  hasLocalSource(): boolean;
   /** Opens the subscriptions that are needed now and ends all others. */
   update(needsFallback: boolean): void;
   /**
@@ -120,8 +116,6 @@
       self,
       address,
       copies,
-      isSourceStarting: () =>
-        options.awaitsFirstCopies() && localDistributors().includes(address),
       onSubscriptionChange: (isSubscribed, reason) =>
         options.onSubscription(address, isSubscribed, reason),
     });
@@ -184,7 +178,6 @@
   }
 
   return {
-    hasLocalSource: () => localDistributors().length > 0,
     update,
     age,
     localStaleness,
--- a/packages/table-feed/src/subscription.ts
+++ b/packages/table-feed/src/subscription.ts
@@ -42,11 +42,6 @@
   readonly self: ProxyDescriptor;
   readonly address: Address;
   readonly copies: readonly TableCopy[];
-  /**
-   * True while the source may be starting, as this proxy is: attempts are then
-   * short and frequent.
-   */
-  isSourceStarting(): boolean;
   onSubscriptionChange(isSubscribed: boolean, reason: string): void;
 }
 
@@ -61,12 +56,6 @@
 
 /** Time-out for connecting, which covers its round trips. */
 const CONNECT_TIMEOUT_MS: Milliseconds = 400;
-/**
- * Time-out for connecting to a source of this data centre that may be starting:
- * a machine that is still off answers no attempt, and a connection within the
- * data centre takes a few milliseconds.
- */
-const STARTING_CONNECT_TIMEOUT_MS: Milliseconds = 80;
 /** Time-out for the first reply, which covers its round trip. */
 const SUBSCRIBE_TIMEOUT_MS: Milliseconds = 1000;
 /**
@@ -75,11 +64,6 @@
  */
 const UNRESPONSIVE_AFTER_MS: Milliseconds = 1500;
 const RETRY_DELAY_BOUNDS: RetryBackoffBounds = {first: 80, longest: 800};
-/** With jitter at most 39 ms between a failure and the next attempt. */
-const STARTING_RETRY_DELAY_BOUNDS: RetryBackoffBounds = {
-  first: 30,
-  longest: 30,
-};
 const NOT_NEEDED = 'not needed';
 
 export function startSubscription(options: SubscriptionOptions): Subscription {
@@ -160,10 +144,7 @@
 
   /** Subscribes until the connection ends; returns the reason of the end. */
   function* subscribe(): Task<string> {
-    const timeout = options.isSourceStarting()
-      ? STARTING_CONNECT_TIMEOUT_MS
-      : CONNECT_TIMEOUT_MS;
-    const dialled = transport.dial(options.address, timeout);
+    const dialled = transport.dial(options.address, CONNECT_TIMEOUT_MS);
     dialled.onSettled(closeIfEnded);
     const opened = yield* waitFor(dialled);
     if (opened.err) {
@@ -191,19 +172,11 @@
     return yield* waitFor(peer.closed);
   }
 
-  function* backOff(): Task<void> {
-    if (options.isSourceStarting()) {
-      yield* sleep(retryBackoff(STARTING_RETRY_DELAY_BOUNDS, 0, random));
-      return;
-    }
-    yield* sleep(retryBackoff(RETRY_DELAY_BOUNDS, failures, random));
-    failures += 1;
-  }
-
   function* maintainSubscription(): Task<void> {
     for (;;) {
       setSubscribed(false, yield* subscribe());
-      yield* backOff();
+      yield* sleep(retryBackoff(RETRY_DELAY_BOUNDS, failures, random));
+      failures += 1;
     }
   }
 
