feat(succession): log every target that a choice of a successor considered

Nothing told the hypotheses on commits lost at a promotion apart: a choice was logged by its result only, an order by its answer only, a resume not at all, and a take-over without the row that it replaced.

One line for each choice with every target, its role, term, log end, held term, age of the answer and verdict; one for each order before it is sent, for each target that is resumed, and the replaced row with each start. The step 'demoted' named the term as its epoch. No logic is changed.

--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -21,6 +21,7 @@
   succession: () => ({
     onStart: () => {},
     onStep: () => {},
+    onChoice: () => {},
     onEnd: () => {},
   }),
   onConfiguration: () => {},
--- a/packages/succession/index.ts
+++ b/packages/succession/index.ts
@@ -1,4 +1,5 @@
 /** Changes the primary of groups whose targets the platform promotes. */
+export * from './src/choice_report';
 export * from './src/choose_successor';
 export * from './src/succession_monitor';
 export * from './src/succession_records';
--- /dev/null
+++ b/packages/succession/src/choice_report.ts
@@ -0,0 +1,102 @@
+/** Describes a choice of a successor for the log. */
+import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import type {Milliseconds} from '@kelpstep/runtime';
+import type {TargetStatus} from '@kelpstep/statements';
+
+/** Why a target was selected, passed over or left out. */
+export type ChoiceVerdict =
+  | 'selected'
+  /** Its log holds every commit, but another target was selected. */
+  | 'complete'
+  | 'behind'
+  | 'unanswered'
+  /** The primary that is to be replaced. */
+  | 'replaced';
+
+/** A target of the group as a choice considered it. */
+export interface ConsideredTarget {
+  readonly target: string;
+  /** Its newest answer in this change; undefined without one. */
+  readonly status: TargetStatus | undefined;
+  /** Time since the answered request was sent; undefined without an answer. */
+  readonly age: Milliseconds | undefined;
+  readonly verdict: ChoiceVerdict;
+}
+
+/** A target's answer, and when the answered request was sent. */
+export interface TimedAnswer {
+  readonly status: TargetStatus;
+  readonly requestedAt: Milliseconds;
+}
+
+/** One choice of a successor, successful or not. */
+export interface SuccessionChoice {
+  readonly epoch: number;
+  /** Term for which replication was stopped. */
+  readonly term: number;
+  /** The selected target; empty if none was selected. */
+  readonly selected: string;
+  readonly considered: readonly ConsideredTarget[];
+}
+
+/** The targets of a group, their answers, and the result of a choice. */
+export interface ChoiceInput {
+  readonly targets: readonly string[];
+  /** The primary that is to be replaced. */
+  readonly replaced: string | undefined;
+  readonly answers: ReadonlyMap<string, TimedAnswer>;
+  readonly successor:
+    {readonly target: string; readonly received: LogPosition} | undefined;
+  readonly now: Milliseconds;
+}
+
+function judge(
+  target: string,
+  answer: TimedAnswer | undefined,
+  {successor, replaced}: ChoiceInput,
+): ChoiceVerdict {
+  if (target === successor?.target) {
+    return 'selected';
+  }
+  if (target === replaced) {
+    return 'replaced';
+  }
+  if (answer === undefined) {
+    return 'unanswered';
+  }
+  const isComplete =
+    successor !== undefined &&
+    compareLogPositions(answer.status.received, successor.received) >= 0;
+  return isComplete ? 'complete' : 'behind';
+}
+
+/** Returns all targets of the group as a choice considered them. */
+export function considerTargets(input: ChoiceInput): ConsideredTarget[] {
+  return input.targets.map(target => {
+    const answer = input.answers.get(target);
+    return {
+      target,
+      status: answer?.status,
+      age: answer && input.now - answer.requestedAt,
+      verdict: judge(target, answer, input),
+    };
+  });
+}
+
+/**
+ * Formats a considered target as `TARGET VERDICT`, followed by role, term, log
+ * end, held term and age of its answer if there is one.
+ */
+export function formatConsidered({
+  target,
+  status,
+  age,
+  verdict,
+}: ConsideredTarget): string {
+  if (status === undefined || age === undefined) {
+    return `${target} ${verdict}`;
+  }
+  const {role, term, received, termHeld} = status;
+  const end = `${received.term}.${received.position}`;
+  return `${target} ${verdict} ${role} term ${term} end ${end} held ${termHeld} age ${Math.round(age)}`;
+}
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -14,6 +14,7 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import type {SuccessionChoice} from './choice_report';
 import type {SuccessorCandidate} from './choose_successor';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
@@ -48,8 +49,14 @@
 
 /** Callbacks for the progress of a succession, used for logging. */
 export interface SuccessionEvents {
-  onStart(reason: SuccessionReason, epoch: number): void;
+  /** `previous` is the row that the change has replaced. */
+  onStart(
+    reason: SuccessionReason,
+    epoch: number,
+    previous: Succession | undefined,
+  ): void;
   onStep(step: string, target: string, epoch: number): void;
+  onChoice(choice: SuccessionChoice): void;
   onEnd(
     outcome: SuccessionOutcome,
     epoch: number,
@@ -131,7 +138,11 @@
   const {runtime, group, store, self, events} = options;
   const {timer, random} = runtime;
   const key = SUCCESSION_KEY_PREFIX + group.group;
-  const steps = createSuccessionSteps({...options, onStep: events.onStep});
+  const steps = createSuccessionSteps({
+    ...options,
+    onStep: events.onStep,
+    onChoice: events.onChoice,
+  });
   let missingSince: Milliseconds | undefined;
 
   function updateMissingSince(): void {
@@ -305,7 +316,7 @@
     if (!(yield* successionRow.write({}))) {
       return;
     }
-    events.onStart(reason, epoch);
+    events.onStart(reason, epoch, previous?.succession);
     const outcome = yield* runSteps(
       successionRow,
       reason,
@@ -354,7 +365,8 @@
     if (pendingTarget !== '') {
       return yield* steps.completePromotion(rowWriter, pendingTarget);
     }
-    const successor = yield* selectSuccessor(reason, leader);
+    const {epoch} = rowWriter.succession();
+    const successor = yield* selectSuccessor(reason, leader, epoch);
     if (successor === undefined) {
       yield* steps.finish(rowWriter, 'abandoned');
       return 'abandoned';
@@ -365,6 +377,7 @@
   function* selectSuccessor(
     reason: SuccessionReason,
     leader: TargetLink | undefined,
+    epoch: number,
   ): Task<SuccessorCandidate | undefined> {
     if (reason === 'unfinished') {
       return undefined;
@@ -376,8 +389,8 @@
       return undefined;
     }
     return reason === 'leaving' && leader !== undefined
-      ? yield* steps.chooseAfterDemotion(leader, term)
-      : yield* steps.chooseAfterPause(leader, term);
+      ? yield* steps.chooseAfterDemotion(leader, term, epoch)
+      : yield* steps.chooseAfterPause(leader, term, epoch);
   }
 
   const task: TaskHandle<void> = runtime.spawn('succession', monitor());
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -2,7 +2,7 @@
  * Implements the steps of a change of primary, from pausing to resuming
  * replication.
  */
-import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import type {LogPosition} from '@kelpstep/protocol';
 import {
   type Milliseconds,
   type Runtime,
@@ -18,7 +18,13 @@
 } from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {
+  type SuccessionChoice,
+  type TimedAnswer,
+  considerTargets,
+} from './choice_report';
 import {type SuccessorCandidate, chooseSuccessor} from './choose_successor';
+import {createGroupProbes} from './group_probes';
 import type {OrderPromotion} from './succession_row';
 import type {SuccessionRowWriter} from './succession_row_writer';
 
@@ -38,6 +44,7 @@
   /** True if the platform refuses orders with a lower epoch than an earlier one. */
   readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
+  onChoice(choice: SuccessionChoice): void;
 }
 
 /**
@@ -62,6 +69,7 @@
   chooseAfterDemotion(
     leader: TargetLink,
     term: number,
+    epoch: number,
   ): Task<SuccessorCandidate | undefined>;
   /**
    * Pauses replication on all replicas and selects among them; undefined if a
@@ -70,6 +78,7 @@
   chooseAfterPause(
     leader: TargetLink | undefined,
     term: number,
+    epoch: number,
   ): Task<SuccessorCandidate | undefined>;
   /** Records the selected target, then promotes it and finishes the change. */
   promoteSuccessor(
@@ -133,25 +142,13 @@
  * meanwhile.
  */
 const FENCED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 350;
-/**
- * A primary is isolated if this many probes in a row find all replicas behind.
- */
-const ISOLATION_PROBE_COUNT = 2;
-/**
- * Delay before each probe; records normally arrive within a few round trips.
- */
-const ISOLATION_PROBE_INTERVAL_MS: Milliseconds = 100;
-
-interface ProbedTarget {
-  readonly link: TargetLink;
-  readonly status: TargetStatus;
-}
-
 export function createSuccessionSteps(
   options: SuccessionStepsOptions,
 ): SuccessionSteps {
   const {runtime, group, self, onStep} = options;
   const {timer} = runtime;
+  const {probeStatuses, reachedLinks, isIsolated, highestTerm} =
+    createGroupProbes(group);
   const unansweredLeadershipTimeout = options.arePromotionsFenced
     ? FENCED_LEADERSHIP_TIMEOUT_MS
     : UNANSWERED_LEADERSHIP_TIMEOUT_MS;
@@ -183,56 +180,26 @@
   ): Task<void> {
     const startedAt = timer.now();
     if (yield* rowWriter.write({phase})) {
-      yield* resumeReplication(startedAt + RESUME_WINDOW_MS);
-    }
-  }
-
-  /** Probes all targets in parallel; omits those that don't answer. */
-  function* probeStatuses(links: readonly TargetLink[]): Task<ProbedTarget[]> {
-    const probes = links.map(link => ({link, answer: link.probeStatus()}));
-    const probed: ProbedTarget[] = [];
-    for (const {link, answer} of probes) {
-      const status = yield* waitFor(answer);
-      if (status !== undefined) {
-        probed.push({link, status});
-      }
-    }
-    return probed;
-  }
-
-  function reachedLinks(): TargetLink[] {
-    return group.links().filter(link => link.isReached());
-  }
-
-  function* isIsolated(leader: TargetLink | undefined): Task<boolean> {
-    if (leader === undefined) {
-      return false;
-    }
-    const status = yield* waitFor(leader.probeStatus());
-    if (status?.role !== 'primary') {
-      return false;
-    }
-    for (let probe = 0; probe < ISOLATION_PROBE_COUNT; probe++) {
-      yield* sleep(ISOLATION_PROBE_INTERVAL_MS);
-      const replicas = yield* probeStatuses(
-        reachedLinks().filter(link => link !== leader),
-      );
-      const isBehind = ({status: {received}}: ProbedTarget) =>
-        compareLogPositions(received, status.received) < 0;
-      if (replicas.length === 0 || !replicas.every(isBehind)) {
-        return false;
-      }
+      const {epoch} = rowWriter.succession();
+      yield* resumeReplication(startedAt + RESUME_WINDOW_MS, epoch);
     }
-    return true;
   }
 
-  function* highestTerm(): Task<number> {
-    let highest = group.positions.leader()?.term ?? 0;
-    for (const {status} of yield* probeStatuses(reachedLinks())) {
-      const {term, termHeld, received} = status;
-      highest = Math.max(highest, term, termHeld, received.term);
-    }
-    return highest;
+  function reportChoice(
+    {epoch, term}: {readonly epoch: number; readonly term: number},
+    leader: TargetLink | undefined,
+    answers: ReadonlyMap<string, TimedAnswer>,
+    successor: SuccessorCandidate | undefined,
+  ): void {
+    const considered = considerTargets({
+      targets: group.links().map(({target}) => target),
+      replaced: leader?.target,
+      answers,
+      successor,
+      now: timer.now(),
+    });
+    const selected = successor?.target ?? '';
+    options.onChoice({epoch, term, selected, considered});
   }
 
   function* sendOrder(
@@ -255,17 +222,26 @@
   function* chooseAfterDemotion(
     leader: TargetLink,
     term: number,
+    epoch: number,
   ): Task<SuccessorCandidate | undefined> {
     yield* sleep(OPEN_TRANSACTION_GRACE_MS);
+    const demotedAt = timer.now();
     const demoted = yield* sendOrder(leader, {kind: 'demote', term});
     if (demoted === undefined) {
-      return yield* chooseAfterPause(leader, term);
+      return yield* chooseAfterPause(leader, term, epoch);
     }
-    onStep('demoted', leader.target, term);
+    onStep('demoted', leader.target, epoch);
+    const answers = new Map<string, TimedAnswer>();
+    answers.set(leader.target, {status: demoted, requestedAt: demotedAt});
     const deadline = timer.now() + CATCH_UP_TIMEOUT_MS;
     while (timer.now() < deadline) {
       const others = group.links().filter(link => link !== leader);
-      const stopped = (yield* probeStatuses(others)).map(({link, status}) =>
+      const requestedAt = timer.now();
+      const probed = yield* probeStatuses(others);
+      for (const {link, status} of probed) {
+        answers.set(link.target, {status, requestedAt});
+      }
+      const stopped = probed.map(({link, status}) =>
         toCandidate(link, status.received),
       );
       const demotedLogEnd = demoted.received;
@@ -275,21 +251,26 @@
         demotedLogEnd,
       });
       if (successor !== undefined) {
+        reportChoice({epoch, term}, leader, answers, successor);
         return successor;
       }
       yield* sleep(POLL_INTERVAL_MS);
     }
+    reportChoice({epoch, term}, leader, answers, undefined);
     return undefined;
   }
 
   function* chooseAfterPause(
     leader: TargetLink | undefined,
     term: number,
+    epoch: number,
   ): Task<SuccessorCandidate | undefined> {
     const deadline = timer.now() + PAUSE_TIMEOUT_MS;
+    const answers = new Map<string, TimedAnswer>();
     const paused = new Map<string, SuccessorCandidate>();
     while (timer.now() < deadline) {
       const others = group.links().filter(link => link !== leader);
+      const requestedAt = timer.now();
       const requests = others
         .filter(({target}) => !paused.has(target))
         .map(link => ({
@@ -301,6 +282,7 @@
         const status = answer.ok ? options.readStatus(answer.val) : undefined;
         if (status !== undefined) {
           paused.set(link.target, toCandidate(link, status.received));
+          answers.set(link.target, {status, requestedAt});
         }
       }
       const unanswered = others.filter(({target}) => !paused.has(target));
@@ -310,10 +292,12 @@
         demotedLogEnd: undefined,
       });
       if (successor !== undefined) {
+        reportChoice({epoch, term}, leader, answers, successor);
         return successor;
       }
       yield* sleep(POLL_INTERVAL_MS);
     }
+    reportChoice({epoch, term}, leader, answers, undefined);
     return undefined;
   }
 
@@ -331,6 +315,7 @@
     let answeredOrders = 0;
     while (answeredOrders < MAXIMUM_ANSWERED_ORDERS && timer.now() < giveUpAt) {
       const {epoch} = rowWriter.succession();
+      onStep('promotion ordered', target, epoch);
       const pendingReply = options.orderPromotion({
         group: group.group,
         target,
@@ -378,12 +363,14 @@
    * Sends nothing after `until`. A proxy that was suspended in the meantime
    * could otherwise resume targets that another proxy has paused.
    */
-  function* resumeReplication(until: Milliseconds): Task<void> {
-    const replies = reachedLinks().map(link =>
-      link.sendCommand({kind: 'resume'}, ORDER_TIMEOUT_MS, until),
-    );
-    for (const reply of replies) {
-      yield* waitFor(reply);
+  function* resumeReplication(until: Milliseconds, epoch: number): Task<void> {
+    const replies = reachedLinks().map(link => ({
+      target: link.target,
+      reply: link.sendCommand({kind: 'resume'}, ORDER_TIMEOUT_MS, until),
+    }));
+    for (const {target, reply} of replies) {
+      const result = yield* waitFor(reply);
+      onStep(result.ok ? 'resumed' : `resume ${result.val}`, target, epoch);
     }
   }
 
