--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -44,6 +44,7 @@
   createReplacingTransport,
 } from './replacing_transport';
 import {startSessionCallers} from './session_callers';
+import {createTargetRegistrations} from './target_registrations';
 
 /**
  * Size and timing of a simulation; the defaults describe a small deployment.
@@ -141,9 +142,6 @@
 const SUCCESSION_TABLE = 'successions';
 const DISTRIBUTOR_TABLE = 'distributors';
 const STALENESS_BOUNDS = {configuration: 3000, registrations: 7000};
-/** The entry of a stopped target is removed after three missed heartbeats. */
-const ENTRY_LIFETIME_MS: Milliseconds = 3600;
-const REGISTRATION_PERIOD_MS: Milliseconds = 100;
 const QUIESCENCE_TIME_MS: Milliseconds = 4000;
 const MINIMUM_TARGET_COMMAND_DELAY_MS: Milliseconds = 1000;
 const COMMAND_DELAY_SPAN_MS: Milliseconds = 5000;
@@ -195,9 +193,7 @@
     (unused, index) => `proxy-${index + 1}`,
   );
   const running = new Map<string, RunningProxy>();
-  const leaving = new Set<string>();
   const incarnations = new Map<string, number>();
-  const stoppedAt = new Map<string, Milliseconds>();
 
   const trailingNumber = (name: string) => Number(/\d+$/.exec(name)?.[0]);
   const dataCentreOf = (proxy: string) =>
@@ -311,40 +307,13 @@
     );
   }
 
-  function register(): void {
-    for (const target of group.targets()) {
-      const name = target.target;
-      const since = stoppedAt.get(name);
-      if (target.isRunning()) {
-        stoppedAt.delete(name);
-        putEntry(name, target.role());
-      } else if (since === undefined) {
-        stoppedAt.set(name, timer.now());
-      } else if (timer.now() - since > ENTRY_LIFETIME_MS) {
-        entries.delete(name);
-        store.remove(REGISTRATION_TABLE, name);
-      }
-    }
-  }
-
-  const entries = new Map<string, string>();
-  function putEntry(target: string, role: 'primary' | 'replica'): void {
-    const entry: TargetRegistration = {
-      target,
-      group: GROUP,
-      address: target,
-      dataCentre: target,
-      slots,
-      isLeaving: leaving.has(target),
-      role,
-      startedAt: 0,
-    };
-    const text = JSON.stringify(entry);
-    if (entries.get(target) !== text) {
-      entries.set(target, text);
-      store.put(REGISTRATION_TABLE, target, entry);
-    }
-  }
+  const registrations = createTargetRegistrations({
+    timer,
+    store,
+    table: REGISTRATION_TABLE,
+    group,
+    slots,
+  });
 
   function connect(caller: CallerConnection): boolean {
     const names = [...running.keys()];
@@ -357,8 +326,7 @@
 
   let configuration = createConfiguration(connectionLimit, options.accounts);
   store.put(CONFIGURATION_TABLE, 'current', configuration);
-  register();
-  timer.every(REGISTRATION_PERIOD_MS, register);
+  registrations.start();
   proxies.forEach(startProxy);
   const callerRuntime = createRuntime({timer, random: random.split()});
   const counts = startSessionCallers({
@@ -402,13 +370,7 @@
       }
       store.put(CONFIGURATION_TABLE, 'current', configuration);
     },
-    setLeaving(target, isLeaving) {
-      if (isLeaving) {
-        leaving.add(target);
-      } else {
-        leaving.delete(target);
-      }
-    },
+    setLeaving: registrations.setLeaving,
     finish() {
       const remaining = options.duration - timer.now() + QUIESCENCE_TIME_MS;
       timer.advance(Math.max(0, remaining));
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -3,28 +3,21 @@
  * on the platform, and connections from proxies.
  */
 import {EMPTY_LOG_END, type LogPosition} from '@kelpstep/protocol';
-import {
-  type Future,
-  type Milliseconds,
-  type TimerService,
-  createDeferred,
-} from '@kelpstep/runtime';
-import {
-  type ConnectionLoss,
-  type ConnectionUser,
-  type OpenFailure,
-  type OpenedConnection,
-  type StatementAnswer,
-  type TargetAddress,
-  type TargetConnection,
-  type TargetRequest,
+import type {Future, Milliseconds, TimerService} from '@kelpstep/runtime';
+import type {
+  ConnectionUser,
+  OpenFailure,
+  OpenedConnection,
+  TargetAddress,
+  TargetRequest,
 } from '@kelpstep/statements';
-import {Err, Ok, type Result} from 'ts-results';
+import type {Result} from 'ts-results';
 
 import type {LinkNetwork} from './link_network';
 import type {LogRecord, RunRecorder} from './run_record';
 import {createStandInTarget} from './stand_in_target';
 import type {StandInTarget} from './stand_in_target_types';
+import {createTargetConnections} from './target_connections';
 
 /**
  * Targets, capacity and fault injection of a group. The first target is the
@@ -74,10 +67,10 @@
     firstRequests?: readonly TargetRequest[],
   ): Future<Result<OpenedConnection, OpenFailure>>;
   /**
-   * Starts a promotion, which is dropped if the target stops or a higher epoch
-   * is used before it completes. Returns false if the target is not running or
-   * a higher epoch has been used before; returns true without a promotion if
-   * the target is the primary already.
+   * Starts a promotion, which takes effect after its duration if the target
+   * still runs, even if a higher epoch has been used by then. Returns false if
+   * the target is not running or a higher epoch has been used before; returns
+   * true without a promotion if the target is the primary already.
    */
   promote(target: string, epoch: number, holder: string): boolean;
   /** Kills a target's process and closes its connections. */
@@ -87,24 +80,27 @@
    * them again.
    */
   refuseConnections(name: string, isRefusing: boolean): void;
-  /** Starts a target's process again, with an empty log if it is wiped. */
+  /**
+   * Starts a target's process again, with an empty log if it is wiped. Unless
+   * another target was promoted meanwhile, a primary that kept its log leads
+   * again.
+   */
   restart(name: string, wiped: boolean): void;
-}
-
-/** A new connection and the function that runs requests on its target. */
-interface AcceptedConnection {
-  readonly connection: TargetConnection;
-  run(
-    requests: readonly TargetRequest[],
-    done: (answers: readonly StatementAnswer[]) => void,
-  ): void;
+  /**
+   * Adds a replica with the log of another target. It receives records at once,
+   * in the term of its source.
+   */
+  join(name: string, source: string): void;
 }
 
 /** Creates a group whose first target is the primary of term 1. */
 export function createStandInGroup(options: StandInGroupOptions): StandInGroup {
   const {timer, network, recorder, group} = options;
   const targets = new Map<string, StandInTarget>();
-  const closersByTarget = new Map<string, Set<() => void>>();
+  const {open, resetConnections} = createTargetConnections({
+    ...options,
+    findTarget: name => targets.get(name),
+  });
   let primaryName = options.targets[0] ?? '';
   let term = 1;
   let highestEpoch = 0;
@@ -130,7 +126,7 @@
     }
   }
 
-  for (const name of options.targets) {
+  function create(name: string): StandInTarget {
     const created: StandInTarget = createStandInTarget({
       timer,
       target: name,
@@ -144,8 +140,9 @@
       onAppended: (previous, record) => replicate(created, previous, record),
     });
     targets.set(name, created);
-    closersByTarget.set(name, new Set());
+    return created;
   }
+  options.targets.forEach(create);
   targets.get(primaryName)?.becomePrimary(term);
 
   // The primary sends its whole log to all other targets at an interval, for
@@ -198,7 +195,8 @@
     epoch: number,
     holder: string,
   ): void {
-    if (!next.isRunning() || epoch < highestEpoch) {
+    const isPrimary = next.role() === 'primary' && next.target === primaryName;
+    if (!next.isRunning() || isPrimary) {
       return;
     }
     term += 1;
@@ -222,157 +220,6 @@
     }
   }
 
-  function createConnection(
-    from: string,
-    target: StandInTarget,
-    session: number,
-  ): AcceptedConnection {
-    const closers = closersByTarget.get(target.target) ?? new Set();
-    const waiting = new Set<(loss: ConnectionLoss) => void>();
-    const listeners: Array<() => void> = [];
-    const batches: Array<() => void> = [];
-    let isOpen = true;
-
-    /** Runs the batches of a connection one after another. */
-    function enqueueBatch(start: () => void): void {
-      batches.push(start);
-      if (batches.length === 1) {
-        start();
-      }
-    }
-
-    function startNextBatch(): void {
-      batches.shift();
-      batches[0]?.();
-    }
-
-    function end(): void {
-      if (!isOpen) {
-        return;
-      }
-      isOpen = false;
-      waiting.forEach(settle => settle('closed'));
-      listeners.splice(0).forEach(listener => listener());
-    }
-
-    function close(): void {
-      // The target keeps the session until the close message arrives.
-      network.deliver(from, target.target, () => {
-        target.endSession(session);
-        closers.delete(resetConnection);
-      });
-      end();
-    }
-
-    function resetConnection(): void {
-      network.deliver(target.target, from, end);
-    }
-
-    /** Runs the requests of a batch one after another. */
-    function run(
-      requests: readonly TargetRequest[],
-      done: (answers: readonly StatementAnswer[]) => void,
-    ): void {
-      const answers: StatementAnswer[] = [];
-      function runNextRequest(): void {
-        const request = requests[answers.length];
-        if (request === undefined) {
-          startNextBatch();
-          done(answers);
-          return;
-        }
-        target.handle(session, request, answer => {
-          answers.push(answer);
-          runNextRequest();
-        });
-      }
-      enqueueBatch(runNextRequest);
-    }
-
-    const connection: TargetConnection = {
-      send(requests, timeout) {
-        const result =
-          createDeferred<Result<readonly StatementAnswer[], ConnectionLoss>>();
-        function settle(loss: ConnectionLoss): void {
-          waiting.delete(settle);
-          result.settle(Err(loss));
-        }
-        if (!isOpen) {
-          settle('closed');
-          return result.future;
-        }
-        waiting.add(settle);
-        const cancel = timer.after(timeout, () => settle('timed out'));
-        function sendAnswers(answers: readonly StatementAnswer[]): void {
-          if (options.shouldDropAnswer()) {
-            return;
-          }
-          network.deliver(target.target, from, () => {
-            if (isOpen) {
-              cancel();
-              waiting.delete(settle);
-              result.settle(Ok(answers));
-            }
-          });
-        }
-        network.deliver(
-          from,
-          target.target,
-          () => run(requests, sendAnswers),
-          () => !isOpen,
-        );
-        return result.future;
-      },
-      isOpen: () => isOpen,
-      close,
-      onClosed: listener => void listeners.push(listener),
-    };
-    closers.add(resetConnection);
-    return {connection, run};
-  }
-
-  function open(
-    from: string,
-    address: TargetAddress,
-    user: ConnectionUser,
-    timeout: Milliseconds,
-    firstRequests: readonly TargetRequest[] = [],
-  ): Future<Result<OpenedConnection, OpenFailure>> {
-    const result = createDeferred<Result<OpenedConnection, OpenFailure>>();
-    timer.after(timeout, () => result.settle(Err('timed out')));
-
-    function reply(outcome: Result<OpenedConnection, OpenFailure>): void {
-      network.deliver(address.target, from, () => {
-        if (!result.settle(outcome) && outcome.ok) {
-          outcome.val.connection.close();
-        }
-      });
-    }
-
-    network.deliver(from, address.target, () => {
-      const target = targets.get(address.target);
-      const count = closersByTarget.get(address.target)?.size ?? 0;
-      const mayOpen =
-        target?.isRunning() === true && !target.faults.refusesConnections;
-      if (target === undefined || !mayOpen) {
-        reply(Err('refused'));
-        return;
-      }
-      if (count >= options.connectionLimit) {
-        reply(Err('tooManyConnections'));
-        return;
-      }
-      target.open(user, session => {
-        const {connection, run} = createConnection(from, target, session);
-        const position = target.applied();
-        run(firstRequests, firstAnswers =>
-          reply(Ok({connection, position, firstAnswers})),
-        );
-      });
-    });
-    return result.future;
-  }
-
   function requireTarget(name: string): StandInTarget {
     const found = targets.get(name);
     if (found === undefined) {
@@ -381,12 +228,6 @@
     return found;
   }
 
-  function resetConnections(name: string): void {
-    const closers = closersByTarget.get(name) ?? new Set();
-    closersByTarget.set(name, new Set());
-    closers.forEach(end => end());
-  }
-
   return {
     group,
     target: requireTarget,
@@ -407,7 +248,17 @@
         resetConnections(name);
       }
     },
-    restart: (name, wiped) => requireTarget(name).start(wiped),
+    restart(name, wiped) {
+      const target = requireTarget(name);
+      target.start(wiped);
+      if (name === primaryName && !wiped) {
+        target.becomePrimary(target.term());
+      }
+    },
+    join(name, source) {
+      const from = requireTarget(source);
+      create(name).follow(from.term(), from.log());
+    },
   };
 }
 
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -51,6 +51,7 @@
   let isPaused = false;
   let isReplicationBlocked = false;
   let running = true;
+  let startedAt = 0;
   const faults: StandInTargetFaults = {
     refusal: undefined,
     refusesConnections: false,
@@ -375,10 +376,12 @@
     applied: log.applied,
     isRunning: () => running,
     isPaused: () => isPaused,
+    startedAt: () => startedAt,
     faults,
     stop,
     start(wiped) {
       [running, isPaused, role] = [true, false, 'replica'];
+      startedAt = wiped ? timer.now() : startedAt;
       log.restart(wiped);
     },
     setReplicationBlocked: isBlocked => void (isReplicationBlocked = isBlocked),
--- a/packages/stand-ins/src/statement_group/stand_in_target_types.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target_types.ts
@@ -37,6 +37,8 @@
   isRunning(): boolean;
   /** True if replication is paused by a command. */
   isPaused(): boolean;
+  /** Time of the last start without a log; 0 before the first one. */
+  startedAt(): Milliseconds;
   /** Faults that tests switch on. */
   readonly faults: StandInTargetFaults;
   /** Stops the process and ends its sessions. */
