fix(gateway): a primary confirms nothing once its successor is ordered

What callers saw: commits that were answered with success were missing at the target that was promoted.

Cause: a change of primary in progress kept writes away from the old primary for 2.5 s after its row was written. A promotion order without an answer is executed up to seconds later.

Change: 'ordered' has no timeout. It ends when the target leads, or when a newer term is known and the copy of the row may be out of date. A success that another target reports meanwhile becomes inDoubt. Once the new primary is known it is used without waiting for the end of the change to be recorded. The row records the term in which the replaced primary led; older proxies ignore it.

The stand-in ends a promotion with the process of its target, as the order does not outlive it.

--- /dev/null
+++ b/packages/gateway/__tests__/primary_changes.spec.ts
@@ -0,0 +1,85 @@
+import {createVirtualTimer} from '@kelpstep/runtime';
+import type {KnownSuccession, Succession} from '@kelpstep/succession';
+import type {Leadership} from '@kelpstep/targets';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {createPrimaryChanges} from '../src/primary_changes';
+
+const ORDERED: Succession = {
+  epoch: 17,
+  holder: 'proxy-1',
+  phase: 'ordered',
+  from: 'old',
+  target: 'new',
+  term: 3,
+};
+const HOUR_MS = 3_600_000;
+
+function createChanges(
+  succession: Succession,
+  leadership: Leadership | undefined,
+  rowAge = 0,
+) {
+  const timer = createVirtualTimer();
+  const row: KnownSuccession = {
+    succession,
+    position: {era: 0, version: 5},
+    observedAt: timer.now(),
+    isLost: false,
+  };
+  const changes = createPrimaryChanges({
+    timer,
+    row: () => row,
+    leadership: () => leadership,
+    rowAge: () => rowAge,
+  });
+  return {timer, changes};
+}
+
+describe('a primary whose successor is ordered', () => {
+  const old = {target: 'old', term: 3};
+
+  // Guards against commits that the successor lacks when its order takes effect
+  // after the time that a change usually takes.
+  test('is not used again before the order has taken effect', () => {
+    const {timer, changes} = createChanges(ORDERED, old);
+    timer.advance(HOUR_MS);
+    expect(changes.isPrimaryChanging('g')).toEqual(true);
+    expect(changes.isSuperseded('g', 'old')).toEqual(true);
+  });
+
+  test('stays superseded while no newer term is known, however old the row is', () => {
+    const {changes} = createChanges(ORDERED, old, HOUR_MS);
+    expect(changes.isSuperseded('g', 'old')).toEqual(true);
+  });
+
+  test('is replaced as soon as the successor leads', () => {
+    const {changes} = createChanges(ORDERED, {target: 'new', term: 4});
+    expect(changes.isPrimaryChanging('g')).toEqual(false);
+    expect(changes.isSuperseded('g', 'new')).toEqual(false);
+  });
+
+  test('does not confirm writes while another target leads a newer term', () => {
+    const {changes} = createChanges(ORDERED, {target: 'other', term: 4});
+    expect(changes.isSuperseded('g', 'other')).toEqual(true);
+  });
+
+  test('no longer matters if the row is old and a newer term is known', () => {
+    const other = {target: 'other', term: 5};
+    const {changes} = createChanges(ORDERED, other, HOUR_MS);
+    expect(changes.isSuperseded('g', 'other')).toEqual(false);
+  });
+});
+
+describe('a primary whose replicas are being paused', () => {
+  const stopping: Succession = {...ORDERED, phase: 'stopping', target: ''};
+
+  test('is used again if the change does not go on', () => {
+    const {timer, changes} = createChanges(stopping, undefined);
+    expect(changes.isPrimaryChanging('g')).toEqual(true);
+    expect(changes.isSuperseded('g', 'old')).toEqual(false);
+    timer.advance(HOUR_MS);
+    expect(changes.isPrimaryChanging('g')).toEqual(false);
+  });
+});
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -46,6 +46,11 @@
   /** Number of the group's connection owners; `Infinity` while unknown. */
   ownerCount(settings: GroupSettings): number;
   isPrimaryChanging(group: string): boolean;
+  /**
+   * True if the promotion of another target is ordered: commits that this
+   * target acknowledges may be lost when the order takes effect.
+   */
+  isSuperseded(group: string, target: string): boolean;
   /** True if targets that do not answer statements are ejected. */
   readonly outlierDetection?: boolean | undefined;
   /** False if the known configuration may be older than its staleness bound. */
@@ -307,6 +312,7 @@
           quota: options.quota,
           events,
           isStopping: () => isStopping,
+          isSuperseded: options.isSuperseded,
         }),
       );
       session.result.onSettled(() => sessions.delete(caller));
--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -51,6 +51,7 @@
 import type {GatewayConfiguration} from './configuration';
 import {type Gateway, createGateway} from './create_gateway';
 import type {GatewayEvents} from './gateway_events';
+import {createPrimaryChanges} from './primary_changes';
 import {createConnectionOwners} from './relay/connection_owners';
 import {type Relay, createRelay} from './relay/create_relay';
 import {viewOfGroup} from './relay/group_view';
@@ -157,12 +158,6 @@
   close(): void;
 }
 
-/**
- * How long a succession counts as in progress after the last change of its row:
- * other proxies don't take it over before.
- */
-const SUCCESSION_ROW_TIMEOUT_MS: Milliseconds = 2500;
-
 /**
  * Staleness bound of the succession table. It may be long: targets report the
  * primary, and the rows only make it known sooner.
@@ -211,6 +206,12 @@
       group?.changes.notify();
     },
   });
+  const {isPrimaryChanging, isSuperseded} = createPrimaryChanges({
+    timer,
+    row: successions.get,
+    leadership: name => gateway.group(name)?.positions.leader(),
+    rowAge: () => feed.age(layout.successionTable),
+  });
   const connectionOwners = createConnectionOwners({
     self,
     live: () => feed.live(),
@@ -218,17 +219,6 @@
     hasAccounts: () => gateway.configuration.current()?.accounts !== undefined,
   });
 
-  function isPrimaryChanging(group: string): boolean {
-    const row = successions.get(group);
-    const phase = row?.succession.phase;
-    const isInProgress = phase === 'stopping' || phase === 'ordered';
-    return (
-      row !== undefined &&
-      isInProgress &&
-      timer.now() - row.observedAt < SUCCESSION_ROW_TIMEOUT_MS
-    );
-  }
-
   function isConfigurationCurrent(): boolean {
     return (
       !isStoreBehind &&
@@ -300,6 +290,7 @@
     ownsConnections: connectionOwners.ownsConnections,
     ownerCount: connectionOwners.count,
     isPrimaryChanging,
+    isSuperseded,
     isConfigurationCurrent,
     mayTrustKeys,
     monitorPrimary,
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -36,8 +36,10 @@
   describeRequest,
 } from './request_details';
 import {createRunCounter} from './statement_runs';
+import {withoutSuccess} from './superseded_primary';
 import {
   type FailureReason,
+  LOST_ANSWER,
   type SessionTransition,
   answerInFailedTransaction,
   failTransaction,
@@ -53,6 +55,8 @@
   readonly events: GatewayEvents;
   /** True once idle sessions must end. */
   isStopping(): boolean;
+  /** True if commits that the target acknowledges may be lost. */
+  isSuperseded(group: string, target: string): boolean;
 }
 
 interface Transaction {
@@ -169,7 +173,7 @@
     }
     const runs = createRunCounter();
     const isWritableBegin = statement.kind === 'begin' && !statement.readOnly;
-    const result = yield* dispatcher.dispatch({
+    const dispatched = yield* dispatcher.dispatch({
       id: request.id,
       route,
       account,
@@ -182,6 +186,9 @@
       runs,
       isAbandoned: caller.isClosed,
     });
+    const isDoubtful =
+      resolved.isWrite && options.isSuperseded(route.group, dispatched.target);
+    const result = isDoubtful ? withoutSuccess(dispatched) : dispatched;
     const {answer, pinned} = result;
     if (grant !== undefined) {
       quota.settle(grant, runs.total());
@@ -253,14 +260,18 @@
     }
     current.hasWritten ||= resolved.isWrite;
     const answer = yield* sendPinned(current, request, resolved);
-    if (answer !== undefined && answer.error === undefined) {
+    const isDoubtful =
+      statement.kind === 'commit' &&
+      current.hasWritten &&
+      options.isSuperseded(route.group, pinned.target);
+    if (answer !== undefined && answer.error === undefined && !isDoubtful) {
       state = answer.state;
       if (state !== 'open') {
         recordEnd(current, statement, answer);
       }
       return [answer, details];
     }
-    const reason = answer?.error?.name ?? 'answer lost';
+    const reason = answer?.error?.name ?? LOST_ANSWER;
     return [failCurrent(current, statement, reason), {...details, reason}];
   }
 
--- /dev/null
+++ b/packages/gateway/src/superseded_primary.ts
@@ -0,0 +1,16 @@
+/**
+ * Answers to writes of a primary whose successor's promotion is ordered. The
+ * successor may lack them, so the caller must not take them for confirmed.
+ */
+import {errorAnswer} from '@kelpstep/statements';
+
+import type {DispatchResult} from './dispatch_types';
+
+const REASON = 'superseded primary';
+
+/** Replaces a success by an unknown outcome; leaves failures as they are. */
+export function withoutSuccess(result: DispatchResult): DispatchResult {
+  return result.answer.error === undefined
+    ? {...result, answer: errorAnswer('inDoubt', 'idle'), reason: REASON}
+    : result;
+}
--- a/packages/gateway/src/transaction_failure.ts
+++ b/packages/gateway/src/transaction_failure.ts
@@ -8,8 +8,11 @@
   localAnswer,
 } from '@kelpstep/statements';
 
+/** Reason of a failure without an answer that tells the outcome. */
+export const LOST_ANSWER = 'answer lost';
+
 /** Why a statement of a transaction failed. */
-export type FailureReason = StatementErrorName | 'answer lost';
+export type FailureReason = StatementErrorName | typeof LOST_ANSWER;
 
 /** A session's next state and the answer that reports it. */
 export interface SessionTransition {
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -67,8 +67,8 @@
     firstRequests?: readonly TargetRequest[],
   ): Future<Result<OpenedConnection, OpenFailure>>;
   /**
-   * Starts a promotion, which takes effect after its duration if the target
-   * still runs, even if a higher epoch has been used by then. Returns false if
+   * Starts a promotion, which takes effect after its duration unless the
+   * target's process ends before, even if a higher epoch has been used by then. Returns false if
    * the target is not running or a higher epoch has been used before; returns
    * true without a promotion if the target is the primary already.
    */
@@ -97,6 +97,7 @@
 export function createStandInGroup(options: StandInGroupOptions): StandInGroup {
   const {timer, network, recorder, group} = options;
   const targets = new Map<string, StandInTarget>();
+  const processNumbers = new Map<string, number>();
   const {open, resetConnections} = createTargetConnections({
     ...options,
     findTarget: name => targets.get(name),
@@ -105,6 +106,11 @@
   let term = 1;
   let highestEpoch = 0;
 
+  /** Number of the target's current process. */
+  function processNumber(name: string): number {
+    return processNumbers.get(name) ?? 0;
+  }
+
   function otherTargets(name: string): StandInTarget[] {
     return [...targets.values()].filter(({target}) => target !== name);
   }
@@ -184,9 +190,12 @@
     if (next.role() === 'primary' && name === primaryName) {
       return true;
     }
-    timer.after(options.promotionDuration, () =>
-      completePromotion(next, epoch, holder),
-    );
+    const process = processNumber(name);
+    timer.after(options.promotionDuration, () => {
+      if (processNumber(name) === process) {
+        completePromotion(next, epoch, holder);
+      }
+    });
     return true;
   }
 
@@ -239,6 +248,7 @@
     open,
     promote,
     crash(name) {
+      processNumbers.set(name, processNumber(name) + 1);
       requireTarget(name).stop();
       resetConnections(name);
     },
--- a/packages/succession/src/succession_row.ts
+++ b/packages/succession/src/succession_row.ts
@@ -2,6 +2,7 @@
  * Defines the table row that records a change of a group's primary and its
  * phase.
  */
+import {logPositionSchema} from '@kelpstep/protocol';
 import type {Future} from '@kelpstep/runtime';
 import {z} from 'zod';
 
@@ -33,9 +34,18 @@
   return Math.max(epoch, era * EPOCHS_PER_ERA) + 1;
 }
 
+/**
+ * Number of epochs that a holder reserves with each write of the row, so that it
+ * can repeat an order while the store is unavailable.
+ */
+export const EPOCHS_PER_WRITE = 16;
+
 /** Value of a group's row: the last change of primary. */
 export const successionSchema = z.object({
-  /** Fencing token; increases with each change and each repeated order. */
+  /**
+   * Highest fencing token that the holder may use; it increases with each
+   * change, and each order has its own.
+   */
   epoch: z.number().int().nonnegative(),
   /** Id of the proxy that performs the change. */
   holder: z.string(),
@@ -44,6 +54,13 @@
   from: z.string(),
   /** Target to be promoted; empty until it has been selected. */
   target: z.string(),
+  /**
+   * Term in which `target` leads if the phase is `done`, and otherwise in which
+   * `from` led; older versions don't record it.
+   */
+  term: z.number().int().nonnegative().optional(),
+  /** Log end of `from` when it was demoted for this change. */
+  demotedEnd: logPositionSchema.optional(),
 });
 export type Succession = z.infer<typeof successionSchema>;
 
