fix(succession): a choice holds until its order has taken effect

What callers saw: acknowledged commits were missing at the promoted target, while another replica had them.

Change: one hold per change. Replicas are paused and the old primary demoted until the promotion is seen, repeated every 100 ms for targets that restart, join or return. Each order is preceded by a comparison of answers at most 250 ms old. A pending order stays pending; its target is given up only if it was removed, has a shorter log, or is silent for 1.25 s where the next order fences it. An answer counts if it holds exactly the term of the pause; a target knowing a newer term ends the choice. A proxy takes its own change up again at once.

--- /dev/null
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -0,0 +1,204 @@
+import {
+  type Runtime,
+  type VirtualTimer,
+  createRandom,
+  createRuntime,
+  createVirtualTimer,
+  settledFuture,
+} from '@kelpstep/runtime';
+import type {
+  StatementAnswer,
+  TargetCommand,
+  TargetStatus,
+} from '@kelpstep/statements';
+import type {TargetGroup, TargetLink} from '@kelpstep/targets';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+import {Ok} from 'ts-results';
+
+import {createReplicationHold} from '../src/replication_hold';
+import {selectSuccessor} from '../src/successor_selection';
+
+const REPLICA: TargetStatus = {
+  role: 'replica',
+  term: 1,
+  received: {term: 1, position: 7},
+  termHeld: 0,
+};
+
+interface FakeTarget {
+  readonly link: TargetLink;
+  status: TargetStatus;
+  readonly commands: TargetCommand[];
+}
+
+/** A target that answers commands as the platform's targets do. */
+function createFakeTarget(target: string, initial: TargetStatus): FakeTarget {
+  const commands: TargetCommand[] = [];
+  const answer = () =>
+    ({rows: [JSON.stringify(fake.status)]}) as unknown as StatementAnswer;
+  const link = {
+    target,
+    registration: () => ({isLeaving: false, dataCentre: 'x'}),
+    isReached: () => true,
+    probeStatus: () => settledFuture(fake.status),
+    sendCommand(command: TargetCommand) {
+      commands.push(command);
+      const {status} = fake;
+      const newest = Math.max(status.term, status.termHeld);
+      if (command.kind === 'pause' && command.term > newest) {
+        fake.status = {...status, termHeld: command.term};
+      }
+      if (command.kind === 'demote' && status.role === 'primary') {
+        fake.status = {...status, role: 'replica'};
+      }
+      return settledFuture(Ok(answer()));
+    },
+  } as unknown as TargetLink;
+  const fake: FakeTarget = {link, status: initial, commands};
+  return fake;
+}
+
+function readStatus({rows}: StatementAnswer): TargetStatus {
+  return JSON.parse(rows[0] ?? '') as TargetStatus;
+}
+
+interface Setup {
+  readonly timer: VirtualTimer;
+  readonly runtime: Runtime;
+  readonly hold: ReturnType<typeof createReplicationHold>;
+  selected(): string | undefined;
+  verdictOf(target: string): string | undefined;
+}
+
+function setUp(
+  members: readonly FakeTarget[],
+  primary?: FakeTarget,
+  highestTerm = 1,
+): Setup {
+  const timer = createVirtualTimer();
+  const runtime = createRuntime({timer, random: createRandom(1)});
+  const links = [...members, ...(primary ? [primary] : [])];
+  const group = {
+    links: () => links.map(({link}) => link),
+  } as unknown as TargetGroup;
+  const hold = createReplicationHold({
+    runtime,
+    group,
+    readStatus,
+    primary: primary && {link: primary.link, term: 1},
+    highestTerm,
+  });
+  const select = () =>
+    selectSuccessor({
+      hold,
+      now: timer.now(),
+      since: timer.now() - 250,
+      preferred: '',
+    });
+  return {
+    timer,
+    runtime,
+    hold,
+    selected: () => select().successor?.target,
+    verdictOf: name =>
+      select().considered.find(({target}) => target === name)?.verdict,
+  };
+}
+
+describe('the selection of a successor', () => {
+  const shorter = {...REPLICA, received: {term: 1, position: 4}};
+
+  test('waits for a replica whose pause was not accepted', () => {
+    const held = createFakeTarget('b', {...REPLICA, term: 9});
+    const {hold, selected, timer} = setUp([
+      createFakeTarget('a', shorter),
+      held,
+    ]);
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    timer.advance(100);
+    hold.refresh();
+    expect(selected()).toEqual('b');
+    expect(hold.term()).toEqual(10);
+  });
+
+  test('pauses again above the term of an earlier pause, which may have ended', () => {
+    const held = createFakeTarget('a', {...REPLICA, termHeld: 5});
+    const {hold, selected, timer} = setUp([held]);
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    timer.advance(100);
+    hold.refresh();
+    expect(selected()).toEqual('a');
+  });
+
+  test('waits if a target that should be a replica is primary', () => {
+    const {hold, selected, verdictOf} = setUp([
+      createFakeTarget('a', shorter),
+      createFakeTarget('b', {...REPLICA, role: 'primary', termHeld: 2}),
+    ]);
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    expect(verdictOf('b')).toEqual('primary');
+  });
+
+  // Guards against a choice without the replica that has the only copy because
+  // the proxy takes it for the primary.
+  test('ends if a target knows a newer term than that of the primary', () => {
+    const {hold, selected} = setUp(
+      [
+        createFakeTarget('a', shorter),
+        createFakeTarget('b', {...REPLICA, term: 2}),
+      ],
+      createFakeTarget('c', REPLICA),
+    );
+    hold.refresh();
+    expect(hold.isOver()).toEqual(true);
+    expect(selected()).toEqual(undefined);
+  });
+
+  test('does not rely on old answers', () => {
+    const {hold, selected, timer} = setUp([createFakeTarget('a', REPLICA)]);
+    hold.refresh();
+    expect(selected()).toEqual('a');
+    timer.advance(300);
+    expect(selected()).toEqual(undefined);
+  });
+
+  test('takes a demoted primary at its word only if it led until then', () => {
+    const led = createFakeTarget('c', {...REPLICA, role: 'primary'});
+    const {hold, runtime, timer} = setUp([createFakeTarget('a', REPLICA)], led);
+    const demotion = runtime.spawn('demote', hold.demotePrimary());
+    timer.advance(100);
+    let isDemoted: boolean | undefined;
+    demotion.result.onSettled(result => {
+      isDemoted = result;
+    });
+    expect(isDemoted).toEqual(true);
+    expect(hold.demotedLogEnd()).toEqual(REPLICA.received);
+
+    const replaced = setUp(
+      [createFakeTarget('a', REPLICA)],
+      createFakeTarget('c', shorter),
+    );
+    replaced.runtime.spawn('demote', replaced.hold.demotePrimary());
+    replaced.timer.advance(500);
+    expect(replaced.hold.demotedLogEnd()).toEqual(undefined);
+  });
+
+  test('stops the group again if a pause or a demotion has ended', () => {
+    const replica = createFakeTarget('a', REPLICA);
+    const primary = createFakeTarget('b', {...REPLICA, role: 'primary'});
+    const {hold, selected, timer} = setUp([replica], primary);
+    hold.startDemoting();
+    hold.refresh();
+    replica.status = REPLICA;
+    primary.status = {...REPLICA, role: 'primary'};
+    timer.advance(100);
+    hold.refresh();
+    expect(replica.status.termHeld).toEqual(2);
+    expect(primary.status.role).toEqual('replica');
+    expect(selected()).toEqual('a');
+  });
+});
--- a/packages/succession/src/choice_report.ts
+++ b/packages/succession/src/choice_report.ts
@@ -1,5 +1,4 @@
 /** Describes a choice of a successor for the log. */
-import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
 import type {TargetStatus} from '@kelpstep/statements';
 
@@ -10,8 +9,13 @@
   | 'complete'
   | 'behind'
   | 'unanswered'
+  /** It may receive records or acknowledge them. */
+  | 'not stopped'
+  /** It reports that it is primary. */
+  | 'primary'
   /** The primary that is to be replaced. */
-  | 'replaced';
+  | 'replaced'
+  | 'demoted';
 
 /** A target of the group as a choice considered it. */
 export interface ConsideredTarget {
@@ -39,50 +43,6 @@
   readonly considered: readonly ConsideredTarget[];
 }
 
-/** The targets of a group, their answers, and the result of a choice. */
-export interface ChoiceInput {
-  readonly targets: readonly string[];
-  /** The primary that is to be replaced. */
-  readonly replaced: string | undefined;
-  readonly answers: ReadonlyMap<string, TimedAnswer>;
-  readonly successor:
-    {readonly target: string; readonly received: LogPosition} | undefined;
-  readonly now: Milliseconds;
-}
-
-function judge(
-  target: string,
-  answer: TimedAnswer | undefined,
-  {successor, replaced}: ChoiceInput,
-): ChoiceVerdict {
-  if (target === successor?.target) {
-    return 'selected';
-  }
-  if (target === replaced) {
-    return 'replaced';
-  }
-  if (answer === undefined) {
-    return 'unanswered';
-  }
-  const isComplete =
-    successor !== undefined &&
-    compareLogPositions(answer.status.received, successor.received) >= 0;
-  return isComplete ? 'complete' : 'behind';
-}
-
-/** Returns all targets of the group as a choice considered them. */
-export function considerTargets(input: ChoiceInput): ConsideredTarget[] {
-  return input.targets.map(target => {
-    const answer = input.answers.get(target);
-    return {
-      target,
-      status: answer?.status,
-      age: answer && input.now - answer.requestedAt,
-      verdict: judge(target, answer, input),
-    };
-  });
-}
-
 /**
  * Formats a considered target as `TARGET VERDICT`, followed by role, term, log
  * end, held term and age of its answer if there is one.
--- a/packages/succession/src/choose_successor.ts
+++ b/packages/succession/src/choose_successor.ts
@@ -26,6 +26,11 @@
    * the primary was not demoted or did not answer.
    */
   readonly demotedLogEnd: LogPosition | undefined;
+  /**
+   * Target that is selected if it qualifies, because its promotion is already
+   * ordered.
+   */
+  readonly preferred?: string;
 }
 
 function compareCandidates(
@@ -50,13 +55,18 @@
 export function chooseSuccessor(
   input: SuccessorInput,
 ): SuccessorCandidate | undefined {
-  const {stopped, unanswered, demotedLogEnd} = input;
+  const {stopped, unanswered, demotedLogEnd, preferred} = input;
   const ranked = [...stopped].sort(compareCandidates);
-  if (demotedLogEnd !== undefined) {
-    const complete = ranked.filter(
-      ({received}) => compareLogPositions(received, demotedLogEnd) >= 0,
-    );
-    return complete.find(({isLeaving}) => !isLeaving) ?? complete[0];
+  const required = demotedLogEnd ?? ranked[0]?.received;
+  if (required === undefined || (!demotedLogEnd && unanswered > 0)) {
+    return undefined;
   }
-  return unanswered === 0 ? ranked[0] : undefined;
+  const complete = ranked.filter(
+    ({received}) => compareLogPositions(received, required) >= 0,
+  );
+  return (
+    complete.find(({target}) => target === preferred) ??
+    complete.find(({isLeaving}) => !isLeaving) ??
+    complete[0]
+  );
 }
--- /dev/null
+++ b/packages/succession/src/promotion_orders.ts
@@ -0,0 +1,316 @@
+/**
+ * Orders the promotion of a successor until it leads. An order may take effect
+ * seconds after it was sent, and the group's logs may change meanwhile, so each
+ * order is preceded by a comparison of the logs, and a target with an order
+ * outstanding is given up only for a reason.
+ */
+import {
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  createSuspensionDetector,
+  sleep,
+  waitFor,
+  waitWithTimeout,
+} from '@kelpstep/runtime';
+import type {TargetGroup} from '@kelpstep/targets';
+
+import type {SuccessorCandidate} from './choose_successor';
+import type {ReplicationHold} from './replication_hold';
+import {
+  EPOCHS_PER_WRITE,
+  type OrderPromotion,
+  type PromotionReply,
+} from './succession_row';
+import type {SuccessionRowWriter} from './succession_row_writer';
+import {type Selection, selectSuccessor} from './successor_selection';
+
+export interface PromotionOrdersOptions {
+  readonly runtime: Runtime;
+  readonly self: string;
+  readonly group: TargetGroup;
+  readonly orderPromotion: OrderPromotion;
+  /** True if the platform refuses orders with a lower epoch than an earlier one. */
+  readonly arePromotionsFenced: boolean;
+  onStep(step: string, target: string, epoch: number): void;
+  onSelection(selection: Selection): void;
+}
+
+export interface PromotionOrders {
+  /**
+   * Waits until a target qualifies; undefined if none did within `timeout`.
+   * `pendingTarget` has an order outstanding, or is ''.
+   */
+  awaitSuccessor(
+    hold: ReplicationHold,
+    timeout: Milliseconds,
+    pendingTarget: string,
+  ): Task<SuccessorCandidate | undefined>;
+  /**
+   * Orders the promotion of a target that qualifies until one leads, and returns
+   * the term in which it does; undefined if another proxy has written the row or
+   * no target became primary in time. `pendingTarget` has an order outstanding
+   * from before, or is ''.
+   */
+  promote(
+    hold: ReplicationHold,
+    rowWriter: SuccessionRowWriter,
+    pendingTarget: string,
+  ): Task<number | undefined>;
+}
+
+/**
+ * Maximum age of the answers on which an order relies. Older ones are replaced
+ * first: targets may have restarted or joined since.
+ */
+const MAXIMUM_ANSWER_AGE_MS: Milliseconds = 250;
+/**
+ * Time after writing the row within which orders are sent. Another proxy may
+ * take the row over later, and must not find orders that are sent after that.
+ */
+const ORDER_WINDOW_MS: Milliseconds = 2000;
+/** Maximum number of orders rejected for their epoch or a stopped target. */
+const MAXIMUM_REJECTED_ORDERS = 6;
+const REFUSED_ORDER_BACKOFF_MS: Milliseconds = 60;
+/** Time for which orders are repeated. */
+const PROMOTION_TIMEOUT_MS: Milliseconds = 9000;
+/** Time for a target to qualify before an order. */
+const CONFIRMATION_TIMEOUT_MS: Milliseconds = 2750;
+/**
+ * Time for which a silent target keeps its order. It covers a promotion of up to
+ * a second and the probe that detects it.
+ */
+const SILENT_TARGET_TIMEOUT_MS: Milliseconds = 1250;
+/** Time for a target to report the primary role after a confirmed promotion. */
+const LEADERSHIP_TIMEOUT_MS: Milliseconds = 3000;
+/**
+ * A promotion order is usually answered within milliseconds. Without an answer
+ * it may have been executed or lost, or may be executed seconds later.
+ */
+const PROMOTION_REPLY_TIMEOUT_MS: Milliseconds = 300;
+/**
+ * Time that covers a promotion of up to a second and the status probe that
+ * detects it.
+ */
+const UNANSWERED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 1250;
+/**
+ * The same time where the platform refuses orders of lower epochs: an order that
+ * is repeated too early then does no harm, and the group has no primary
+ * meanwhile.
+ */
+const FENCED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 350;
+
+export function createPromotionOrders(
+  options: PromotionOrdersOptions,
+): PromotionOrders {
+  const {runtime, group, self, onStep, onSelection} = options;
+  const {timer} = runtime;
+  const unansweredLeadershipTimeout = options.arePromotionsFenced
+    ? FENCED_LEADERSHIP_TIMEOUT_MS
+    : UNANSWERED_LEADERSHIP_TIMEOUT_MS;
+  let lastReported: string | undefined;
+
+  /**
+   * True if the target with an outstanding order may be passed over: it was
+   * removed, has a shorter log than another one, or has been silent for long and
+   * the next order fences the outstanding one.
+   */
+  function maySwitch(
+    pendingTarget: string,
+    {considered}: Selection,
+    silentSince: Milliseconds,
+  ): boolean {
+    const pending = considered.find(({target}) => target === pendingTarget);
+    const isSilent = pending?.verdict === 'unanswered';
+    const isGivenUp =
+      options.arePromotionsFenced &&
+      timer.now() - silentSince >= SILENT_TARGET_TIMEOUT_MS;
+    return pending === undefined || !isSilent || isGivenUp;
+  }
+
+  function* awaitSuccessor(
+    hold: ReplicationHold,
+    timeout: Milliseconds,
+    pendingTarget: string,
+  ): Task<SuccessorCandidate | undefined> {
+    const startedAt = timer.now();
+    const suspension = createSuspensionDetector(timer);
+    let earliest = -Infinity;
+    for (;;) {
+      hold.refresh();
+      const now = timer.now();
+      // Answers from before a suspension are older than the clock shows.
+      earliest = suspension.wasSuspended() ? now : earliest;
+      const selection = selectSuccessor({
+        hold,
+        now,
+        since: Math.max(earliest, now - MAXIMUM_ANSWER_AGE_MS),
+        preferred: pendingTarget,
+      });
+      const {successor} = selection;
+      const isAllowed =
+        pendingTarget === '' ||
+        successor?.target === pendingTarget ||
+        maySwitch(pendingTarget, selection, startedAt);
+      if (successor !== undefined && isAllowed) {
+        report(selection);
+        return successor;
+      }
+      if (hold.isOver() || now - startedAt >= timeout) {
+        report({...selection, successor: undefined});
+        return undefined;
+      }
+      yield* hold.pollHolding();
+    }
+  }
+
+  /** Reports a choice, unless the same target was selected for the hold before. */
+  function report(selection: Selection): void {
+    const selected = selection.successor?.target;
+    if (selected === undefined || selected !== lastReported) {
+      onSelection(selection);
+    }
+    lastReported = selected;
+  }
+
+  /** Term in which the target leads; undefined if it does not lead. */
+  function* termLedBy(
+    target: string,
+    hold: ReplicationHold,
+  ): Task<number | undefined> {
+    const link = group.link(target);
+    const status = link && (yield* waitFor(link.probeStatus()));
+    const isLed = status?.role === 'primary';
+    const isNew = hold.primary?.link !== link || hold.primary === undefined;
+    return isLed && isNew ? status.term : undefined;
+  }
+
+  /**
+   * True unless another target has a longer log than this one, which may have
+   * restarted without its log or lack commits that were acknowledged since.
+   */
+  function mayStillQualify(target: string, hold: ReplicationHold): boolean {
+    const now = timer.now();
+    const since = now - MAXIMUM_ANSWER_AGE_MS;
+    const selection = selectSuccessor({hold, now, since, preferred: target});
+    const selected = selection.successor?.target ?? target;
+    return selected === target || !maySwitch(target, selection, now);
+  }
+
+  /**
+   * Waits until the target leads, for at most `timeout`, or until another one
+   * has to be promoted instead.
+   */
+  function* awaitLeadership(
+    target: string,
+    hold: ReplicationHold,
+    timeout: Milliseconds,
+  ): Task<number | undefined> {
+    const deadline = timer.now() + timeout;
+    for (;;) {
+      const term = yield* termLedBy(target, hold);
+      const mustEnd = timer.now() >= deadline || !mayStillQualify(target, hold);
+      if (term !== undefined || mustEnd) {
+        return term;
+      }
+      yield* hold.pollHolding();
+    }
+  }
+
+  function* sendOrder(
+    hold: ReplicationHold,
+    target: string,
+    epoch: number,
+  ): Task<PromotionReply> {
+    onStep('promotion ordered', target, epoch);
+    const pendingReply = options.orderPromotion({
+      group: group.group,
+      target,
+      holder: self,
+      epoch,
+    });
+    hold.refresh();
+    const reply =
+      (yield* waitWithTimeout(pendingReply, PROMOTION_REPLY_TIMEOUT_MS)) ??
+      'unanswered';
+    onStep(`promotion ${reply}`, target, epoch);
+    return reply;
+  }
+
+  function* promote(
+    hold: ReplicationHold,
+    rowWriter: SuccessionRowWriter,
+    pendingTarget: string,
+  ): Task<number | undefined> {
+    const giveUpAt = timer.now() + PROMOTION_TIMEOUT_MS;
+    let ordered = pendingTarget;
+    let rejectedOrders = 0;
+    let nextEpoch = Infinity;
+    let orderUntil = -Infinity;
+
+    /** Records the target, and reserves epochs for its orders. */
+    function* reserveEpochs(target: string): Task<boolean> {
+      const {epoch} = rowWriter.succession();
+      const writtenAt = timer.now();
+      const write = rowWriter.write({
+        phase: 'ordered',
+        target,
+        epoch: epoch + EPOCHS_PER_WRITE,
+        demotedEnd: hold.demotedLogEnd(),
+      });
+      const written = runtime.spawn('reserve epochs', write).result;
+      if (!(yield* hold.awaitHolding(written))) {
+        return false;
+      }
+      nextEpoch = epoch + 1;
+      orderUntil = writtenAt + ORDER_WINDOW_MS;
+      return true;
+    }
+
+    while (rejectedOrders < MAXIMUM_REJECTED_ORDERS && timer.now() < giveUpAt) {
+      const led = ordered === '' ? undefined : yield* termLedBy(ordered, hold);
+      if (led !== undefined) {
+        return led;
+      }
+      const successor = yield* awaitSuccessor(
+        hold,
+        CONFIRMATION_TIMEOUT_MS,
+        ordered,
+      );
+      if (successor === undefined) {
+        return ordered === ''
+          ? undefined
+          : yield* awaitLeadership(ordered, hold, SILENT_TARGET_TIMEOUT_MS);
+      }
+      const {target} = successor;
+      const mustWrite =
+        rowWriter.succession().target !== target ||
+        nextEpoch > rowWriter.succession().epoch ||
+        timer.now() > orderUntil;
+      if (mustWrite) {
+        if (!(yield* reserveEpochs(target))) {
+          return undefined;
+        }
+        // The logs are compared again if the write took long.
+        continue;
+      }
+      ordered = target;
+      const reply = yield* sendOrder(hold, target, nextEpoch);
+      nextEpoch = reply === 'fenced' ? Infinity : nextEpoch + 1;
+      rejectedOrders += reply === 'fenced' ? 1 : 0;
+      const timeout =
+        reply === 'done' ? LEADERSHIP_TIMEOUT_MS : unansweredLeadershipTimeout;
+      if (reply === 'fenced' || reply === 'refused') {
+        yield* sleep(REFUSED_ORDER_BACKOFF_MS);
+        continue;
+      }
+      const term = yield* awaitLeadership(target, hold, timeout);
+      if (term !== undefined) {
+        return term;
+      }
+    }
+    return undefined;
+  }
+
+  return {awaitSuccessor, promote};
+}
--- /dev/null
+++ b/packages/succession/src/replication_hold.ts
@@ -0,0 +1,244 @@
+/**
+ * Holds a group's logs still while its primary is changed. From the choice of a
+ * successor until its promotion takes effect, no commit may be acknowledged that
+ * the successor lacks: replicas are paused, the primary is demoted if it
+ * answers, and both are repeated, because a restart ends a pause and targets may
+ * join.
+ */
+import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import {
+  type Future,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+  mapFuture,
+  sleep,
+  waitWithTimeout,
+} from '@kelpstep/runtime';
+import type {
+  ReadTargetStatus,
+  TargetCommand,
+  TargetStatus,
+} from '@kelpstep/statements';
+import type {TargetGroup, TargetLink} from '@kelpstep/targets';
+
+import type {TimedAnswer} from './choice_report';
+
+/** The primary that is to be replaced, and the term in which it led. */
+export interface ReplacedPrimary {
+  readonly link: TargetLink;
+  readonly term: number;
+  /** Its log end when an earlier holder of the change demoted it. */
+  readonly demotedEnd?: LogPosition | undefined;
+}
+
+/** A target of the group and its newest answer during this hold. */
+export interface HeldTarget {
+  readonly link: TargetLink;
+  readonly answer: TimedAnswer | undefined;
+}
+
+export interface ReplicationHold {
+  readonly primary: ReplacedPrimary | undefined;
+  /** All targets of the group except the primary. */
+  members(): readonly HeldTarget[];
+  primaryAnswer(): TimedAnswer | undefined;
+  /** Term for which replication is stopped. */
+  term(): number;
+  /** Asks members for their status only, until `stopMembers`. */
+  observeMembers(): void;
+  stopMembers(): void;
+  /** Demotes the primary from now on, also when it returns later. */
+  startDemoting(): void;
+  /**
+   * Starts demoting and waits for the answer; false if the primary did not
+   * answer or led no more.
+   */
+  demotePrimary(): Task<boolean>;
+  /** True if the target can't receive or acknowledge records. */
+  isStopped(answer: TimedAnswer | undefined): boolean;
+  /**
+   * Log end of the demoted primary, which includes every commit; undefined
+   * unless it was demoted in the term in which it led and still is a replica.
+   */
+  demotedLogEnd(): LogPosition | undefined;
+  /** True once a target has reported a term above the primary's. */
+  isOver(): boolean;
+  /** Sends the commands that are due; to be called repeatedly. */
+  refresh(): void;
+  /** Waits for `future`, and refreshes meanwhile. */
+  awaitHolding<T>(future: Future<T>): Task<T>;
+  /** Waits for one poll interval, and refreshes before. */
+  pollHolding(): Task<void>;
+}
+
+export interface ReplicationHoldOptions {
+  readonly runtime: Runtime;
+  readonly group: TargetGroup;
+  readonly readStatus: ReadTargetStatus;
+  readonly primary: ReplacedPrimary | undefined;
+  /** Highest term known before. */
+  readonly highestTerm: number;
+}
+
+/**
+ * Time for a target to execute a command. Commands are sent on the control
+ * connection, so they don't wait for statements.
+ */
+export const COMMAND_TIMEOUT_MS: Milliseconds = 400;
+export const POLL_INTERVAL_MS: Milliseconds = 20;
+/** Age of an answer at which its target is asked again. */
+const REFRESH_INTERVAL_MS: Milliseconds = 100;
+
+export function createReplicationHold(
+  options: ReplicationHoldOptions,
+): ReplicationHold {
+  const {runtime, group, primary} = options;
+  const {timer} = runtime;
+  // A target that starts anew has another link, so its answers don't count.
+  const answers = new Map<TargetLink, TimedAnswer>();
+  const pending = new Set<TargetLink>();
+  let term = options.highestTerm + 1;
+  let memberCommand: 'status' | 'pause' = 'pause';
+  let isDemoting = false;
+  /** Log end that a demoted primary has at least. */
+  let lowestDemotedEnd = primary?.demotedEnd;
+
+  function memberLinks(): TargetLink[] {
+    return group.links().filter(link => link !== primary?.link);
+  }
+
+  function hasNewTerm(status: TargetStatus): boolean {
+    return primary !== undefined && status.term > primary.term;
+  }
+
+  function isOver(): boolean {
+    return [...answers.values()].some(({status}) => hasNewTerm(status));
+  }
+
+  /** A pause is certain to take effect only above all terms that a target knows. */
+  function raiseTerm(status: TargetStatus): void {
+    if (status.termHeld > term || status.term >= term) {
+      term = Math.max(status.termHeld, status.term) + 1;
+    }
+  }
+
+  function send(link: TargetLink, command: TargetCommand): void {
+    const requestedAt = timer.now();
+    pending.add(link);
+    link.sendCommand(command, COMMAND_TIMEOUT_MS).onSettled(reply => {
+      pending.delete(link);
+      const status = reply.ok ? options.readStatus(reply.val) : undefined;
+      if (status !== undefined) {
+        answers.set(link, {status, requestedAt});
+        raiseTerm(status);
+      }
+    });
+  }
+
+  function isDue(link: TargetLink): boolean {
+    const requestedAt = answers.get(link)?.requestedAt ?? -Infinity;
+    const isOld = timer.now() - requestedAt >= REFRESH_INTERVAL_MS;
+    return !pending.has(link) && isOld;
+  }
+
+  function refresh(): void {
+    if (isOver()) {
+      // A pause or demotion that arrives now would concern the new term.
+      return;
+    }
+    for (const link of memberLinks().filter(isDue)) {
+      const command: TargetCommand =
+        memberCommand === 'pause' ? {kind: 'pause', term} : {kind: 'status'};
+      send(link, command);
+    }
+    if (primary !== undefined && isDemoting && isDue(primary.link)) {
+      send(primary.link, {kind: 'demote', term});
+    }
+  }
+
+  function isStopped(answer: TimedAnswer | undefined): boolean {
+    return (
+      answer !== undefined &&
+      answer.status.role === 'replica' &&
+      answer.status.termHeld === term &&
+      !hasNewTerm(answer.status)
+    );
+  }
+
+  function primaryAnswer(): TimedAnswer | undefined {
+    return primary && answers.get(primary.link);
+  }
+
+  function* awaitHolding<T>(future: Future<T>): Task<T> {
+    for (;;) {
+      refresh();
+      const result = yield* waitWithTimeout(future, POLL_INTERVAL_MS);
+      if (result !== undefined) {
+        return result;
+      }
+    }
+  }
+
+  function* pollHolding(): Task<void> {
+    refresh();
+    yield* sleep(POLL_INTERVAL_MS);
+  }
+
+  function startDemoting(): void {
+    isDemoting = true;
+  }
+
+  function* demotePrimary(): Task<boolean> {
+    if (primary === undefined) {
+      return false;
+    }
+    const probe = mapFuture(primary.link.probeStatus(), status => ({status}));
+    const {status: before} = yield* awaitHolding(probe);
+    startDemoting();
+    // A replica that answers may have been replaced without knowing it yet.
+    if (before?.role !== 'primary' || before.term !== primary.term) {
+      return false;
+    }
+    lowestDemotedEnd = before.received;
+    const deadline = timer.now() + COMMAND_TIMEOUT_MS;
+    while (demotedLogEnd() === undefined && timer.now() < deadline) {
+      yield* pollHolding();
+    }
+    return demotedLogEnd() !== undefined;
+  }
+
+  function demotedLogEnd(): LogPosition | undefined {
+    const status = primaryAnswer()?.status;
+    const isDemoted =
+      status?.role === 'replica' &&
+      !hasNewTerm(status) &&
+      lowestDemotedEnd !== undefined &&
+      // A log that ends earlier was lost.
+      compareLogPositions(status.received, lowestDemotedEnd) >= 0;
+    return isDemoted ? status.received : undefined;
+  }
+
+  return {
+    primary,
+    members: () =>
+      memberLinks().map(link => ({link, answer: answers.get(link)})),
+    primaryAnswer,
+    term: () => term,
+    observeMembers() {
+      memberCommand = 'status';
+    },
+    stopMembers() {
+      memberCommand = 'pause';
+      memberLinks().forEach(link => answers.delete(link));
+    },
+    startDemoting,
+    demotePrimary,
+    isStopped,
+    demotedLogEnd,
+    isOver,
+    refresh,
+    awaitHolding,
+    pollHolding,
+  };
+}
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,23 +15,22 @@
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
 import type {SuccessionChoice} from './choice_report';
-import type {SuccessorCandidate} from './choose_successor';
+import type {ReplacedPrimary} from './replication_hold';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
 import {
+  EPOCHS_PER_WRITE,
   type OrderPromotion,
   SUCCESSION_KEY_PREFIX,
   type Succession,
   nextEpoch,
 } from './succession_row';
 import {
+  type SuccessionEnd,
   type SuccessionOutcome,
   createSuccessionSteps,
 } from './succession_steps';
-import {
-  type SuccessionRowWriter,
-  createSuccessionRowWriter,
-} from './succession_row_writer';
+import {createSuccessionRowWriter} from './succession_row_writer';
 
 /**
  * Reason for which a primary is replaced. `missing`: no primary has been known
@@ -200,14 +199,16 @@
 
   /**
    * True while another proxy may still be performing a change, or the last
-   * change is too recent.
+   * change is too recent. A change of this proxy itself has ended, or was that
+   * of its previous process.
    */
   function mustDefer(): boolean {
     const age = timer.now() - options.rowSeenAt();
-    return (
-      age <
-      (isChangeInProgress() ? OTHER_PROXY_STEP_TIMEOUT_MS : CHANGE_COOLDOWN_MS)
-    );
+    if (!isChangeInProgress()) {
+      return age < CHANGE_COOLDOWN_MS;
+    }
+    const isOwn = options.row()?.succession.holder === self;
+    return !isOwn && age < OTHER_PROXY_STEP_TIMEOUT_MS;
   }
 
   function* monitor(): Task<void> {
@@ -287,19 +288,21 @@
    */
   function canFinishChange(): boolean {
     const row = options.row()?.succession;
-    const leader = group.leader() ?? recordedLeader(row);
-    const others = group.links().filter(link => link !== leader);
+    const primary = findPrimary(row)?.link;
+    const others = group.links().filter(link => link !== primary);
     const areReached =
       others.length > 0 && others.every(link => link.isReached());
-    return areReached || findPendingTarget(row) !== '';
+    const pending = group.link(findPendingTarget(row));
+    return areReached || pending?.isReached() === true;
   }
 
   function* changePrimary(reason: SuccessionReason): Task<void> {
     const startedAt = timer.now();
     const previous = options.row();
     const era = options.era();
-    const epoch = nextEpoch(previous?.succession.epoch ?? 0, era);
-    const leader = group.leader() ?? recordedLeader(previous?.succession);
+    const epoch =
+      nextEpoch(previous?.succession.epoch ?? 0, era) + EPOCHS_PER_WRITE - 1;
+    const primary = findPrimary(previous?.succession);
     const pendingTarget = findPendingTarget(previous?.succession);
     const successionRow = createSuccessionRowWriter(
       {store, rowWriter: options.rowWriter, table: options.table, key},
@@ -309,20 +312,29 @@
         holder: self,
         // A pending order stays recorded in case this proxy fails as well.
         phase: pendingTarget === '' ? 'stopping' : 'ordered',
-        from: leader?.target ?? '',
+        from: primary?.link.target ?? '',
         target: pendingTarget,
+        term: primary?.term,
+        demotedEnd: primary?.demotedEnd,
       },
     );
     if (!(yield* successionRow.write({}))) {
       return;
     }
     events.onStart(reason, epoch, previous?.succession);
-    const outcome = yield* runSteps(
-      successionRow,
-      reason,
-      leader,
-      pendingTarget,
-    );
+    const isUnordered = reason === 'unfinished' && pendingTarget === '';
+    const outcome = isUnordered
+      ? yield* steps.finish(successionRow, endOf(previous?.succession))
+      : yield* steps.replacePrimary({
+          rowWriter: successionRow,
+          primary,
+          isPlanned: reason === 'leaving' && pendingTarget === '',
+          pendingTarget,
+          // The probe for the highest term may reach an unknown primary.
+          isNeedless: () =>
+            (reason === 'missing' || reason === 'split') &&
+            group.leader()?.isReached() === true,
+        });
     events.onEnd(
       outcome,
       successionRow.succession().epoch,
@@ -334,63 +346,57 @@
   }
 
   /**
-   * Returns the primary according to the row, for a proxy that does not know
-   * one; every change of primary is recorded there. Returns undefined while a
-   * promotion is ordered. Commits that a lost primary has acknowledged are on a
-   * replica, so the primary's own answer is not needed.
+   * Returns the primary according to the row, for a proxy that knows an older
+   * one or none. Commits that a lost primary has acknowledged are on a replica,
+   * so the primary's own answer is not needed. Undefined if the row does not tell
+   * the term: the target may then have been replaced without being recorded.
    */
-  function recordedLeader(row: Succession | undefined): TargetLink | undefined {
-    if (row === undefined || row.phase === 'ordered') {
+  function recordedPrimary(
+    row: Succession | undefined,
+  ): ReplacedPrimary | undefined {
+    const name = row?.phase === 'done' ? row.target : row?.from;
+    const link = name === undefined ? undefined : group.link(name);
+    if (row?.term === undefined || link === undefined) {
       return undefined;
     }
-    return group.link(row.phase === 'done' ? row.target : row.from);
+    const demotedEnd = row.phase === 'done' ? undefined : row.demotedEnd;
+    return {link, term: row.term, demotedEnd};
+  }
+
+  /** Returns the newest primary that this proxy or the row knows. */
+  function findPrimary(
+    row: Succession | undefined,
+  ): ReplacedPrimary | undefined {
+    const recorded = recordedPrimary(row);
+    const leadership = group.positions.leader();
+    const link = group.leader();
+    if (leadership === undefined || link === undefined) {
+      return recorded;
+    }
+    const {term} = leadership;
+    return recorded !== undefined && recorded.term >= term
+      ? recorded
+      : {link, term};
   }
 
   /**
-   * Returns the reachable target of a recorded promotion order; '' if there is
-   * none. Such an order may still take effect, so no other target is selected.
+   * Returns the target of a recorded promotion order; '' if there is none. Such
+   * an order may still take effect whether the target is reached or not, unless
+   * it has already taken effect.
    */
   function findPendingTarget(row: Succession | undefined): string {
     const isOrdered = row?.phase === 'ordered';
-    const link = isOrdered ? group.link(row.target) : undefined;
-    return link?.isReached() ? link.target : '';
+    const hasLed = findPrimary(row)?.link.target === row?.target;
+    return isOrdered && !hasLed ? row.target : '';
   }
 
-  function* runSteps(
-    rowWriter: SuccessionRowWriter,
-    reason: SuccessionReason,
-    leader: TargetLink | undefined,
-    pendingTarget: string,
-  ): Task<SuccessionOutcome> {
-    if (pendingTarget !== '') {
-      return yield* steps.completePromotion(rowWriter, pendingTarget);
-    }
-    const {epoch} = rowWriter.succession();
-    const successor = yield* selectSuccessor(reason, leader, epoch);
-    if (successor === undefined) {
-      yield* steps.finish(rowWriter, 'abandoned');
-      return 'abandoned';
-    }
-    return yield* steps.promoteSuccessor(rowWriter, successor.target);
-  }
-
-  function* selectSuccessor(
-    reason: SuccessionReason,
-    leader: TargetLink | undefined,
-    epoch: number,
-  ): Task<SuccessorCandidate | undefined> {
-    if (reason === 'unfinished') {
-      return undefined;
-    }
-    const term = (yield* steps.highestTerm()) + 1;
-    const isUnknown = reason === 'missing' || reason === 'split';
-    if (isUnknown && group.leader()?.isReached()) {
-      // The probe for the highest term has reached a primary.
-      return undefined;
-    }
-    return reason === 'leaving' && leader !== undefined
-      ? yield* steps.chooseAfterDemotion(leader, term, epoch)
-      : yield* steps.chooseAfterPause(leader, term, epoch);
+  /** End of a change without a pending order: its target leads, or none will. */
+  function endOf(row: Succession | undefined): SuccessionEnd {
+    const primary = findPrimary(row);
+    const hasLed = row?.phase === 'ordered' && primary !== undefined;
+    return hasLed
+      ? {phase: 'done', target: primary.link.target, term: primary.term}
+      : {phase: 'abandoned'};
   }
 
   const task: TaskHandle<void> = runtime.spawn('succession', monitor());
