fix(succession): demote a primary that returned under another id; renew the row

Members that report the primary role are now demoted with the primary, and compared again before an order. Before the hold, such a target counted as paused while it went on leading. - Group wuno96b: the holder's row was 2.5 s old while its orders stayed unanswered, so another proxy took the change over (31.2 s). The row is now renewed after 1 s, beside the orders.

--- /dev/null
+++ b/packages/succession/src/epoch_lease.ts
@@ -0,0 +1,105 @@
+/**
+ * Holds a change's row while promotions are ordered. Each write of the row
+ * reserves epochs for some time, so that orders can be repeated while the store
+ * does not answer; it is renewed before another proxy may take the change over.
+ */
+import {
+  type Future,
+  type Milliseconds,
+  type Runtime,
+  type Task,
+} from '@kelpstep/runtime';
+
+import type {ReplicationHold} from './replication_hold';
+import {EPOCHS_PER_WRITE} from './succession_row';
+import type {SuccessionRowWriter} from './succession_row_writer';
+
+export interface EpochLease {
+  /** Records the target of the next orders; false if the row was taken over. */
+  begin(target: string): Task<boolean>;
+  /** Starts to renew the lease if it is due, and does not wait for it. */
+  renew(): void;
+  /** True once another proxy has written the row. */
+  isLost(): boolean;
+  /** An unused epoch; undefined if the lease is over or has none left. */
+  takeEpoch(target: string): number | undefined;
+  /** Drops the reserved epochs: a higher one has been used elsewhere. */
+  dropEpochs(): void;
+  /** Waits for a write that is under way. */
+  end(): Task<void>;
+}
+
+/**
+ * Time after a write within which orders are sent. It is below the time after
+ * which another proxy takes a change over.
+ */
+const LEASE_TIME_MS: Milliseconds = 2000;
+const RENEWAL_TIME_MS: Milliseconds = 1000;
+
+export function createEpochLease(
+  runtime: Runtime,
+  hold: ReplicationHold,
+  rowWriter: SuccessionRowWriter,
+): EpochLease {
+  const {timer} = runtime;
+  let nextEpoch = Infinity;
+  let writtenAt = -Infinity;
+  let isLost = false;
+  let pendingWrite: Future<boolean> | undefined;
+
+  function startWrite(target: string): Future<boolean> {
+    const {epoch} = rowWriter.succession();
+    const startedAt = timer.now();
+    const write = rowWriter.write({
+      phase: 'ordered',
+      target,
+      epoch: epoch + EPOCHS_PER_WRITE,
+      demotedEnd: hold.demotedLogEnd(),
+    });
+    const written = runtime.spawn('reserve epochs', write).result;
+    pendingWrite = written;
+    written.onSettled(isWritten => {
+      pendingWrite = undefined;
+      isLost ||= !isWritten;
+      if (isWritten) {
+        nextEpoch = Math.min(nextEpoch, epoch + 1);
+        writtenAt = startedAt;
+      }
+    });
+    return written;
+  }
+
+  function* end(): Task<void> {
+    if (pendingWrite !== undefined) {
+      yield* hold.awaitHolding(pendingWrite);
+    }
+  }
+
+  return {
+    *begin(target) {
+      yield* end();
+      return !isLost && (yield* hold.awaitHolding(startWrite(target)));
+    },
+    renew() {
+      const {phase, target} = rowWriter.succession();
+      const isDue = timer.now() - writtenAt >= RENEWAL_TIME_MS;
+      if (phase === 'ordered' && isDue && !isLost && !pendingWrite) {
+        startWrite(target);
+      }
+    },
+    isLost: () => isLost,
+    takeEpoch(target) {
+      const row = rowWriter.succession();
+      const mayOrder =
+        !isLost &&
+        row.target === target &&
+        nextEpoch <= row.epoch &&
+        timer.now() - writtenAt < LEASE_TIME_MS;
+      return mayOrder ? nextEpoch++ : undefined;
+    },
+    dropEpochs() {
+      nextEpoch = Infinity;
+    },
+    end,
+  };
+}
--- a/packages/succession/src/promotion_orders.ts
+++ b/packages/succession/src/promotion_orders.ts
@@ -16,12 +16,9 @@
 import type {TargetGroup} from '@kelpstep/targets';
 
 import type {SuccessorCandidate} from './choose_successor';
+import {type EpochLease, createEpochLease} from './epoch_lease';
 import type {ReplicationHold} from './replication_hold';
-import {
-  EPOCHS_PER_WRITE,
-  type OrderPromotion,
-  type PromotionReply,
-} from './succession_row';
+import type {OrderPromotion, PromotionReply} from './succession_row';
 import type {SuccessionRowWriter} from './succession_row_writer';
 import {type Selection, selectSuccessor} from './successor_selection';
 
@@ -64,11 +61,6 @@
  * first: targets may have restarted or joined since.
  */
 const MAXIMUM_ANSWER_AGE_MS: Milliseconds = 250;
-/**
- * Time after writing the row within which orders are sent. Another proxy may
- * take the row over later, and must not find orders that are sent after that.
- */
-const ORDER_WINDOW_MS: Milliseconds = 2000;
 /** Maximum number of orders rejected for their epoch or a stopped target. */
 const MAXIMUM_REJECTED_ORDERS = 6;
 const REFUSED_ORDER_BACKOFF_MS: Milliseconds = 60;
@@ -146,6 +138,7 @@
         now,
         since: Math.max(earliest, now - MAXIMUM_ANSWER_AGE_MS),
         preferred: pendingTarget,
+        mayLead: !hold.isDemoting(),
       });
       const {successor} = selection;
       const isAllowed =
@@ -192,7 +185,13 @@
   function mayStillQualify(target: string, hold: ReplicationHold): boolean {
     const now = timer.now();
     const since = now - MAXIMUM_ANSWER_AGE_MS;
-    const selection = selectSuccessor({hold, now, since, preferred: target});
+    const selection = selectSuccessor({
+      hold,
+      now,
+      since,
+      preferred: target,
+      mayLead: false,
+    });
     const selected = selection.successor?.target ?? target;
     return selected === target || !maySwitch(target, selection, now);
   }
@@ -204,6 +203,7 @@
   function* awaitLeadership(
     target: string,
     hold: ReplicationHold,
+    lease: EpochLease,
     timeout: Milliseconds,
   ): Task<number | undefined> {
     const deadline = timer.now() + timeout;
@@ -213,6 +213,7 @@
       if (term !== undefined || mustEnd) {
         return term;
       }
+      lease.renew();
       yield* hold.pollHolding();
     }
   }
@@ -241,35 +242,24 @@
     hold: ReplicationHold,
     rowWriter: SuccessionRowWriter,
     pendingTarget: string,
+  ): Task<number | undefined> {
+    const lease = createEpochLease(runtime, hold, rowWriter);
+    const term = yield* orderUntilLed(hold, lease, pendingTarget);
+    yield* lease.end();
+    return lease.isLost() ? undefined : term;
+  }
+
+  function* orderUntilLed(
+    hold: ReplicationHold,
+    lease: EpochLease,
+    pendingTarget: string,
   ): Task<number | undefined> {
     const giveUpAt = timer.now() + PROMOTION_TIMEOUT_MS;
     let ordered = pendingTarget;
     let rejectedOrders = 0;
-    let nextEpoch = Infinity;
-    let orderUntil = -Infinity;
-
-    /** Records the target, and reserves epochs for its orders. */
-    function* reserveEpochs(target: string): Task<boolean> {
-      const {epoch} = rowWriter.succession();
-      const writtenAt = timer.now();
-      const write = rowWriter.write({
-        phase: 'ordered',
-        target,
-        epoch: epoch + EPOCHS_PER_WRITE,
-        demotedEnd: hold.demotedLogEnd(),
-      });
-      const written = runtime.spawn('reserve epochs', write).result;
-      if (!(yield* hold.awaitHolding(written))) {
-        return false;
-      }
-      nextEpoch = epoch + 1;
-      orderUntil = writtenAt + ORDER_WINDOW_MS;
-      return true;
-    }
-
     while (rejectedOrders < MAXIMUM_REJECTED_ORDERS && timer.now() < giveUpAt) {
       const led = ordered === '' ? undefined : yield* termLedBy(ordered, hold);
-      if (led !== undefined) {
+      if (led !== undefined || lease.isLost()) {
         return led;
       }
       const successor = yield* awaitSuccessor(
@@ -280,31 +270,35 @@
       if (successor === undefined) {
         return ordered === ''
           ? undefined
-          : yield* awaitLeadership(ordered, hold, SILENT_TARGET_TIMEOUT_MS);
+          : yield* awaitLeadership(
+              ordered,
+              hold,
+              lease,
+              SILENT_TARGET_TIMEOUT_MS,
+            );
       }
       const {target} = successor;
-      const mustWrite =
-        rowWriter.succession().target !== target ||
-        nextEpoch > rowWriter.succession().epoch ||
-        timer.now() > orderUntil;
-      if (mustWrite) {
-        if (!(yield* reserveEpochs(target))) {
+      const epoch = lease.takeEpoch(target);
+      if (epoch === undefined) {
+        if (!(yield* lease.begin(target))) {
           return undefined;
         }
         // The logs are compared again if the write took long.
         continue;
       }
       ordered = target;
-      const reply = yield* sendOrder(hold, target, nextEpoch);
-      nextEpoch = reply === 'fenced' ? Infinity : nextEpoch + 1;
-      rejectedOrders += reply === 'fenced' ? 1 : 0;
-      const timeout =
-        reply === 'done' ? LEADERSHIP_TIMEOUT_MS : unansweredLeadershipTimeout;
+      const reply = yield* sendOrder(hold, target, epoch);
+      if (reply === 'fenced') {
+        rejectedOrders += 1;
+        lease.dropEpochs();
+      }
       if (reply === 'fenced' || reply === 'refused') {
         yield* sleep(REFUSED_ORDER_BACKOFF_MS);
         continue;
       }
-      const term = yield* awaitLeadership(target, hold, timeout);
+      const timeout =
+        reply === 'done' ? LEADERSHIP_TIMEOUT_MS : unansweredLeadershipTimeout;
+      const term = yield* awaitLeadership(target, hold, lease, timeout);
       if (term !== undefined) {
         return term;
       }
--- a/packages/succession/src/replication_hold.ts
+++ b/packages/succession/src/replication_hold.ts
@@ -48,8 +48,12 @@
   /** Asks members for their status only, until `stopMembers`. */
   observeMembers(): void;
   stopMembers(): void;
-  /** Demotes the primary from now on, also when it returns later. */
+  /**
+   * Demotes the primary from now on, also when it returns later, and members
+   * that report the primary role.
+   */
   startDemoting(): void;
+  isDemoting(): boolean;
   /**
    * Starts demoting and waits for the answer; false if the primary did not
    * answer or led no more.
@@ -137,26 +141,47 @@
   }
 
   function isDue(link: TargetLink): boolean {
-    const requestedAt = answers.get(link)?.requestedAt ?? -Infinity;
-    const isOld = timer.now() - requestedAt >= REFRESH_INTERVAL_MS;
+    const answer = answers.get(link);
+    const isOld =
+      answer === undefined ||
+      timer.now() - answer.requestedAt >= REFRESH_INTERVAL_MS ||
+      mustStopNow(link, answer);
     return !pending.has(link) && isOld;
   }
 
+  /** True for a member that is not stopped yet and can be stopped now. */
+  function mustStopNow(link: TargetLink, answer: TimedAnswer): boolean {
+    const isLeading = answer.status.role === 'primary';
+    return (
+      link !== primary?.link &&
+      memberCommand === 'pause' &&
+      !isStopped(answer) &&
+      !hasNewTerm(answer.status) &&
+      (!isLeading || isDemoting)
+    );
+  }
+
   function refresh(): void {
     if (isOver()) {
       // A pause or demotion that arrives now would concern the new term.
       return;
     }
     for (const link of memberLinks().filter(isDue)) {
-      const command: TargetCommand =
-        memberCommand === 'pause' ? {kind: 'pause', term} : {kind: 'status'};
-      send(link, command);
+      send(link, commandFor(link));
     }
     if (primary !== undefined && isDemoting && isDue(primary.link)) {
       send(primary.link, {kind: 'demote', term});
     }
   }
 
+  /** A member may be the former primary, which has returned under another id. */
+  function commandFor(member: TargetLink): TargetCommand {
+    if (isDemoting && answers.get(member)?.status.role === 'primary') {
+      return {kind: 'demote', term};
+    }
+    return memberCommand === 'pause' ? {kind: 'pause', term} : {kind: 'status'};
+  }
+
   function isStopped(answer: TimedAnswer | undefined): boolean {
     return (
       answer !== undefined &&
@@ -233,6 +258,7 @@
       memberLinks().forEach(link => answers.delete(link));
     },
     startDemoting,
+    isDemoting: () => isDemoting,
     demotePrimary,
     isStopped,
     demotedLogEnd,
--- a/packages/succession/src/successor_selection.ts
+++ b/packages/succession/src/successor_selection.ts
@@ -23,6 +23,11 @@
   readonly since: Milliseconds;
   /** Target to select if it qualifies. */
   readonly preferred: string;
+  /**
+   * True if members that report the primary role may be passed over, because
+   * they are demoted before an order.
+   */
+  readonly mayLead: boolean;
 }
 
 function toCandidate({link}: HeldTarget, received: LogPosition) {
@@ -36,7 +41,7 @@
  * other targets must be stopped.
  */
 export function selectSuccessor(options: SelectionOptions): Selection {
-  const {hold, now, since, preferred} = options;
+  const {hold, now, since, preferred, mayLead} = options;
   const members = hold.members();
   const demotedLogEnd = hold.demotedLogEnd();
 
@@ -59,7 +64,10 @@
       return undefined;
     }
     const stopped = candidatesThat(hold.isStopped);
-    const unanswered = members.length - stopped.length;
+    const leading = mayLead
+      ? candidatesThat(({status}) => status.role === 'primary')
+      : [];
+    const unanswered = members.length - stopped.length - leading.length;
     if (unanswered === 0) {
       const longest = {
         stopped,
