--- a/packages/succession/src/epoch_lease.ts
+++ b/packages/succession/src/epoch_lease.ts
@@ -19,6 +19,8 @@
   begin(target: string): Task<boolean>;
   /** Starts to renew the lease if it is due, and does not wait for it. */
   renew(): void;
+  /** The recorded target, or ''. */
+  target(): string;
   /** True once another proxy has written the row. */
   isLost(): boolean;
   /** An unused epoch; undefined if the lease is over or has none left. */
@@ -87,6 +89,7 @@
         startWrite(target);
       }
     },
+    target: () => rowWriter.succession().target,
     isLost: () => isLost,
     takeEpoch(target) {
       const row = rowWriter.succession();
--- a/packages/succession/src/promotion_orders.ts
+++ b/packages/succession/src/promotion_orders.ts
@@ -42,6 +42,8 @@
     hold: ReplicationHold,
     timeout: Milliseconds,
     pendingTarget: string,
+    /** Target in the row, which is kept if it qualifies. */
+    recordedTarget?: string,
   ): Task<SuccessorCandidate | undefined>;
   /**
    * Orders the promotion of a target that qualifies until one leads, and returns
@@ -124,6 +126,7 @@
     hold: ReplicationHold,
     timeout: Milliseconds,
     pendingTarget: string,
+    recordedTarget = '',
   ): Task<SuccessorCandidate | undefined> {
     const startedAt = timer.now();
     const suspension = createSuspensionDetector(timer);
@@ -137,7 +140,7 @@
         hold,
         now,
         since: Math.max(earliest, now - MAXIMUM_ANSWER_AGE_MS),
-        preferred: pendingTarget,
+        preferred: pendingTarget || recordedTarget,
         mayLead: !hold.isDemoting(),
       });
       const {successor} = selection;
@@ -266,6 +269,7 @@
         hold,
         CONFIRMATION_TIMEOUT_MS,
         ordered,
+        lease.target(),
       );
       if (successor === undefined) {
         return ordered === ''
