fix(succession): fence outstanding orders before a change ends

Cause: an unanswered order that is executed after its target leads does nothing while that target is primary. While the next change has demoted it, the order promotes it once more, and what it then acknowledges is missing at the target of the next change.

Change: a change whose last order was unanswered, or that was taken over, orders the promotion of the target that leads once more, up to three times until it is answered. The platform only raises the epoch below which it refuses orders. An order that has taken effect is settled this way before the primary is replaced for another reason.

--- a/packages/succession/src/promotion_orders.ts
+++ b/packages/succession/src/promotion_orders.ts
@@ -33,6 +33,14 @@
   onSelection(selection: Selection): void;
 }
 
+/** The newest order that may not have taken effect yet. */
+interface Outstanding {
+  /** Its target, or ''. */
+  target: string;
+  /** True if it may be executed at any later time. */
+  isUnanswered: boolean;
+}
+
 export interface PromotionOrders {
   /**
    * Waits until a target qualifies; undefined if none did within `timeout`.
@@ -66,6 +74,8 @@
 const MAXIMUM_ANSWER_AGE_MS: Milliseconds = 250;
 /** Maximum number of orders rejected for their epoch or a stopped target. */
 const MAXIMUM_REJECTED_ORDERS = 6;
+/** Maximum number of orders that only fence earlier ones. */
+const MAXIMUM_FENCE_ATTEMPTS = 3;
 const REFUSED_ORDER_BACKOFF_MS: Milliseconds = 60;
 /** Time for which orders are repeated. */
 const PROMOTION_TIMEOUT_MS: Milliseconds = 9000;
@@ -253,20 +263,48 @@
     rowWrittenAt: Milliseconds,
   ): Task<number | undefined> {
     const lease = createEpochLease(runtime, hold, rowWriter, rowWrittenAt);
-    const term = yield* orderUntilLed(hold, lease, pendingTarget);
+    const outstanding: Outstanding = {
+      target: pendingTarget,
+      isUnanswered: true,
+    };
+    const term = yield* orderUntilLed(hold, lease, outstanding);
+    if (term !== undefined && outstanding.isUnanswered) {
+      yield* fenceOutstanding(hold, lease);
+    }
     yield* lease.end();
     return lease.isLost() ? undefined : term;
   }
 
+  /**
+   * Orders the promotion of the target that leads, which only raises the epoch
+   * below which orders are refused. An earlier order that is executed later
+   * could promote it again while the next change is under way.
+   */
+  function* fenceOutstanding(
+    hold: ReplicationHold,
+    lease: EpochLease,
+  ): Task<void> {
+    for (let attempt = 0; attempt < MAXIMUM_FENCE_ATTEMPTS; attempt++) {
+      const target = lease.target();
+      const epoch = lease.takeEpoch(target);
+      if (epoch === undefined) {
+        return;
+      }
+      if ((yield* sendOrder(hold, target, epoch)) === 'done') {
+        return;
+      }
+    }
+  }
+
   function* orderUntilLed(
     hold: ReplicationHold,
     lease: EpochLease,
-    pendingTarget: string,
+    outstanding: Outstanding,
   ): Task<number | undefined> {
     const giveUpAt = timer.now() + PROMOTION_TIMEOUT_MS;
-    let ordered = pendingTarget;
     let rejectedOrders = 0;
     while (rejectedOrders < MAXIMUM_REJECTED_ORDERS && timer.now() < giveUpAt) {
+      const {target: ordered} = outstanding;
       const led = ordered === '' ? undefined : yield* termLedBy(ordered, hold);
       if (led !== undefined || lease.isLost()) {
         return led;
@@ -297,8 +335,9 @@
         hold.requireNewAnswers();
         continue;
       }
-      ordered = target;
+      outstanding.target = target;
       const reply = yield* sendOrder(hold, target, epoch);
+      outstanding.isUnanswered = reply === 'unanswered';
       if (reply === 'fenced') {
         rejectedOrders += 1;
         lease.dropEpochs();
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -26,7 +26,6 @@
   nextEpoch,
 } from './succession_row';
 import {
-  type SuccessionEnd,
   type SuccessionOutcome,
   createSuccessionSteps,
 } from './succession_steps';
@@ -164,6 +163,9 @@
     ) {
       return 'lost';
     }
+    if (isChangeInProgress() && findPendingTarget() === leader.target) {
+      return 'unfinished';
+    }
     const hasReplacement = group
       .links()
       .some(link => !link.registration().isLeaving && link.isReached());
@@ -292,7 +294,7 @@
     const others = group.links().filter(link => link !== primary);
     const areReached =
       others.length > 0 && others.every(link => link.isReached());
-    const pending = group.link(findPendingTarget(row));
+    const pending = group.link(findPendingTarget());
     return areReached || pending?.isReached() === true;
   }
 
@@ -302,8 +304,11 @@
     const era = options.era();
     const epoch =
       nextEpoch(previous?.succession.epoch ?? 0, era) + EPOCHS_PER_WRITE - 1;
-    const primary = findPrimary(previous?.succession);
-    const pendingTarget = findPendingTarget(previous?.succession);
+    const pendingTarget = findPendingTarget();
+    const isInEffect = pendingTarget === group.leader()?.target;
+    const primary = isInEffect
+      ? recordedPrimary(previous?.succession)
+      : findPrimary(previous?.succession);
     const successionRow = createSuccessionRowWriter(
       {store, rowWriter: options.rowWriter, table: options.table, key},
       previous?.position ?? {era, version: 0},
@@ -324,7 +329,7 @@
     events.onStart(reason, epoch, previous?.succession);
     const isUnordered = reason === 'unfinished' && pendingTarget === '';
     const outcome = isUnordered
-      ? yield* steps.finish(successionRow, endOf(previous?.succession))
+      ? yield* steps.finish(successionRow, {phase: 'abandoned'})
       : yield* steps.replacePrimary({
           rowWriter: successionRow,
           startedAt,
@@ -381,23 +386,18 @@
   }
 
   /**
-   * Returns the target of a recorded promotion order; '' if there is none. Such
-   * an order may still take effect whether the target is reached or not, unless
-   * it has already taken effect.
+   * Returns the target of a recorded promotion order; '' if there is none, or if
+   * the target has led and is lost. Such an order may still take effect whether
+   * the target is reached or not, also again after it has taken effect.
    */
-  function findPendingTarget(row: Succession | undefined): string {
-    const isOrdered = row?.phase === 'ordered';
-    const hasLed = findPrimary(row)?.link.target === row?.target;
-    return isOrdered && !hasLed ? row.target : '';
-  }
-
-  /** End of a change without a pending order: its target leads, or none will. */
-  function endOf(row: Succession | undefined): SuccessionEnd {
-    const primary = findPrimary(row);
-    const hasLed = row?.phase === 'ordered' && primary !== undefined;
-    return hasLed
-      ? {phase: 'done', target: primary.link.target, term: primary.term}
-      : {phase: 'abandoned'};
+  function findPendingTarget(): string {
+    const row = options.row()?.succession;
+    if (row?.phase !== 'ordered') {
+      return '';
+    }
+    const primary = findPrimary(row)?.link;
+    const hasLed = primary?.target === row.target;
+    return hasLed && !primary.isReached() ? '' : row.target;
   }
 
   const task: TaskHandle<void> = runtime.spawn('succession', monitor());
