perf(succession): a planned change demotes its primary once

A planned change demotes the primary before replicas catch up; the step that stops the group then probed it again, a round trip for nothing. It is passed over once the demoted log end is known. An export without a user is gone.

--- a/packages/succession/src/replication_hold.ts
+++ b/packages/succession/src/replication_hold.ts
@@ -96,7 +96,7 @@
  * connection, so they don't wait for statements.
  */
 export const COMMAND_TIMEOUT_MS: Milliseconds = 400;
-export const POLL_INTERVAL_MS: Milliseconds = 20;
+const POLL_INTERVAL_MS: Milliseconds = 20;
 /** Age of an answer at which its target is asked again. */
 const REFRESH_INTERVAL_MS: Milliseconds = 100;
 
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -152,7 +152,8 @@
     const mayDemote =
       pendingTarget !== '' ||
       (yield* orders.awaitSuccessor(hold, PAUSE_TIMEOUT_MS, '')) !== undefined;
-    if (mayDemote && hold.primary?.link.isReached()) {
+    const isDemoted = hold.demotedLogEnd() !== undefined;
+    if (mayDemote && !isDemoted && hold.primary?.link.isReached()) {
       yield* demote(change, hold);
     }
     hold.startDemoting();
