fix(succession): record in the store which replicas hold the acknowledged commits

Callers saw whole logs vanish: after all proxies had been restarted, a replica was promoted that lacked every commit since a member had left with the only copies, or had returned without its log, while the primary that held them was down.

Cause: that copies may be lacking was known to the memory of proxies alone, and a proxy that had just started took the replicas to hold everything. With a silent primary it was not asked for at all.

A proxy now vouches for copies only once it has seen a replica with all of the primary's log, in the primary's term. One proxy writes this to the group's row copies/GROUP: the term, and the replicas with their start times; others, and those that start later, rely on it while all of these replicas are still listed. While nobody vouches, a replica is promoted only if it has reached the demoted primary's log end; a silent primary is waited for while it is listed.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -30,10 +30,9 @@
   type OrderPromotion,
   type PrimaryView,
   type SuccessionEvents,
-  type SuccessionMonitor,
+  createCopyRecords,
   createSuccessionRecords,
   evidenceOfGroup,
-  startSuccessionMonitor,
 } from '@kelpstep/succession';
 import {
   type ProxyDescriptor,
@@ -43,7 +42,6 @@
 } from '@kelpstep/table-feed';
 import type {
   GroupSettings,
-  TargetGroup,
   TargetGroupEvents,
   TargetRegistration,
 } from '@kelpstep/targets';
@@ -52,6 +50,7 @@
 import type {GatewayConfiguration} from './configuration';
 import {type Gateway, createGateway} from './create_gateway';
 import type {GatewayEvents} from './gateway_events';
+import {monitorPrimary} from './monitor_primary';
 import {createPrimaryChanges} from './primary_changes';
 import {createConnectionOwners} from './relay/connection_owners';
 import {type Relay, createRelay} from './relay/create_relay';
@@ -209,6 +208,7 @@
       group?.changes.notify();
     },
   });
+  const copyRecords = createCopyRecords(timer);
   const {isPrimaryChanging, isSuperseded} = createPrimaryChanges({
     timer,
     row: successions.get,
@@ -236,30 +236,6 @@
     return feed.age(layout.configurationTable) <= revocation;
   }
 
-  function monitorPrimary(group: TargetGroup): SuccessionMonitor {
-    return startSuccessionMonitor({
-      runtime,
-      group,
-      store,
-      rowWriter,
-      orderPromotion,
-      arePromotionsFenced: options.arePromotionsFenced ?? false,
-      self: self.proxy,
-      table: layout.successionTable,
-      readStatus: options.readStatus,
-      events: events.succession(group.group),
-      viewOfPeers: () => primaryViewOfPeers(group.group),
-      evidenceOfPeers: () => evidenceOfPeers(group.group),
-      row: () => successions.get(group.group),
-      rowSeenAt: () =>
-        Math.max(
-          successions.get(group.group)?.observedAt ?? -Infinity,
-          successions.eraSeenAt(),
-        ),
-      era: successions.era,
-    });
-  }
-
   /**
    * Number of proxies that share all quotas: 1 for a proxy without a relay
    * address, which shares them with no other.
@@ -299,7 +275,24 @@
     isSuperseded,
     isConfigurationCurrent,
     mayTrustKeys,
-    monitorPrimary,
+    monitorPrimary: group =>
+      monitorPrimary({
+        runtime,
+        group,
+        store,
+        rowWriter,
+        orderPromotion,
+        arePromotionsFenced: options.arePromotionsFenced ?? false,
+        self: self.proxy,
+        table: layout.successionTable,
+        readStatus: options.readStatus,
+        events: events.succession(group.group),
+        viewOfPeers: () => primaryViewOfPeers(group.group),
+        evidenceOfPeers: () => evidenceOfPeers(group.group),
+        successions,
+        copyRecords,
+        hasReadTable: () => feed.age(layout.successionTable) < Infinity,
+      }),
     createRelay(local, isStopping) {
       if (self.relayAddress === '') {
         return {dispatcher: local, pending: () => 0, close: () => {}};
@@ -315,7 +308,9 @@
         viewOf: name => viewOfGroup(gateway.group(name), timer.now()),
         evidenceOf(name) {
           const group = gateway.group(name);
-          return group ? evidenceOfGroup(group) : {mayLackCopies: false};
+          return group
+            ? evidenceOfGroup(group, copyRecords.get(name))
+            : {mayLackCopies: false};
         },
         isStopping,
         registerHandlers: quota.serve,
@@ -378,7 +373,10 @@
       {
         table: layout.successionTable,
         stalenessBound: SUCCESSION_STALENESS_BOUND_MS,
-        onRows: successions.update,
+        onRows(rows, position) {
+          successions.update(rows, position);
+          copyRecords.update(rows, position);
+        },
       },
     ],
     events: events.tables,
--- a/packages/scenarios/__tests__/lost_log.spec.ts
+++ b/packages/scenarios/__tests__/lost_log.spec.ts
@@ -39,7 +39,8 @@
           .clientOf('test')
           .readTable('successions')
           .onSettled(result => {
-            const [row] = result.ok ? result.val.rows : [];
+            const rows = result.ok ? result.val.rows : [];
+            const row = rows.find(({key}) => key.startsWith('succession/'));
             const {phase, target} = (row?.value ?? {}) as Record<
               string,
               string
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -86,7 +86,11 @@
   const group = {
     links: () => links.map(({link}) => link),
     hasSynchronousReplicas: () => true,
-    positions: {newestCommit: () => undefined, mayLackCopies: () => false},
+    positions: {
+      newestCommit: () => undefined,
+      leader: () => undefined,
+      copies: () => ({lackingSince: undefined, term: 1}),
+    },
   } as unknown as TargetGroup;
   const hold = createReplicationHold({
     runtime,
@@ -98,6 +102,7 @@
   const inquiry = createCommitInquiry({
     timer,
     group,
+    copyRecord: () => undefined,
     askPeers: () => [settledFuture(evidence)],
   });
   inquiry.start();
--- a/packages/succession/index.ts
+++ b/packages/succession/index.ts
@@ -2,6 +2,8 @@
 export * from './src/choice_report';
 export * from './src/choose_successor';
 export {type CommitEvidence, evidenceOfGroup} from './src/commit_inquiry';
+export {type CopyRecords, createCopyRecords} from './src/copy_record';
+export {startCopyRecorder} from './src/copy_recorder';
 export * from './src/succession_monitor';
 export * from './src/succession_records';
 export * from './src/succession_row';
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -7,10 +7,12 @@
 import type {Future, Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {AcknowledgedCommit, TargetGroup} from '@kelpstep/targets';
 
+import {type KnownCopyRecord, mayLackCopies} from './copy_record';
+
 /** What one proxy knows of acknowledged commits. */
 export interface CommitEvidence {
   readonly newestCommit?: AcknowledgedCommit | undefined;
-  /** See `GroupPositions.mayLackCopies`. */
+  /** True if the proxy can't tell that replicas hold all commits. */
   readonly mayLackCopies: boolean;
 }
 
@@ -31,13 +33,17 @@
   startedAt(): Milliseconds;
   /** True once the peers have answered or had time to when first asked. */
   isComplete(): boolean;
-  /** True if a proxy does not know the replicas to hold all commits. */
-  mayLackCopies(): boolean;
+  /**
+   * True if a proxy can't tell that the replicas hold all commits that the
+   * primary of `term` acknowledged.
+   */
+  mayLackCopies(term: number | undefined): boolean;
   /** True if a commit that was acknowledged is known to be missing. */
   isMissingCommit(logs: RemainingLogs): boolean;
   /**
    * True if a commit that was acknowledged is missing, or may be: it may have
-   * had its only copy besides the primary's on a target that has left.
+   * had its only copy besides the primary's on a target that has left, and the
+   * primary's log is longer, or silent.
    */
   mayMissCommit(logs: RemainingLogs): boolean;
 }
@@ -45,6 +51,8 @@
 export interface CommitInquiryOptions {
   readonly timer: TimerService;
   readonly group: TargetGroup;
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
   /** Asks the peers; a peer that does not answer settles with undefined. */
   askPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
 }
@@ -57,10 +65,13 @@
 const ANSWER_TIMEOUT_MS: Milliseconds = 60;
 
 /** Returns what this proxy knows itself. */
-export function evidenceOfGroup({positions}: TargetGroup): CommitEvidence {
+export function evidenceOfGroup(
+  group: TargetGroup,
+  copyRecord: KnownCopyRecord | undefined,
+): CommitEvidence {
   return {
-    newestCommit: positions.newestCommit(),
-    mayLackCopies: positions.mayLackCopies(),
+    newestCommit: group.positions.newestCommit(),
+    mayLackCopies: mayLackCopies(group, copyRecord),
   };
 }
 
@@ -74,7 +85,7 @@
   let pending = 0;
 
   function allEvidence(): CommitEvidence[] {
-    return [evidenceOfGroup(group), ...answers];
+    return [evidenceOfGroup(group, options.copyRecord()), ...answers];
   }
 
   function isMissingCommit({term, end}: RemainingLogs): boolean {
@@ -89,8 +100,11 @@
     );
   }
 
-  function mayLackCopies(): boolean {
-    return allEvidence().some(evidence => evidence.mayLackCopies);
+  function mayBeLacking(term: number | undefined): boolean {
+    return (
+      mayLackCopies(group, options.copyRecord(), term) ||
+      answers.some(evidence => evidence.mayLackCopies)
+    );
   }
 
   return {
@@ -109,13 +123,15 @@
     startedAt: () => startedAt,
     isComplete: () =>
       pending === 0 || timer.now() - startedAt >= ANSWER_TIMEOUT_MS,
-    mayLackCopies,
+    mayLackCopies: mayBeLacking,
     isMissingCommit,
     mayMissCommit(logs) {
-      const {end, primaryEnd} = logs;
-      const isBehind =
-        primaryEnd !== undefined && compareLogPositions(end, primaryEnd) < 0;
-      return isMissingCommit(logs) || (isBehind && mayLackCopies());
+      const {term, end, primaryEnd} = logs;
+      const isUpToPrimary =
+        primaryEnd === undefined
+          ? term === undefined
+          : compareLogPositions(end, primaryEnd) >= 0;
+      return isMissingCommit(logs) || (!isUpToPrimary && mayBeLacking(term));
     },
   };
 }
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -17,6 +17,7 @@
 
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
+import type {KnownCopyRecord} from './copy_record';
 import type {ReplacedPrimary} from './replication_hold';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
@@ -85,6 +86,8 @@
    * settles with undefined.
    */
   evidenceOfPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
   /** The group's last known succession. */
   row(): VersionedSuccession | undefined;
   /**
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -17,6 +17,7 @@
   type CommitInquiry,
   createCommitInquiry,
 } from './commit_inquiry';
+import type {KnownCopyRecord} from './copy_record';
 import {
   type GroupProbes,
   type ProbedTarget,
@@ -51,6 +52,8 @@
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
   evidenceOfPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
   /** True if the platform refuses orders with a lower epoch than an earlier one. */
   readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
@@ -115,8 +118,8 @@
   let inquiry = createInquiry();
 
   function createInquiry(): CommitInquiry {
-    const askPeers = options.evidenceOfPeers;
-    return createCommitInquiry({timer, group, askPeers});
+    const {evidenceOfPeers: askPeers, copyRecord} = options;
+    return createCommitInquiry({timer, group, copyRecord, askPeers});
   }
 
   /** Starts an inquiry whose answers are awaited while the primary is probed. */
@@ -212,7 +215,7 @@
     for (;;) {
       const leading = answers.find(({link}) => link === primary?.link);
       if (primary === undefined || leading?.status.role !== 'primary') {
-        return !inquiry.mayLackCopies();
+        return !inquiry.mayLackCopies(primary?.term);
       }
       const ends = answers
         .filter(answer => answer !== leading)
--- a/packages/targets/src/copy_tracker.ts
+++ b/packages/targets/src/copy_tracker.ts
@@ -10,35 +10,51 @@
 
 import type {Leadership} from './group_positions';
 
+/** What a tracker knows of the copies of commits. */
+export interface CopyState {
+  /**
+   * Monotonic time since which commits may have no copy besides the primary's;
+   * undefined once a replica has received them. -Infinity: nothing was observed
+   * yet.
+   */
+  readonly lackingSince: Milliseconds | undefined;
+  /** Term of the primary whose log was compared; undefined before. */
+  readonly term: number | undefined;
+}
+
+/** End of a target's log as it was reported. */
+export interface ReportedLogEnd {
+  readonly target: string;
+  /** Monotonic time when the answered request was sent. */
+  readonly requestedAt: Milliseconds;
+  readonly end: LogPosition;
+  /** Term that the target follows; undefined if it did not tell. */
+  readonly followedTerm?: number | undefined;
+}
+
 export interface CopyTracker {
   /** Records that a target has left or has lost its log. */
   recordLoss(): void;
   /** Records the end of a target's log, while `leader` is the known primary. */
-  recordLogEnd(
-    target: string,
-    requestedAt: Milliseconds,
-    end: LogPosition,
-    leader: Leadership | undefined,
-  ): void;
-  /** True if commits may have lost their only copy besides the primary's. */
-  mayBeLacking(): boolean;
+  recordLogEnd(reported: ReportedLogEnd, leader: Leadership | undefined): void;
+  state(): CopyState;
 }
 
-/** Creates a tracker of a group whose replicas hold all commits. */
+/** Creates a tracker that has observed nothing. */
 export function createCopyTracker(now: () => Milliseconds): CopyTracker {
-  let lostAt: Milliseconds | undefined;
+  let lackingSince: Milliseconds | undefined = -Infinity;
   /** End of the primary's log after copies were lost. */
   let primaryEnd: LogPosition | undefined;
   let term: number | undefined;
 
   function recordLoss(): void {
-    lostAt = now();
+    lackingSince = now();
     primaryEnd = undefined;
   }
 
   return {
     recordLoss,
-    recordLogEnd(target, requestedAt, end, leader) {
+    recordLogEnd({target, requestedAt, end, followedTerm}, leader) {
       if (leader === undefined) {
         return;
       }
@@ -46,17 +62,25 @@
         recordLoss();
       }
       term = leader.term;
-      // Logs that end in the term of one primary don't differ before their ends.
-      if (lostAt === undefined || end.term !== term) {
+      if (lackingSince === undefined) {
         return;
       }
       if (target === leader.target) {
-        primaryEnd ??= requestedAt >= lostAt ? end : undefined;
-      } else if (primaryEnd && compareLogPositions(end, primaryEnd) >= 0) {
-        lostAt = undefined;
+        primaryEnd ??= requestedAt >= lackingSince ? end : undefined;
+        return;
+      }
+      // Logs that end in the term of one primary, or of targets that follow it,
+      // don't differ before their ends.
+      const isComparable = end.term === term || followedTerm === term;
+      if (
+        isComparable &&
+        primaryEnd &&
+        compareLogPositions(end, primaryEnd) >= 0
+      ) {
+        lackingSince = undefined;
         primaryEnd = undefined;
       }
     },
-    mayBeLacking: () => lostAt !== undefined,
+    state: () => ({lackingSince, term}),
   };
 }
--- a/packages/targets/src/group_positions.ts
+++ b/packages/targets/src/group_positions.ts
@@ -16,7 +16,7 @@
 import type {TargetStatus} from '@kelpstep/statements';
 import type {Milliseconds} from '@kelpstep/runtime';
 
-import {createCopyTracker} from './copy_tracker';
+import {type CopyState, createCopyTracker} from './copy_tracker';
 
 /** A position that covers all commits acknowledged before a time. */
 export interface PositionSample {
@@ -70,11 +70,11 @@
   /** The acknowledged commit with the highest known bound. */
   newestCommit(): AcknowledgedCommit | undefined;
   /**
-   * True if a target has left or lost its log, and no replica is known to have
-   * received what the primary's log held after that: the target may have had the
-   * only copy of an acknowledged commit besides the primary's.
+   * Whether a replica is known to have received what the primary's log held
+   * after a target left or lost its log: the target may have had the only copy
+   * of an acknowledged commit besides the primary's.
    */
-  mayLackCopies(): boolean;
+  copies(): CopyState;
   /** Discards the state of a target that was removed or restarted. */
   discard(target: string): void;
   /**
@@ -228,7 +228,7 @@
       leadership = undefined;
     }
     logs.set(target, {requestedAt, position});
-    copies.recordLogEnd(target, requestedAt, position, leadership);
+    copies.recordLogEnd({target, requestedAt, end: position}, leadership);
     storeSample();
   }
 
@@ -271,7 +271,8 @@
     }
     statuses.set(target, {requestedAt, status});
     recordRole(target, status);
-    copies.recordLogEnd(target, requestedAt, status.received, leadership);
+    const {received: end, term: followedTerm} = status;
+    copies.recordLogEnd({target, requestedAt, end, followedTerm}, leadership);
     storeSample();
   }
 
@@ -293,7 +294,7 @@
     recordStatus,
     recordCommit,
     newestCommit: () => newestCommit,
-    mayLackCopies: () => synchronousReplicas > 0 && copies.mayBeLacking(),
+    copies: copies.state,
     discard(target) {
       copies.recordLoss();
       logs.delete(target);
