fix(targets): a target that answers stays a member when its registration lapses

Callers lost commits that a replica held which every proxy knew and could reach: it was cut off from the registration store, so that its entry lapsed, and was neither paused nor asked when the primary was lost. It still received commits and had the only copies.

Cause: membership of a choice was the list of registrations. A target whose entry is missing remains a member now while it answers, as one that is leaving: it gets no statements. It is removed once it does not answer, as before.

--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -109,7 +109,7 @@
   /** Stores a changed configuration under the next version. */
   configure(change: Partial<GatewayConfiguration>): void;
   setLeaving(target: string, leaving: boolean): void;
-  /** Withholds the registration of a target that joins, or allows it. */
+  /** Removes and withholds a target's registration, or allows it. */
   setListed(target: string, isListed: boolean): void;
   /** Share, 0 to 1, of promotions that run late and are not answered. */
   latePromotionShare: number;
--- a/packages/scenarios/src/statements/target_registrations.ts
+++ b/packages/scenarios/src/statements/target_registrations.ts
@@ -19,7 +19,7 @@
   /** Writes all entries, and then at an interval those that have changed. */
   start(): void;
   setLeaving(target: string, isLeaving: boolean): void;
-  /** Withholds the entry of a target that joins, or writes it from now on. */
+  /** Removes and withholds the entry of a target, or writes it from now on. */
   setListed(target: string, isListed: boolean): void;
 }
 
@@ -105,6 +105,9 @@
         unlisted.delete(target);
       } else {
         unlisted.add(target);
+        if (entries.delete(target)) {
+          store.remove(table, target);
+        }
       }
     },
   };
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -27,6 +27,12 @@
 import type {GroupSettings, TargetRegistration} from './registration';
 import {type TargetLink, createTargetLink} from './target_link';
 
+/**
+ * Change of the list of targets. `lapsed`: its registration is missing, but it
+ * answers.
+ */
+export type TargetEvent = 'added' | 'lapsed' | 'gone' | 'restarted';
+
 /**
  * Receives changes of a group's targets and leader for the log, and
  * measurements for metrics.
@@ -34,7 +40,7 @@
 export interface TargetGroupEvents {
   onReachability(target: string, isReached: boolean, reason: string): void;
   onLeader(target: string, term: number): void;
-  onTarget(target: string, event: 'added' | 'gone' | 'restarted'): void;
+  onTarget(target: string, event: TargetEvent): void;
   /** Called when a connection to a target was opened, for any use. */
   onConnectionOpened(target: string): void;
   /** Called when a statement starts, with the time that it was queued. */
@@ -60,9 +66,9 @@
 export interface TargetGroup {
   readonly group: string;
   /**
-   * Applies the current registrations and settings. Unknown targets are added;
-   * a target is removed when its registration has been missing for
-   * `REMOVAL_DELAY_MS`.
+   * Applies the current registrations and settings. Unknown targets are added.
+   * A target whose registration has been missing for `REMOVAL_DELAY_MS` is
+   * removed once it does not answer; until then it counts as leaving.
    */
   update(
     registrations: readonly TargetRegistration[],
@@ -205,7 +211,7 @@
     events.onTarget(target, 'added');
   }
 
-  function remove(target: string, event: 'gone' | 'restarted'): void {
+  function remove(target: string, event: TargetEvent): void {
     members.get(target)?.link.close();
     members.delete(target);
     positions.discard(target);
@@ -237,14 +243,22 @@
     }
   }
 
+  /**
+   * A target that is cut off from the registration store may still receive
+   * commits, and hold the only copies of some. It remains a member while it
+   * answers, but is given no statements.
+   */
   function removeMissing(): void {
-    for (const [target, {missingSince}] of [...members]) {
-      if (
+    for (const [target, {link, missingSince}] of [...members]) {
+      const isOverdue =
         missingSince !== undefined &&
-        timer.now() - missingSince > REMOVAL_DELAY_MS
-      ) {
+        timer.now() - missingSince > REMOVAL_DELAY_MS;
+      if (isOverdue && !link.isReached()) {
         remove(target, 'gone');
         setTargets();
+      } else if (isOverdue && !link.registration().isLeaving) {
+        link.update({...link.registration(), isLeaving: true});
+        events.onTarget(target, 'lapsed');
       }
     }
   }
