fix(succession): wait for each peer's evidence until its request ends

A choice took a replica for complete although a peer knew of a commit that it lacked: evidence that took longer than 60 ms counted for the next choice only, and on a busy machine answers take longer. A silent peer thus was taken to know nothing.

It does not wait at all for a log that has reached that of the demoted primary, which holds every commit.

successor_selection.spec.ts, "waits for a peer that has not answered yet", failed before (selected at 110 ms, evidence at 120 ms).

--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -1,6 +1,7 @@
 import {
   type Runtime,
   type VirtualTimer,
+  createDeferred,
   createRandom,
   createRuntime,
   createVirtualTimer,
@@ -79,6 +80,7 @@
   primary?: FakeTarget,
   highestTerm = 1,
   evidence: CommitEvidence = {mayLackCopies: false},
+  evidenceDelay = 0,
 ): Setup {
   const timer = createVirtualTimer();
   const runtime = createRuntime({timer, random: createRandom(1)});
@@ -103,7 +105,15 @@
     timer,
     group,
     copyRecord: () => undefined,
-    askPeers: () => [settledFuture(evidence)],
+    askPeers() {
+      const answer = createDeferred<CommitEvidence>();
+      if (evidenceDelay === 0) {
+        answer.settle(evidence);
+      } else {
+        timer.after(evidenceDelay, () => answer.settle(evidence));
+      }
+      return [answer.future];
+    },
   });
   inquiry.start();
   const select = () =>
@@ -282,6 +292,37 @@
     expect(verdictOf('a')).toEqual('incomplete');
   });
 
+  // Guards against a lost log after all proxies that knew of its copies ended.
+  test('waits for a silent primary while nobody vouches for other copies', () => {
+    const members = [createFakeTarget('a', REPLICA)];
+    const silent = createFakeTarget('b', {...REPLICA, role: 'primary'});
+    const {hold, selected} = setUp(members, silent, 1, {mayLackCopies: true});
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    const unknown = setUp(members, undefined, 1, {mayLackCopies: true});
+    unknown.hold.refresh();
+    unknown.timer.advance(100);
+    unknown.hold.refresh();
+    expect(unknown.selected()).toEqual('a');
+  });
+
+  // Guards against a choice without the evidence of a peer on a slow machine.
+  test('waits for a peer that has not answered yet', () => {
+    const {hold, selected, timer} = setUp(
+      [createFakeTarget('a', shorter)],
+      createFakeTarget('b', {...REPLICA, role: 'primary'}),
+      1,
+      {mayLackCopies: false},
+      120,
+    );
+    hold.refresh();
+    timer.advance(110);
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    timer.advance(20);
+    expect(selected()).toEqual('a');
+  });
+
   test('does not demote the primary while its own promotion is ordered', () => {
     const {hold, timer} = selectAfterDemotion({mayLackCopies: true});
     const {link} = hold.primary ?? {};
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -31,7 +31,7 @@
   start(): void;
   /** When the peers were first asked; -Infinity before. */
   startedAt(): Milliseconds;
-  /** True once the peers have answered or had time to when first asked. */
+  /** True unless a peer that was asked may still answer. */
   isComplete(): boolean;
   /**
    * True if a proxy can't tell that the replicas hold all commits that the
@@ -53,17 +53,10 @@
   readonly group: TargetGroup;
   /** The group's last known copy record. */
   copyRecord(): KnownCopyRecord | undefined;
-  /** Asks the peers; a peer that does not answer settles with undefined. */
+  /** Asks the peers; one that does not answer in time settles with undefined. */
   askPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
 }
 
-/**
- * Time for which a choice waits for answers: two round trips between regions.
- * Peers that answer in time don't delay a change, which compares logs over the
- * same distances meanwhile; later answers count for the next choice.
- */
-const ANSWER_TIMEOUT_MS: Milliseconds = 60;
-
 /** Returns what this proxy knows itself. */
 export function evidenceOfGroup(
   group: TargetGroup,
@@ -121,8 +114,7 @@
       }
     },
     startedAt: () => startedAt,
-    isComplete: () =>
-      pending === 0 || timer.now() - startedAt >= ANSWER_TIMEOUT_MS,
+    isComplete: () => pending === 0,
     mayLackCopies: mayBeLacking,
     isMissingCommit,
     mayMissCommit(logs) {
--- a/packages/succession/src/successor_selection.ts
+++ b/packages/succession/src/successor_selection.ts
@@ -104,7 +104,12 @@
       mayMissCommit: end => inquiry.mayMissCommit(logsUpTo(end)),
     });
     incomplete = choice.incomplete;
-    return inquiry.isComplete() ? choice.successor : undefined;
+    const {successor: longest} = choice;
+    const isUpToPrimary =
+      longest !== undefined &&
+      demotedLogEnd !== undefined &&
+      compareLogPositions(longest.received, demotedLogEnd) >= 0;
+    return isUpToPrimary || inquiry.isComplete() ? longest : undefined;
   }
 
   /** A log that is known to hold all commits, while targets are unanswered. */
--- a/packages/targets/index.ts
+++ b/packages/targets/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './src/change_signal';
 export * from './src/connection_shares';
+export type {CopyState} from './src/copy_tracker';
 export * from './src/group_positions';
 export * from './src/outlier_detection';
 export * from './src/registration';
