feat(observability): log what a change of primary relied on, and every doubtful write

What was missing: lines of a change of primary were written at level info, which records of warnings leave out. Nothing told the reason at the choice and the end, the log end that was required, targets that had left, or by whose evidence copies may be lacking; nothing compared the new primary's log with the one for which it was selected. Writes with an unknown outcome shared a limit of 200 lines a second with refusals, and a commit withheld inside a transaction was logged as 'answer lost'. A request whose session was closed at the end of a stop had no line, nor had one whose caller was gone among the successes.

Now: 'succession started', 'choice' and 'ended' are warnings with the reason; the choice has the replaced primary, required end and its source, evidence, newest known commit, and departed and missing targets. 'succession effect' tells term and log end of the new primary and the time since the order; 'leader lacks commits' and 'commits before change' are written by every proxy that had commits acknowledged. Doubtful writes have a limit of their own, also if the caller was gone or the session cut off.

--- a/packages/gateway/index.ts
+++ b/packages/gateway/index.ts
@@ -8,3 +8,4 @@
 export * from './src/dispatch_types';
 export * from './src/gateway_events';
 export * from './src/create_statement_proxy';
+export {SUPERSEDED_PRIMARY} from './src/superseded_primary';
--- a/packages/gateway/src/create_gateway.ts
+++ b/packages/gateway/src/create_gateway.ts
@@ -165,6 +165,7 @@
   });
   const groups = new Map<string, ActiveGroup>();
   const sessions = new Set<CallerConnection>();
+  const unfinished = new Set<() => void>();
   let registrations = new Map<string, TargetRegistration[]>();
   let isStopping = false;
   const {timer} = runtime;
@@ -273,6 +274,9 @@
     while (isBusy() && runtime.timer.now() < end) {
       yield* sleep(DRAIN_POLL_INTERVAL_MS);
     }
+    for (const reportLoss of unfinished) {
+      reportLoss();
+    }
     for (const caller of sessions) {
       caller.close();
     }
@@ -313,6 +317,7 @@
           events,
           isStopping: () => isStopping,
           isSuperseded: options.isSuperseded,
+          unfinished,
         }),
       );
       session.result.onSettled(() => sessions.delete(caller));
--- a/packages/gateway/src/gateway_events.ts
+++ b/packages/gateway/src/gateway_events.ts
@@ -22,6 +22,10 @@
   readonly duration: Milliseconds;
   /** Last failure that led to the outcome; empty if there was none. */
   readonly reason: string;
+  /** True if it writes, or commits writes. */
+  readonly isWrite?: boolean;
+  /** True if the caller was gone before the answer. */
+  readonly isUndelivered?: boolean;
 }
 
 /**
--- a/packages/gateway/src/relay/commit_evidence.ts
+++ b/packages/gateway/src/relay/commit_evidence.ts
@@ -20,10 +20,10 @@
   return group =>
     peers(group)
       .filter(({relayAddress}) => client.isUsable(relayAddress))
-      .map(({relayAddress}) =>
+      .map(({proxy, relayAddress}) =>
         mapFuture(
           client.request(relayAddress, relayCommits, {group}, TIMEOUT_MS),
-          reply => (reply.ok ? reply.val : undefined),
+          reply => (reply.ok ? {...reply.val, proxy} : undefined),
         ),
       );
 }
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -142,7 +142,7 @@
     result: DispatchResult,
     startedAt: Milliseconds,
   ): void {
-    const {id, route, account = '', statement, sender} = message;
+    const {id, route, account = '', statement, sender, isWrite} = message;
     const {target, attempts, reason, answer} = result;
     events.onRequestEnd({
       id,
@@ -155,6 +155,7 @@
       via: sender,
       outcome: answer.error?.name ?? 'ok',
       duration: timer.now() - startedAt,
+      isWrite,
     });
   }
 
--- a/packages/gateway/src/request_details.ts
+++ b/packages/gateway/src/request_details.ts
@@ -7,7 +7,14 @@
 
 export type RequestDetails = Pick<
   RequestEnd,
-  'group' | 'account' | 'kind' | 'target' | 'attempts' | 'reason' | 'via'
+  | 'group'
+  | 'account'
+  | 'kind'
+  | 'target'
+  | 'attempts'
+  | 'reason'
+  | 'via'
+  | 'isWrite'
 >;
 
 /** Details of a request that no target or peer took part in. */
@@ -26,6 +33,7 @@
   {route, account}: AdmittedSession,
   {target, attempts, reason, via}: DispatchResult,
   kind: string,
+  isWrite: boolean,
 ): RequestDetails {
   return {
     group: route.group,
@@ -35,5 +43,6 @@
     attempts,
     reason,
     via,
+    isWrite,
   };
 }
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -36,7 +36,7 @@
   describeRequest,
 } from './request_details';
 import {createRunCounter} from './statement_runs';
-import {withoutSuccess} from './superseded_primary';
+import {SUPERSEDED_PRIMARY, withoutSuccess} from './superseded_primary';
 import {
   type FailureReason,
   LOST_ANSWER,
@@ -57,6 +57,8 @@
   isStopping(): boolean;
   /** True if commits that the target acknowledges may be lost. */
   isSuperseded(group: string, target: string): boolean;
+  /** For each request that is being served, a function that reports its loss. */
+  readonly unfinished: Set<() => void>;
 }
 
 interface Transaction {
@@ -87,6 +89,8 @@
 const BUSY_BACKOFF_MS: Milliseconds = 20;
 
 const OVER_QUOTA = 'over quota';
+/** Reason of a request whose session was closed before its answer. */
+const CUT_OFF = 'cut off';
 
 /** Serves a session until its caller or the gateway ends it. */
 export function* serveSession(options: SessionOptions): Task<void> {
@@ -205,7 +209,12 @@
     } else if (resolved.isWrite && answer.error === undefined) {
       lastCommit = answer.position ?? lastCommit;
     }
-    const details = describeRequest(admission, result, statement.kind);
+    const details = describeRequest(
+      admission,
+      result,
+      statement.kind,
+      resolved.isWrite,
+    );
     return [{...answer, state}, details];
   }
 
@@ -259,6 +268,8 @@
       return [errorAnswer('malformed', state), details];
     }
     current.hasWritten ||= resolved.isWrite;
+    const isWrite =
+      resolved.isWrite || (statement.kind === 'commit' && current.hasWritten);
     const answer = yield* sendPinned(current, request, resolved);
     const isDoubtful =
       statement.kind === 'commit' &&
@@ -269,10 +280,15 @@
       if (state !== 'open') {
         recordEnd(current, statement, answer);
       }
-      return [answer, details];
+      return [answer, {...details, isWrite}];
     }
-    const reason = answer?.error?.name ?? LOST_ANSWER;
-    return [failCurrent(current, statement, reason), {...details, reason}];
+    const failure = answer?.error?.name ?? LOST_ANSWER;
+    const isWithheld = answer !== undefined && answer.error === undefined;
+    const reason = isWithheld ? SUPERSEDED_PRIMARY : failure;
+    return [
+      failCurrent(current, statement, failure),
+      {...details, reason, isWrite},
+    ];
   }
 
   /** Ends the transaction and records the position if it committed writes. */
@@ -365,16 +381,55 @@
    */
   function* handle(request: CallerRequest): Task<StatementAnswer> {
     const startedAt = timer.now();
-    const [answer, details] = yield* serve(request);
-    // Log positions are not exposed to callers.
-    caller.answer({...answer, position: undefined});
+    const reportLoss = () => reportCutOff(request, startedAt);
+    options.unfinished.add(reportLoss);
+    try {
+      const [answer, details] = yield* serve(request);
+      const isUndelivered = caller.isClosed();
+      // Log positions are not exposed to callers.
+      caller.answer({...answer, position: undefined});
+      events.onRequestEnd({
+        id: request.id,
+        ...details,
+        outcome: answer.error?.name ?? 'ok',
+        duration: timer.now() - startedAt,
+        isUndelivered,
+      });
+      return answer;
+    } finally {
+      options.unfinished.delete(reportLoss);
+    }
+  }
+
+  /** Reports a request that the end of the process leaves without an answer. */
+  function reportCutOff(
+    {id, statement}: CallerRequest,
+    startedAt: Milliseconds,
+  ): void {
+    if (statement === undefined) {
+      return;
+    }
+    const admission = configuration.admit(caller);
+    const admitted = admission.kind === 'admitted' ? admission : undefined;
+    const route = transaction?.route ?? admitted?.route;
+    const isWrite =
+      statement.kind === 'commit'
+        ? transaction?.hasWritten === true
+        : resolve(statement)?.isWrite === true;
     events.onRequestEnd({
-      id: request.id,
-      ...details,
-      outcome: answer.error?.name ?? 'ok',
+      id,
+      group: route?.group ?? '',
+      account: transaction?.account ?? admitted?.account?.name ?? '',
+      kind: `${route?.freshness ?? ''} ${statement.kind}`,
+      outcome: 'inDoubt',
+      target: transaction?.pinned.target ?? '',
+      attempts: 0,
+      via: transaction?.via ?? '',
       duration: timer.now() - startedAt,
+      reason: CUT_OFF,
+      isWrite,
+      isUndelivered: true,
     });
-    return answer;
   }
 
   try {
--- a/packages/gateway/src/superseded_primary.ts
+++ b/packages/gateway/src/superseded_primary.ts
@@ -6,11 +6,16 @@
 
 import type {DispatchResult} from './dispatch_types';
 
-const REASON = 'superseded primary';
+/** Reason of a request whose success was withheld. */
+export const SUPERSEDED_PRIMARY = 'superseded primary';
 
 /** Replaces a success by an unknown outcome; leaves failures as they are. */
 export function withoutSuccess(result: DispatchResult): DispatchResult {
   return result.answer.error === undefined
-    ? {...result, answer: errorAnswer('inDoubt', 'idle'), reason: REASON}
+    ? {
+        ...result,
+        answer: errorAnswer('inDoubt', 'idle'),
+        reason: SUPERSEDED_PRIMARY,
+      }
     : result;
 }
--- a/packages/scenarios/src/statements/proxy_stubs.ts
+++ b/packages/scenarios/src/statements/proxy_stubs.ts
@@ -13,6 +13,7 @@
   targets: () => ({
     onReachability: () => {},
     onLeader: () => {},
+    onCommit: () => {},
     onTarget: () => {},
     onConnectionOpened: () => {},
     onStatementStart: () => {},
--- a/packages/succession/index.ts
+++ b/packages/succession/index.ts
@@ -1,4 +1,5 @@
 /** Changes the primary of groups whose targets the platform promotes. */
+export * from './src/choice_context';
 export * from './src/choice_report';
 export * from './src/choose_successor';
 export {type CommitEvidence, evidenceOfGroup} from './src/commit_inquiry';
--- a/packages/succession/src/choice_report.ts
+++ b/packages/succession/src/choice_report.ts
@@ -1,7 +1,10 @@
 /** Describes a choice of a successor for the log. */
+import type {LogPosition} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
 import type {TargetStatus} from '@kelpstep/statements';
 
+import type {ChoiceContext} from './choice_context';
+
 /** Why a target was selected, passed over or left out. */
 export type ChoiceVerdict =
   | 'selected'
@@ -29,6 +32,8 @@
   /** Time since the answered request was sent; undefined without an answer. */
   readonly age: Milliseconds | undefined;
   readonly verdict: ChoiceVerdict;
+  /** Time since which its registration is missing; undefined if it is listed. */
+  readonly missingFor?: Milliseconds | undefined;
 }
 
 /** A target's answer, and when the answered request was sent. */
@@ -45,22 +50,32 @@
   /** The selected target; empty if none was selected. */
   readonly selected: string;
   readonly considered: readonly ConsideredTarget[];
+  readonly context: ChoiceContext;
+}
+
+/** Formats a log end as `TERM.POSITION`; `unknown` without one. */
+export function formatLogEnd(end: LogPosition | undefined): string {
+  return end === undefined ? 'unknown' : `${end.term}.${end.position}`;
 }
 
 /**
  * Formats a considered target as `TARGET VERDICT`, followed by role, term, log
- * end, held term and age of its answer if there is one.
+ * end, held term and age of its answer if there is one, and by the time since
+ * which its registration is missing. Times are in ms.
  */
 export function formatConsidered({
   target,
   status,
   age,
   verdict,
+  missingFor,
 }: ConsideredTarget): string {
+  const missing =
+    missingFor === undefined ? '' : ` missing ${Math.round(missingFor)}`;
   if (status === undefined || age === undefined) {
-    return `${target} ${verdict}`;
+    return `${target} ${verdict}${missing}`;
   }
   const {role, term, received, termHeld} = status;
-  const end = `${received.term}.${received.position}`;
-  return `${target} ${verdict} ${role} term ${term} end ${end} held ${termHeld} age ${Math.round(age)}`;
+  const end = formatLogEnd(received);
+  return `${target} ${verdict} ${role} term ${term} end ${end} held ${termHeld} age ${Math.round(age)}${missing}`;
 }
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -9,6 +9,8 @@
 
 /** What one proxy knows of acknowledged commits. */
 export interface CommitEvidence {
+  /** The proxy that has it; undefined for this one. */
+  readonly proxy?: string | undefined;
   readonly newestCommit?: AcknowledgedCommit | undefined;
   /** See `GroupPositions.mayLackCopies`. */
   readonly mayLackCopies: boolean;
@@ -31,6 +33,8 @@
   startedAt(): Milliseconds;
   /** True once the peers have answered or had time to when first asked. */
   isComplete(): boolean;
+  /** What this proxy and the peers that have answered know. */
+  evidence(): readonly CommitEvidence[];
   /** True if a proxy does not know the replicas to hold all commits. */
   mayLackCopies(): boolean;
   /** True if a commit that was acknowledged is known to be missing. */
@@ -109,6 +113,7 @@
     startedAt: () => startedAt,
     isComplete: () =>
       pending === 0 || timer.now() - startedAt >= ANSWER_TIMEOUT_MS,
+    evidence: allEvidence,
     mayLackCopies,
     isMissingCommit,
     mayMissCommit(logs) {
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,6 +15,7 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {type KnownPrimary, describePrimary} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
 import type {ReplacedPrimary} from './replication_hold';
@@ -49,11 +50,15 @@
 
 /** Callbacks for the progress of a succession, used for logging. */
 export interface SuccessionEvents {
-  /** `previous` is the row that the change has replaced. */
+  /**
+   * `previous` is the row that the change has replaced, and `primary` the target
+   * that it replaces.
+   */
   onStart(
     reason: SuccessionReason,
     epoch: number,
     previous: Succession | undefined,
+    primary: KnownPrimary | undefined,
   ): void;
   onStep(step: string, target: string, epoch: number): void;
   onChoice(choice: SuccessionChoice): void;
@@ -334,7 +339,8 @@
     if (!(yield* successionRow.write({}))) {
       return;
     }
-    events.onStart(reason, epoch, previous?.succession);
+    const known = describePrimary(group, primary);
+    events.onStart(reason, epoch, previous?.succession, known);
     const isUnordered = reason === 'unfinished' && pendingTarget === '';
     const outcome = isUnordered
       ? yield* steps.finish(successionRow, {phase: 'abandoned'})
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -11,6 +11,7 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {describeContext, withMissingTime} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import {
   type CommitEvidence,
@@ -135,9 +136,14 @@
       ...options,
       inquiry,
       onSelection({successor, considered}: Selection) {
-        const {epoch} = rowWriter.succession();
-        const selected = successor?.target ?? '';
-        options.onChoice({epoch, term: hold.term(), selected, considered});
+        const now = timer.now();
+        options.onChoice({
+          epoch: rowWriter.succession().epoch,
+          term: hold.term(),
+          selected: successor?.target ?? '',
+          considered: withMissingTime(considered, group, now),
+          context: describeContext({group, hold, inquiry, considered, now}),
+        });
       },
     });
   }
--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -124,6 +124,7 @@
     events: {
       onReachability: target => reached.push(target),
       onLeader: () => {},
+      onCommit: () => {},
       onTarget: () => {},
       onConnectionOpened: () => {},
       onStatementStart: () => {},
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -18,6 +18,7 @@
 
 import {type ChangeSignal, createChangeSignal} from './change_signal';
 import {connectionsPerOwner} from './connection_shares';
+import {type DepartedTarget, createDepartedTargets} from './departed_targets';
 import {type GroupPositions, createGroupPositions} from './group_positions';
 import {
   type OutlierDetection,
@@ -33,7 +34,10 @@
  */
 export interface TargetGroupEvents {
   onReachability(target: string, isReached: boolean, reason: string): void;
-  onLeader(target: string, term: number): void;
+  /** `logEnd` is the end of its log when it was first seen to lead. */
+  onLeader(target: string, term: number, logEnd: LogPosition): void;
+  /** Called for an acknowledged commit, whose position is above `after`. */
+  onCommit(target: string, after: LogPosition): void;
   onTarget(target: string, event: 'added' | 'gone' | 'restarted'): void;
   /** Called when a connection to a target was opened, for any use. */
   onConnectionOpened(target: string): void;
@@ -73,6 +77,13 @@
   link(target: string): TargetLink | undefined;
   /** The newest known leader; its leadership may have ended. */
   leader(): TargetLink | undefined;
+  /**
+   * Monotonic time since which the target's registration is missing; undefined
+   * while it is listed.
+   */
+  missingSince(target: string): Milliseconds | undefined;
+  /** Targets that were removed lately. */
+  departed(): readonly DepartedTarget[];
   /** True if a commit is acknowledged only after a replica received it. */
   hasSynchronousReplicas(): boolean;
   readonly positions: GroupPositions;
@@ -132,6 +143,7 @@
   const positions = createGroupPositions(timer.now);
   const changes = createChangeSignal();
   const members = new Map<string, Member>();
+  const departures = createDepartedTargets(timer.now);
   const suspension = createSuspensionDetector(timer);
   let settings: GroupSettings = {
     group: options.group,
@@ -165,11 +177,11 @@
     }
   }
 
-  function reportLeader(): void {
+  function reportLeader(logEnd: LogPosition): void {
     const leadership = positions.leader();
     const name = leadership ? `${leadership.target}@${leadership.term}` : '';
     if (name !== reportedLeader && leadership !== undefined) {
-      events.onLeader(leadership.target, leadership.term);
+      events.onLeader(leadership.target, leadership.term, logEnd);
     }
     reportedLeader = name;
   }
@@ -189,11 +201,14 @@
       },
       onStatus(requestedAt, status) {
         positions.recordStatus(target, requestedAt, status);
-        reportLeader();
+        reportLeader(status.received);
         changes.notify();
       },
       logEnd: () => positions.logOf(target)?.position,
-      onCommit: after => positions.recordCommit(target, after),
+      onCommit(after) {
+        positions.recordCommit(target, after);
+        events.onCommit(target, after);
+      },
       onReachability(isReached, reason) {
         events.onReachability(target, isReached, reason);
         changes.notify();
@@ -205,8 +220,20 @@
     events.onTarget(target, 'added');
   }
 
+  /** End of the target's log that was reported last. */
+  function lastLogEnd(target: string): LogPosition | undefined {
+    return positions.receivedEnd(target) ?? positions.logOf(target)?.position;
+  }
+
   function remove(target: string, event: 'gone' | 'restarted'): void {
-    members.get(target)?.link.close();
+    const member = members.get(target);
+    departures.record({
+      target,
+      reason: event,
+      missingSince: member?.missingSince,
+      logEnd: lastLogEnd(target),
+    });
+    member?.link.close();
     members.delete(target);
     positions.discard(target);
     outliers?.forget(target);
@@ -379,6 +406,8 @@
     links,
     link: target => members.get(target)?.link,
     leader,
+    missingSince: target => members.get(target)?.missingSince,
+    departed: departures.recent,
     hasSynchronousReplicas: () => settings.synchronousReplicas > 0,
     positions,
     outliers,
