--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -141,6 +141,7 @@
     message: RelayedStatement,
     result: DispatchResult,
     startedAt: Milliseconds,
+    isUndelivered: boolean,
   ): void {
     const {id, route, account = '', statement, sender, isWrite} = message;
     const {target, attempts, reason, answer} = result;
@@ -156,6 +157,7 @@
       outcome: answer.error?.name ?? 'ok',
       duration: timer.now() - startedAt,
       isWrite,
+      isUndelivered,
     });
   }
 
@@ -205,7 +207,7 @@
         result.settle(noRoom(local.expectedWait(dispatchRequest), runs));
         return;
       }
-      report(message, outcome, dispatchRequest.arrivedAt);
+      report(message, outcome, dispatchRequest.arrivedAt, request.isEnded);
       result.settle(toResult(message.work, request, outcome));
     }
 
--- a/packages/gateway/src/request_details.ts
+++ b/packages/gateway/src/request_details.ts
@@ -1,5 +1,7 @@
 /** What the end of a request is reported with. */
-import type {SessionAdmission} from './configuration';
+import type {SessionStatement} from '@kelpstep/statements';
+
+import type {CallerRoute, SessionAdmission} from './configuration';
 import type {DispatchResult} from './dispatch_types';
 import type {RequestEnd} from './gateway_events';
 
@@ -46,3 +48,37 @@
     isWrite,
   };
 }
+
+/** Reason of a request whose session is closed before its answer. */
+const CUT_OFF = 'cut off';
+
+/** What the report of a cut-off request needs of its session's transaction. */
+export interface OpenTransaction {
+  readonly pinned: {readonly target: string};
+  readonly via: string;
+  readonly route: CallerRoute;
+  readonly account: string | undefined;
+  readonly hasWritten: boolean;
+}
+
+/** Details of a request that the end of the process leaves without an answer. */
+export function describeCutOff(
+  {kind}: SessionStatement,
+  admission: SessionAdmission,
+  transaction: OpenTransaction | undefined,
+): Omit<RequestEnd, 'id' | 'duration'> {
+  const admitted = admission.kind === 'admitted' ? admission : undefined;
+  const route = transaction?.route ?? admitted?.route;
+  return {
+    group: route?.group ?? '',
+    account: transaction?.account ?? admitted?.account?.name ?? '',
+    kind: `${route?.freshness ?? ''} ${kind}`,
+    outcome: 'inDoubt',
+    target: transaction?.pinned.target ?? '',
+    attempts: 0,
+    via: transaction?.via ?? '',
+    reason: CUT_OFF,
+    isWrite: kind === 'commit' && transaction?.hasWritten === true,
+    isUndelivered: true,
+  };
+}
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -7,13 +7,10 @@
   type Task,
   receive,
   receiveWithTimeout,
-  sleep,
   waitWithTimeout,
-  waitFor,
 } from '@kelpstep/runtime';
 import {
   type CallerRequest,
-  type PreparedShape,
   type SessionStatement,
   type StatementAnswer,
   type TransactionState,
@@ -26,13 +23,16 @@
 import type {PinnedConnection} from '@kelpstep/targets';
 
 import type {CallerConnection, CallerMessage} from './caller_connection';
-import type {ActiveConfiguration, CallerRoute} from './configuration';
+import type {ActiveConfiguration} from './configuration';
 import {type Dispatcher, refusalAnswer} from './dispatch_types';
 import type {GatewayEvents} from './gateway_events';
+import {type ResolvedStatement, sendPinned} from './pinned_statement';
 import {
   type AdmittedSession,
   LOCAL_REQUEST,
+  type OpenTransaction,
   type RequestDetails,
+  describeCutOff,
   describeRequest,
 } from './request_details';
 import {createRunCounter} from './statement_runs';
@@ -61,36 +61,18 @@
   readonly unfinished: Set<() => void>;
 }
 
-interface Transaction {
+interface Transaction extends OpenTransaction {
   readonly pinned: PinnedConnection;
-  /** Peer that has the transaction's connection; empty if it is local. */
-  readonly via: string;
-  readonly route: CallerRoute;
-  /** Client account that began the transaction. */
-  readonly account: string | undefined;
   hasWritten: boolean;
 }
 
-/**
- * A statement to forward, and the prepared statement that it executes, if any.
- */
-interface ResolvedStatement {
-  readonly statement: SessionStatement;
-  readonly shape: PreparedShape | undefined;
-  readonly isWrite: boolean;
-}
-
 /**
  * How long a statement waits for the first configuration. The store answers
  * within milliseconds if it is available.
  */
 const FIRST_CONFIGURATION_TIMEOUT_MS: Milliseconds = 300;
-/** Backoff before a statement is sent again after a `busy` answer. */
-const BUSY_BACKOFF_MS: Milliseconds = 20;
 
 const OVER_QUOTA = 'over quota';
-/** Reason of a request whose session was closed before its answer. */
-const CUT_OFF = 'cut off';
 
 /** Serves a session until its caller or the gateway ends it. */
 export function* serveSession(options: SessionOptions): Task<void> {
@@ -218,34 +200,6 @@
     return [{...answer, state}, details];
   }
 
-  function* sendPinned(
-    current: Transaction,
-    request: CallerRequest,
-    {statement, shape}: ResolvedStatement,
-  ): Task<StatementAnswer | undefined> {
-    const deadline = timer.now() + current.route.timeout;
-    const {id} = request;
-    for (;;) {
-      const reply = yield* waitFor(
-        current.pinned.send(
-          {id, body: statement},
-          shape,
-          deadline - timer.now(),
-        ),
-      );
-      if (reply.err) {
-        return undefined;
-      }
-      const answer = reply.val;
-      const mayRepeat =
-        answer.error?.name === 'busy' && answer.state === 'open';
-      if (!mayRepeat || timer.now() + BUSY_BACKOFF_MS >= deadline) {
-        return answer;
-      }
-      yield* sleep(BUSY_BACKOFF_MS);
-    }
-  }
-
   function* serveInTransaction(
     current: Transaction,
     request: CallerRequest,
@@ -270,7 +224,7 @@
     current.hasWritten ||= resolved.isWrite;
     const isWrite =
       resolved.isWrite || (statement.kind === 'commit' && current.hasWritten);
-    const answer = yield* sendPinned(current, request, resolved);
+    const answer = yield* sendPinned(timer, current, request.id, resolved);
     const isDoubtful =
       statement.kind === 'commit' &&
       current.hasWritten &&
@@ -401,7 +355,6 @@
     }
   }
 
-  /** Reports a request that the end of the process leaves without an answer. */
   function reportCutOff(
     {id, statement}: CallerRequest,
     startedAt: Milliseconds,
@@ -410,26 +363,10 @@
       return;
     }
     const admission = configuration.admit(caller);
-    const admitted = admission.kind === 'admitted' ? admission : undefined;
-    const route = transaction?.route ?? admitted?.route;
-    const isWrite =
-      statement.kind === 'commit'
-        ? transaction?.hasWritten === true
-        : resolve(statement)?.isWrite === true;
-    events.onRequestEnd({
-      id,
-      group: route?.group ?? '',
-      account: transaction?.account ?? admitted?.account?.name ?? '',
-      kind: `${route?.freshness ?? ''} ${statement.kind}`,
-      outcome: 'inDoubt',
-      target: transaction?.pinned.target ?? '',
-      attempts: 0,
-      via: transaction?.via ?? '',
-      duration: timer.now() - startedAt,
-      reason: CUT_OFF,
-      isWrite,
-      isUndelivered: true,
-    });
+    const details = describeCutOff(statement, admission, transaction);
+    const duration = timer.now() - startedAt;
+    const isWrite = details.isWrite || resolve(statement)?.isWrite === true;
+    events.onRequestEnd({id, ...details, isWrite, duration});
   }
 
   try {
