--- /dev/null
+++ b/packages/gateway/src/pinned_statement.ts
@@ -0,0 +1,59 @@
+/** Sends the statements of a transaction on its connection. */
+import {
+  type Milliseconds,
+  type Task,
+  type TimerService,
+  sleep,
+  waitFor,
+} from '@kelpstep/runtime';
+import type {
+  CallerRequest,
+  PreparedShape,
+  SessionStatement,
+  StatementAnswer,
+} from '@kelpstep/statements';
+import type {PinnedConnection} from '@kelpstep/targets';
+
+import type {CallerRoute} from './configuration';
+
+/**
+ * A statement to forward, and the prepared statement that it executes, if any.
+ */
+export interface ResolvedStatement {
+  readonly statement: SessionStatement;
+  readonly shape: PreparedShape | undefined;
+  readonly isWrite: boolean;
+}
+
+/** Backoff before a statement is sent again after a `busy` answer. */
+const BUSY_BACKOFF_MS: Milliseconds = 20;
+
+/**
+ * Sends a statement until the target has room for it, within the route's time;
+ * undefined if the answer is lost.
+ */
+export function* sendPinned(
+  timer: TimerService,
+  {
+    pinned,
+    route,
+  }: {readonly pinned: PinnedConnection; readonly route: CallerRoute},
+  id: CallerRequest['id'],
+  {statement, shape}: ResolvedStatement,
+): Task<StatementAnswer | undefined> {
+  const deadline = timer.now() + route.timeout;
+  for (;;) {
+    const reply = yield* waitFor(
+      pinned.send({id, body: statement}, shape, deadline - timer.now()),
+    );
+    if (reply.err) {
+      return undefined;
+    }
+    const answer = reply.val;
+    const mayRepeat = answer.error?.name === 'busy' && answer.state === 'open';
+    if (!mayRepeat || timer.now() + BUSY_BACKOFF_MS >= deadline) {
+      return answer;
+    }
+    yield* sleep(BUSY_BACKOFF_MS);
+  }
+}
--- /dev/null
+++ b/packages/succession/__tests__/choice_context.spec.ts
@@ -0,0 +1,117 @@
+import type {LogPosition} from '@kelpstep/protocol';
+import type {DepartedTarget, TargetGroup} from '@kelpstep/targets';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {describeContext, withMissingTime} from '../src/choice_context';
+import type {ConsideredTarget} from '../src/choice_report';
+import type {CommitEvidence} from '../src/commit_inquiry';
+import type {ReplicationHold} from '../src/replication_hold';
+
+const NOW = 1000;
+
+function at(position: number): LogPosition {
+  return {term: 2, position};
+}
+
+function considered(target: string, position: number): ConsideredTarget {
+  const status = {
+    role: 'replica',
+    term: 2,
+    received: at(position),
+    termHeld: 3,
+  } as const;
+  return {target, status, age: 5, verdict: 'complete'};
+}
+
+interface Known {
+  readonly completeEnd?: LogPosition;
+  readonly demotedEnd?: LogPosition;
+  readonly recordedEnd?: LogPosition;
+  readonly evidence?: readonly CommitEvidence[];
+  readonly departed?: readonly DepartedTarget[];
+}
+
+function describeKnown(known: Known) {
+  const link = {target: 'a'};
+  const group = {
+    positions: {
+      receivedEnd: () => at(8),
+      logOf: () => ({requestedAt: 0, position: at(9)}),
+    },
+    departed: () => known.departed ?? [],
+  } as unknown as TargetGroup;
+  const hold = {
+    primary: {link, term: 2, completeEnd: known.recordedEnd},
+    completeEnd: () => known.completeEnd,
+    demotedLogEnd: () => known.demotedEnd,
+  } as unknown as ReplicationHold;
+  return describeContext({
+    group,
+    hold,
+    inquiry: {evidence: () => known.evidence ?? []},
+    considered: [considered('a', 90), considered('b', 6), considered('c', 7)],
+    now: NOW,
+  });
+}
+
+describe('the context of a choice', () => {
+  test('has the log end that was required, and where it is from', () => {
+    expect(describeKnown({}).required).toEqual({
+      end: at(7),
+      source: 'longest log',
+    });
+    const demoted = {completeEnd: at(9), demotedEnd: at(9)};
+    expect(describeKnown(demoted).required?.source).toEqual('demoted primary');
+    const row = {completeEnd: at(7), demotedEnd: at(9), recordedEnd: at(7)};
+    expect(describeKnown(row).required?.source).toEqual('row');
+    const compared = {completeEnd: at(7), demotedEnd: at(9)};
+    expect(describeKnown(compared).required?.source).toEqual('comparison');
+  });
+
+  test('has the newest log end that is known of the primary', () => {
+    expect(describeKnown({}).primary).toEqual({
+      target: 'a',
+      term: 2,
+      logEnd: at(9),
+    });
+  });
+
+  test('names the proxies by whose evidence copies may be lacking', () => {
+    const context = describeKnown({
+      evidence: [
+        {mayLackCopies: true, newestCommit: {term: 2, after: at(4)}},
+        {proxy: 'p2', mayLackCopies: false},
+        {
+          proxy: 'p3',
+          mayLackCopies: true,
+          newestCommit: {term: 2, after: at(5)},
+        },
+      ],
+    });
+    expect(context.lackingCopies).toEqual(['self', 'p3']);
+    expect(context.evidenceCount).toEqual(3);
+    expect(context.newestCommit).toEqual({term: 2, after: at(5)});
+  });
+
+  test('has targets that left, and since when they were missing', () => {
+    const departed = {target: 'd', reason: 'gone', logEnd: at(3)} as const;
+    const context = describeKnown({
+      departed: [{...departed, removedAt: 900, missingSince: 200}],
+    });
+    expect(context.departed).toEqual([
+      {...departed, age: 100, missingFor: 800},
+    ]);
+  });
+
+  test('has since when the registrations of considered targets are missing', () => {
+    const group = {
+      missingSince: (target: string) => (target === 'c' ? 400 : undefined),
+    } as unknown as TargetGroup;
+    const targets = [considered('b', 6), considered('c', 7)];
+    const times = withMissingTime(targets, group, NOW).map(
+      ({missingFor}) => missingFor,
+    );
+    expect(times).toEqual([undefined, 600]);
+  });
+});
--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -252,3 +252,32 @@
     expect(reached).toEqual([]);
   });
 });
+
+describe('a target that has left its group', () => {
+  // Guards against choices whose logs don't show that a log was lost before.
+  test('is remembered with its log end for 10 s', () => {
+    const {group, timer} = startGroup();
+    const remaining = TARGETS.filter(target => target !== 'c');
+    const missingSince = timer.now();
+    group.update(
+      remaining.map(each => registrationOf(each)),
+      SETTINGS,
+    );
+    expect(group.missingSince('c')).toEqual(missingSince);
+    expect(group.missingSince('b')).toEqual(undefined);
+    expect(group.departed()).toEqual([]);
+    timer.advance(2600);
+    group.tick();
+    expect(group.departed()).toEqual([
+      {
+        target: 'c',
+        reason: 'gone',
+        missingSince,
+        removedAt: timer.now(),
+        logEnd: {term: 1, position: 50},
+      },
+    ]);
+    timer.advance(10_001);
+    expect(group.departed()).toEqual([]);
+  });
+});
