--- a/packages/succession/__tests__/choice_context.spec.ts
+++ b/packages/succession/__tests__/choice_context.spec.ts
@@ -82,6 +82,7 @@
       evidence: [
         {mayLackCopies: true, newestCommit: {term: 2, after: at(4)}},
         {proxy: 'p2', mayLackCopies: false},
+        {proxy: 'p3', mayLackCopies: true},
         {
           proxy: 'p3',
           mayLackCopies: true,
@@ -90,7 +91,7 @@
       ],
     });
     expect(context.lackingCopies).toEqual(['self', 'p3']);
-    expect(context.evidenceCount).toEqual(3);
+    expect(context.proxyCount).toEqual(3);
     expect(context.newestCommit).toEqual({term: 2, after: at(5)});
   });
 
--- a/packages/succession/src/choice_context.ts
+++ b/packages/succession/src/choice_context.ts
@@ -41,7 +41,7 @@
   /** Proxies by whose evidence copies may be lacking; `self` for this one. */
   readonly lackingCopies: readonly string[];
   /** Number of proxies whose evidence was used, this one included. */
-  readonly evidenceCount: number;
+  readonly proxyCount: number;
   /** The newest acknowledged commit that one of these proxies knows. */
   readonly newestCommit: AcknowledgedCommit | undefined;
   readonly departed: readonly DepartureReport[];
@@ -125,14 +125,15 @@
 /** Describes what a choice relied on. */
 export function describeContext(options: ChoiceContextOptions): ChoiceContext {
   const {group, hold, inquiry, now} = options;
+  // A peer that was asked twice may have answered twice.
   const evidence = inquiry.evidence();
+  const nameOf = ({proxy = 'self'}: CommitEvidence) => proxy;
+  const lacking = evidence.filter(({mayLackCopies}) => mayLackCopies);
   return {
     primary: describePrimary(group, hold.primary),
     required: requiredEnd(options),
-    lackingCopies: evidence
-      .filter(({mayLackCopies}) => mayLackCopies)
-      .map(({proxy = 'self'}) => proxy),
-    evidenceCount: evidence.length,
+    lackingCopies: [...new Set(lacking.map(nameOf))],
+    proxyCount: new Set(evidence.map(nameOf)).size,
     newestCommit: newestOf(evidence),
     departed: group
       .departed()
@@ -170,7 +171,7 @@
   return [
     `replaced: ${formatPrimary(primary)}`,
     `required: ${end ?? 'unknown'}`,
-    `lacking copies: ${lackingCopies.join(' ') || 'none'} of ${context.evidenceCount} asked`,
+    `lacking copies: ${lackingCopies.join(' ') || 'none'} of ${context.proxyCount} heard`,
     `newest commit: ${commit ?? 'unknown'}`,
     `departed: ${departed.map(formatDeparture).join(', ') || 'none'}`,
   ].join('; ');
