--- a/packages/succession/src/choice_context.ts
+++ b/packages/succession/src/choice_context.ts
@@ -1,10 +1,11 @@
 /** Describes what a choice of a successor relied on, for the log. */
 import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
-import type {
-  AcknowledgedCommit,
-  DepartedTarget,
-  TargetGroup,
+import {
+  type AcknowledgedCommit,
+  type DepartedTarget,
+  type TargetGroup,
+  knownLogEnd,
 } from '@kelpstep/targets';
 
 import {type ConsideredTarget, formatLogEnd} from './choice_report';
@@ -65,13 +66,7 @@
   }
   const {link, term} = primary;
   const {target} = link;
-  const ends = [
-    positions.receivedEnd(target),
-    positions.logOf(target)?.position,
-  ]
-    .filter(end => end !== undefined)
-    .sort(compareLogPositions);
-  return {target, term, logEnd: ends[ends.length - 1]};
+  return {target, term, logEnd: knownLogEnd(positions, target)};
 }
 
 function isSame(left: LogPosition, right: LogPosition | undefined): boolean {
--- a/packages/targets/index.ts
+++ b/packages/targets/index.ts
@@ -6,6 +6,7 @@
 export * from './src/connection_shares';
 export type {DepartedTarget} from './src/departed_targets';
 export * from './src/group_positions';
+export * from './src/known_log_end';
 export * from './src/outlier_detection';
 export * from './src/registration';
 export * from './src/shared_connections';
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -20,6 +20,7 @@
 import {connectionsPerOwner} from './connection_shares';
 import {type DepartedTarget, createDepartedTargets} from './departed_targets';
 import {type GroupPositions, createGroupPositions} from './group_positions';
+import {knownLogEnd} from './known_log_end';
 import {
   type OutlierDetection,
   type OutlierEvent,
@@ -220,18 +221,13 @@
     events.onTarget(target, 'added');
   }
 
-  /** End of the target's log that was reported last. */
-  function lastLogEnd(target: string): LogPosition | undefined {
-    return positions.receivedEnd(target) ?? positions.logOf(target)?.position;
-  }
-
   function remove(target: string, event: 'gone' | 'restarted'): void {
     const member = members.get(target);
     departures.record({
       target,
       reason: event,
       missingSince: member?.missingSince,
-      logEnd: lastLogEnd(target),
+      logEnd: knownLogEnd(positions, target),
     });
     member?.link.close();
     members.delete(target);
