--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -141,8 +141,9 @@
     message: RelayedStatement,
     result: DispatchResult,
     startedAt: Milliseconds,
+    isUndelivered: boolean,
   ): void {
-    const {id, route, account = '', statement, sender} = message;
+    const {id, route, account = '', statement, sender, isWrite} = message;
     const {target, attempts, reason, answer} = result;
     events.onRequestEnd({
       id,
@@ -155,6 +156,8 @@
       via: sender,
       outcome: answer.error?.name ?? 'ok',
       duration: timer.now() - startedAt,
+      isWrite,
+      isUndelivered,
     });
   }
 
@@ -204,7 +207,7 @@
         result.settle(noRoom(local.expectedWait(dispatchRequest), runs));
         return;
       }
-      report(message, outcome, dispatchRequest.arrivedAt);
+      report(message, outcome, dispatchRequest.arrivedAt, request.isEnded);
       result.settle(toResult(message.work, request, outcome));
     }
 
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -11,6 +11,8 @@
 
 /** What one proxy knows of acknowledged commits. */
 export interface CommitEvidence {
+  /** The proxy that has it; undefined for this one. */
+  readonly proxy?: string | undefined;
   readonly newestCommit?: AcknowledgedCommit | undefined;
   /** True if the proxy can't tell that replicas hold all commits. */
   readonly mayLackCopies: boolean;
@@ -33,6 +35,8 @@
   startedAt(): Milliseconds;
   /** True unless a peer that was asked may still answer. */
   isComplete(): boolean;
+  /** What this proxy and the peers that have answered know. */
+  evidence(): readonly CommitEvidence[];
   /**
    * True if a proxy can't tell that the replicas hold all commits that the
    * primary of `term` acknowledged.
@@ -115,6 +119,7 @@
     },
     startedAt: () => startedAt,
     isComplete: () => pending === 0,
+    evidence: allEvidence,
     mayLackCopies: mayBeLacking,
     isMissingCommit,
     mayMissCommit(logs) {
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,10 +15,11 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {type KnownPrimary, describePrimary} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
 import type {KnownCopyRecord} from './copy_record';
-import type {ReplacedPrimary} from './replication_hold';
+import {findPendingTarget, findPrimary, recordedPrimary} from './known_primary';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
 import {
@@ -50,11 +51,15 @@
 
 /** Callbacks for the progress of a succession, used for logging. */
 export interface SuccessionEvents {
-  /** `previous` is the row that the change has replaced. */
+  /**
+   * `previous` is the row that the change has replaced, and `primary` the target
+   * that it replaces.
+   */
   onStart(
     reason: SuccessionReason,
     epoch: number,
     previous: Succession | undefined,
+    primary: KnownPrimary | undefined,
   ): void;
   onStep(step: string, target: string, epoch: number): void;
   onChoice(choice: SuccessionChoice): void;
@@ -173,7 +178,10 @@
     ) {
       return 'lost';
     }
-    if (isChangeInProgress() && findPendingTarget() === leader.target) {
+    if (
+      isChangeInProgress() &&
+      findPendingTarget(group, options.row()?.succession) === leader.target
+    ) {
       return 'unfinished';
     }
     const hasReplacement = group
@@ -300,11 +308,13 @@
    */
   function canFinishChange(): boolean {
     const row = options.row()?.succession;
-    const primary = findPrimary(row)?.link;
+    const primary = findPrimary(group, row)?.link;
     const others = group.links().filter(link => link !== primary);
     const areReached =
       others.length > 0 && others.every(link => link.isReached());
-    const pending = group.link(findPendingTarget());
+    const pending = group.link(
+      findPendingTarget(group, options.row()?.succession),
+    );
     return areReached || pending?.isReached() === true;
   }
 
@@ -314,11 +324,11 @@
     const era = options.era();
     const epoch =
       nextEpoch(previous?.succession.epoch ?? 0, era) + EPOCHS_PER_WRITE - 1;
-    const pendingTarget = findPendingTarget();
+    const pendingTarget = findPendingTarget(group, options.row()?.succession);
     const isInEffect = pendingTarget === group.leader()?.target;
     const primary = isInEffect
-      ? recordedPrimary(previous?.succession)
-      : findPrimary(previous?.succession);
+      ? recordedPrimary(group, previous?.succession)
+      : findPrimary(group, previous?.succession);
     const successionRow = createSuccessionRowWriter(
       {store, rowWriter: options.rowWriter, table: options.table, key},
       previous?.position ?? {era, version: 0},
@@ -337,7 +347,8 @@
     if (!(yield* successionRow.write({}))) {
       return;
     }
-    events.onStart(reason, epoch, previous?.succession);
+    const known = describePrimary(group, primary);
+    events.onStart(reason, epoch, previous?.succession, known);
     const isUnordered = reason === 'unfinished' && pendingTarget === '';
     const outcome = isUnordered
       ? yield* steps.finish(successionRow, {phase: 'abandoned'})
@@ -363,57 +374,6 @@
     }
   }
 
-  /**
-   * Returns the primary according to the row, for a proxy that knows an older
-   * one or none. Commits that a lost primary has acknowledged are on a replica,
-   * so the primary's own answer is not needed. Undefined if the row does not tell
-   * the term: the target may then have been replaced without being recorded.
-   */
-  function recordedPrimary(
-    row: Succession | undefined,
-  ): ReplacedPrimary | undefined {
-    const name = row?.phase === 'done' ? row.target : row?.from;
-    const link = name === undefined ? undefined : group.link(name);
-    if (row?.term === undefined || link === undefined) {
-      return undefined;
-    }
-    const {demotedEnd, targetEnd: completeEnd} = row;
-    return row.phase === 'done'
-      ? {link, term: row.term}
-      : {link, term: row.term, demotedEnd, completeEnd};
-  }
-
-  /** Returns the newest primary that this proxy or the row knows. */
-  function findPrimary(
-    row: Succession | undefined,
-  ): ReplacedPrimary | undefined {
-    const recorded = recordedPrimary(row);
-    const leadership = group.positions.leader();
-    const link = group.leader();
-    if (leadership === undefined || link === undefined) {
-      return recorded;
-    }
-    const {term} = leadership;
-    return recorded !== undefined && recorded.term >= term
-      ? recorded
-      : {link, term};
-  }
-
-  /**
-   * Returns the target of a recorded promotion order; '' if there is none, or if
-   * the target has led and is lost. Such an order may still take effect whether
-   * the target is reached or not, also again after it has taken effect.
-   */
-  function findPendingTarget(): string {
-    const row = options.row()?.succession;
-    if (row?.phase !== 'ordered') {
-      return '';
-    }
-    const primary = findPrimary(row)?.link;
-    const hasLed = primary?.target === row.target;
-    return hasLed && !primary.isReached() ? '' : row.target;
-  }
-
   const task: TaskHandle<void> = runtime.spawn('succession', monitor());
   return {stop: task.cancel};
 }
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -18,36 +18,18 @@
 
 import {type ChangeSignal, createChangeSignal} from './change_signal';
 import {connectionsPerOwner} from './connection_shares';
+import {type DepartedTarget, createDepartedTargets} from './departed_targets';
 import {type GroupPositions, createGroupPositions} from './group_positions';
+import {knownLogEnd} from './known_log_end';
 import {
   type OutlierDetection,
   type OutlierEvent,
   createOutlierDetection,
 } from './outlier_detection';
 import type {GroupSettings, TargetRegistration} from './registration';
+import type {TargetGroupEvents} from './target_group_events';
 import {type TargetLink, createTargetLink} from './target_link';
 
-/**
- * Change of the list of targets. `lapsed`: its registration is missing, but it
- * answers.
- */
-export type TargetEvent = 'added' | 'lapsed' | 'gone' | 'restarted';
-
-/**
- * Receives changes of a group's targets and leader for the log, and
- * measurements for metrics.
- */
-export interface TargetGroupEvents {
-  onReachability(target: string, isReached: boolean, reason: string): void;
-  onLeader(target: string, term: number): void;
-  onTarget(target: string, event: TargetEvent): void;
-  /** Called when a connection to a target was opened, for any use. */
-  onConnectionOpened(target: string): void;
-  /** Called when a statement starts, with the time that it was queued. */
-  onStatementStart(target: string, queueTime: Milliseconds): void;
-  onOutlier(event: OutlierEvent): void;
-}
-
 /** What a group needs to open links to its targets. */
 export interface TargetGroupOptions {
   readonly group: string;
@@ -79,6 +61,13 @@
   link(target: string): TargetLink | undefined;
   /** The newest known leader; its leadership may have ended. */
   leader(): TargetLink | undefined;
+  /**
+   * Monotonic time since which the target's registration is missing; undefined
+   * while it is listed.
+   */
+  missingSince(target: string): Milliseconds | undefined;
+  /** Targets that were removed lately. */
+  departed(): readonly DepartedTarget[];
   /** True if a commit is acknowledged only after a replica received it. */
   hasSynchronousReplicas(): boolean;
   readonly positions: GroupPositions;
@@ -138,6 +127,7 @@
   const positions = createGroupPositions(timer.now);
   const changes = createChangeSignal();
   const members = new Map<string, Member>();
+  const departures = createDepartedTargets(timer.now);
   const suspension = createSuspensionDetector(timer);
   let settings: GroupSettings = {
     group: options.group,
@@ -171,11 +161,11 @@
     }
   }
 
-  function reportLeader(): void {
+  function reportLeader(logEnd: LogPosition): void {
     const leadership = positions.leader();
     const name = leadership ? `${leadership.target}@${leadership.term}` : '';
     if (name !== reportedLeader && leadership !== undefined) {
-      events.onLeader(leadership.target, leadership.term);
+      events.onLeader(leadership.target, leadership.term, logEnd);
     }
     reportedLeader = name;
   }
@@ -195,11 +185,14 @@
       },
       onStatus(requestedAt, status) {
         positions.recordStatus(target, requestedAt, status);
-        reportLeader();
+        reportLeader(status.received);
         changes.notify();
       },
       logEnd: () => positions.logOf(target)?.position,
-      onCommit: after => positions.recordCommit(target, after),
+      onCommit(after) {
+        positions.recordCommit(target, after);
+        events.onCommit(target, after);
+      },
       onReachability(isReached, reason) {
         events.onReachability(target, isReached, reason);
         changes.notify();
@@ -211,8 +204,15 @@
     events.onTarget(target, 'added');
   }
 
-  function remove(target: string, event: TargetEvent): void {
-    members.get(target)?.link.close();
+  function remove(target: string, event: 'gone' | 'restarted'): void {
+    const member = members.get(target);
+    departures.record({
+      target,
+      reason: event,
+      missingSince: member?.missingSince,
+      logEnd: knownLogEnd(positions, target),
+    });
+    member?.link.close();
     members.delete(target);
     positions.discard(target);
     outliers?.forget(target);
@@ -393,6 +393,8 @@
     links,
     link: target => members.get(target)?.link,
     leader,
+    missingSince: target => members.get(target)?.missingSince,
+    departed: departures.recent,
     hasSynchronousReplicas: () => settings.synchronousReplicas > 0,
     positions,
     outliers,
