--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -256,7 +256,7 @@
 describe('a target that has left its group', () => {
   // Guards against choices whose logs don't show that a log was lost before.
   test('is remembered with its log end for 10 s', () => {
-    const {group, timer} = startGroup();
+    const {group, timer, state} = startGroup();
     const remaining = TARGETS.filter(target => target !== 'c');
     const missingSince = timer.now();
     group.update(
@@ -268,6 +268,12 @@
     expect(group.departed()).toEqual([]);
     timer.advance(2600);
     group.tick();
+    expect(group.link('c')?.registration().isLeaving).toEqual(true);
+    expect(group.departed()).toEqual([]);
+    state.answerTime = 10_000;
+    void group.link('c')?.probePosition();
+    timer.advance(1000);
+    group.tick();
     expect(group.departed()).toEqual([
       {
         target: 'c',
