fix(succession): drop a comparison of logs once a longer log disproves it

Callers lost acknowledged commits that a listed replica held, which had answered and was shown as complete: a target with a shorter log was preferred to it, because its promotion had been ordered before.

Cause: a log end that holds all commits, found with a silent primary, was relied on for as long as the primary stayed silent; that the primary had led again meanwhile, and had commits acknowledged, was seen by its demoted log end only.

The comparison is dropped once any member reports a longer log, or leads. All targets have to answer again then.

successor_selection.spec.ts, "does not rely on a comparison that a longer log disproves": with the check taken out the shorter target is selected.

--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -72,6 +72,8 @@
   readonly runtime: Runtime;
   readonly hold: ReturnType<typeof createReplicationHold>;
   selected(): string | undefined;
+  /** The same, if a target is preferred that qualifies. */
+  select(preferred: string): string | undefined;
   verdictOf(target: string): string | undefined;
 }
 
@@ -116,13 +118,13 @@
     },
   });
   inquiry.start();
-  const select = () =>
+  const select = (preferred = '') =>
     selectSuccessor({
       hold,
       inquiry,
       now: timer.now(),
       since: timer.now() - 250,
-      preferred: '',
+      preferred,
       mayLead: !hold.isDemoting(),
       mayKeepPrimary: false,
     });
@@ -131,6 +133,7 @@
     runtime,
     hold,
     selected: () => select().successor?.target,
+    select: preferred => select(preferred).successor?.target,
     verdictOf: name =>
       select().considered.find(({target}) => target === name)?.verdict,
   };
@@ -306,6 +309,27 @@
     expect(unknown.selected()).toEqual('a');
   });
 
+  // Guards against a recorded target that is selected by an earlier comparison,
+  // although the primary has led since and another replica has received more.
+  test('does not rely on a comparison that a longer log disproves', () => {
+    const primary = createFakeTarget('c', {...REPLICA, role: 'primary'});
+    const replica = createFakeTarget('b', shorter);
+    const down = createFakeTarget('d', shorter);
+    const {hold, select, timer} = setUp(
+      [createFakeTarget('a', shorter), replica, down],
+      primary,
+    );
+    hold.refresh();
+    hold.recordCompleteEnd(shorter.received);
+    Object.assign(down.link, {isDown: () => true});
+    replica.status = {...replica.status, received: REPLICA.received};
+    timer.advance(100);
+    hold.refresh();
+    timer.advance(260);
+    hold.refresh();
+    expect(select('a')).toEqual(undefined);
+  });
+
   // Guards against a choice without the evidence of a peer on a slow machine.
   test('waits for a peer that has not answered yet', () => {
     const {hold, selected, timer} = setUp(
--- a/packages/succession/src/replication_hold.ts
+++ b/packages/succession/src/replication_hold.ts
@@ -183,6 +183,20 @@
     }
   }
 
+  /**
+   * Drops the complete end once a member has a longer log, or leads: the primary
+   * has led again since the comparison, and may have had commits acknowledged.
+   */
+  function checkCompleteEnd(link: TargetLink, status: TargetStatus): void {
+    const isMember = link !== primary?.link;
+    const hasGrown =
+      complete !== undefined &&
+      compareLogPositions(status.received, complete.end) > 0;
+    if (isMember && (hasGrown || status.role === 'primary')) {
+      complete = undefined;
+    }
+  }
+
   function send(link: TargetLink, command: TargetCommand): void {
     const requestedAt = timer.now();
     pending.add(link);
@@ -192,6 +206,7 @@
       if (status !== undefined) {
         answers.set(link, {status, requestedAt});
         raiseTerm(status);
+        checkCompleteEnd(link, status);
       }
     });
   }
