fix(succession): wait for a primary that is not listed while nobody vouches for copies

Callers saw whole logs vanish after the store had been down: the primary's registration had expired, all proxies were restarted, and they chose among the targets that were listed, a wiped replica and one that had been cut off. The primary returned seconds later with all commits and was rolled back.

Cause: a primary that no table shows could not be missed: without it, the longest log was taken for complete although copies were known to be lacking.

The copy record names the primary, too. While copies may be lacking, the last primary that the rows name is waited for while it is listed, and 15 s from when it is not; no change is begun meanwhile, which would only pause the replicas that it needs.

--- a/packages/scenarios/__tests__/restarted_proxies.spec.ts
+++ b/packages/scenarios/__tests__/restarted_proxies.spec.ts
@@ -69,6 +69,28 @@
   restartProxies(simulation, fraction);
 };
 
+/** The primary's registration expires as well, and is back when it returns. */
+const expireWithOnlyCopy: Schedule = (simulation, fraction) => {
+  const {timer, group, network} = simulation;
+  network.partition(PRIMARY, CUT_REPLICA);
+  const crashDelay = 500 + 1000 * fraction();
+  const downTime = 3000 + 2000 * fraction();
+  timer.after(crashDelay, () => {
+    group.crash(LOST_REPLICA);
+    group.crash(PRIMARY);
+    simulation.setListed(PRIMARY, false);
+  });
+  timer.after(crashDelay + 500, () => {
+    network.healAll();
+    group.restart(LOST_REPLICA, true);
+  });
+  timer.after(crashDelay + downTime, () => {
+    group.restart(PRIMARY, false);
+    simulation.setListed(PRIMARY, true);
+  });
+  restartProxies(simulation, fraction);
+};
+
 /** Returns the seeds that lose commits, and how many times each. */
 function findLosses(schedule: Schedule): Array<readonly [number, number]> {
   const seeds = Array.from({length: SEED_COUNT}, (unused, index) => index + 1);
@@ -99,4 +121,10 @@
   test('lose no commit that a replica without its log had acknowledged', () => {
     expect(findLosses(returnWithoutOnlyCopy)).toEqual([]);
   });
+
+  // Guards against a choice among the listed targets while the primary, which
+  // alone holds the commits, has no registration.
+  test('lose no commit of a primary that is not listed for some time', () => {
+    expect(findLosses(expireWithOnlyCopy)).toEqual([]);
+  });
 });
--- /dev/null
+++ b/packages/succession/__tests__/absent_primary.spec.ts
@@ -0,0 +1,62 @@
+import {createVirtualTimer} from '@kelpstep/runtime';
+import type {TargetGroup, TargetLink} from '@kelpstep/targets';
+import {expect} from 'earl';
+import {describe, test} from 'node:test';
+
+import {createAbsentPrimary} from '../src/absent_primary';
+import type {KnownCopyRecord} from '../src/copy_record';
+import type {Succession} from '../src/succession_row';
+
+const POSITION = {era: 0, version: 1};
+const ROW: Succession = {
+  epoch: 1,
+  holder: 'p',
+  phase: 'done',
+  from: 'a',
+  target: 'b',
+  term: 2,
+};
+
+function recordOf(primary: string, term: number): KnownCopyRecord {
+  const record = {primary, term, replicas: []};
+  return {record, position: POSITION, observedAt: 0};
+}
+
+function setUp(row?: Succession, record?: KnownCopyRecord) {
+  const timer = createVirtualTimer();
+  const listed = new Set<string>();
+  const absentPrimary = createAbsentPrimary({
+    timer,
+    group: {
+      link: (name: string) =>
+        listed.has(name) ? ({} as TargetLink) : undefined,
+    } as unknown as TargetGroup,
+    row: () => row && {succession: row, position: POSITION},
+    copyRecord: () => record,
+  });
+  return {timer, listed, absentPrimary};
+}
+
+describe('the last primary of a group', () => {
+  test('is the one of the newest term that a row names', () => {
+    const {absentPrimary: byRow} = setUp(ROW, recordOf('a', 1));
+    expect(byRow.last()).toEqual({target: 'b', term: 2});
+    const {absentPrimary: byRecord} = setUp(ROW, recordOf('c', 3));
+    expect(byRecord.last()).toEqual({target: 'c', term: 3});
+    const ordered: Succession = {...ROW, phase: 'ordered'};
+    expect(setUp(ordered).absentPrimary.last()?.target).toEqual('a');
+    expect(setUp().absentPrimary.last()).toEqual(undefined);
+  });
+
+  test('is waited for while it is not listed, for 15 s', () => {
+    const {timer, listed, absentPrimary} = setUp(undefined, recordOf('a', 1));
+    listed.add('a');
+    expect(absentPrimary.isAwaited()).toEqual(false);
+    listed.delete('a');
+    expect(absentPrimary.isAwaited()).toEqual(true);
+    timer.advance(14_900);
+    expect(absentPrimary.isAwaited()).toEqual(true);
+    timer.advance(200);
+    expect(absentPrimary.isAwaited()).toEqual(false);
+  });
+});
--- a/packages/succession/__tests__/copy_record.spec.ts
+++ b/packages/succession/__tests__/copy_record.spec.ts
@@ -22,6 +22,7 @@
 const TERM = 2;
 const STARTED: Record<string, number> = {a: 10, b: 20, c: 30};
 const RECORD: CopyRecord = {
+  primary: 'a',
   term: TERM,
   replicas: [
     {target: 'b', startedAt: 20},
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -107,6 +107,7 @@
     timer,
     group,
     copyRecord: () => undefined,
+    absentPrimary: {last: () => undefined, isAwaited: () => false},
     askPeers() {
       const answer = createDeferred<CommitEvidence>();
       if (evidenceDelay === 0) {
--- /dev/null
+++ b/packages/succession/src/absent_primary.ts
@@ -0,0 +1,80 @@
+/**
+ * Tells whether a primary that is no longer listed is still waited for. It may
+ * hold the only copies of commits, and targets that crashed come back with their
+ * log, under an entry that had expired meanwhile.
+ */
+import type {Milliseconds, TimerService} from '@kelpstep/runtime';
+import type {TargetGroup} from '@kelpstep/targets';
+
+import type {KnownCopyRecord} from './copy_record';
+import type {VersionedSuccession} from './succession_records';
+
+export interface AbsentPrimaryOptions {
+  readonly timer: TimerService;
+  readonly group: TargetGroup;
+  row(): VersionedSuccession | undefined;
+  copyRecord(): KnownCopyRecord | undefined;
+}
+
+/** The primary that the group's rows name last, and its term. */
+export interface LastPrimary {
+  readonly target: string;
+  readonly term: number;
+}
+
+export interface AbsentPrimary {
+  /** Undefined if no row names one. */
+  last(): LastPrimary | undefined;
+  /** To be called repeatedly, as absences are timed from the first call on. */
+  observe(): void;
+  /** True while the last primary is not listed, for a limited time. */
+  isAwaited(): boolean;
+}
+
+/**
+ * Time for which a group with commits that may have no other copy waits for its
+ * primary after its removal from the list. Without a primary nothing is written;
+ * one that promotes a replica loses these commits for good.
+ */
+const PATIENCE_MS: Milliseconds = 15_000;
+
+/** Creates an observer of the last primary of a group. */
+export function createAbsentPrimary(
+  options: AbsentPrimaryOptions,
+): AbsentPrimary {
+  const {timer, group} = options;
+  let absent: {readonly target: string; readonly since: Milliseconds} = {
+    target: '',
+    since: Infinity,
+  };
+
+  function last(): LastPrimary | undefined {
+    const row = options.row()?.succession;
+    const record = options.copyRecord()?.record;
+    const target = row?.phase === 'done' ? row.target : row?.from;
+    const term = row?.term;
+    if (target && term !== undefined && term >= (record?.term ?? 0)) {
+      return {target, term};
+    }
+    return record && {target: record.primary, term: record.term};
+  }
+
+  function observe(): void {
+    const target = last()?.target ?? '';
+    const isAbsent = target !== '' && group.link(target) === undefined;
+    if (!isAbsent) {
+      absent = {target: '', since: Infinity};
+    } else if (absent.target !== target) {
+      absent = {target, since: timer.now()};
+    }
+  }
+
+  return {
+    last,
+    observe,
+    isAwaited() {
+      observe();
+      return timer.now() - absent.since < PATIENCE_MS && absent.target !== '';
+    },
+  };
+}
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -7,6 +7,7 @@
 import type {Future, Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {AcknowledgedCommit, TargetGroup} from '@kelpstep/targets';
 
+import type {AbsentPrimary} from './absent_primary';
 import {type KnownCopyRecord, mayLackCopies} from './copy_record';
 
 /** What one proxy knows of acknowledged commits. */
@@ -47,7 +48,7 @@
   /**
    * True if a commit that was acknowledged is missing, or may be: it may have
    * had its only copy besides the primary's on a target that has left, and the
-   * primary's log is longer, or silent.
+   * primary's log is longer, or the primary is silent or waited for.
    */
   mayMissCommit(logs: RemainingLogs): boolean;
 }
@@ -57,6 +58,7 @@
   readonly group: TargetGroup;
   /** The group's last known copy record. */
   copyRecord(): KnownCopyRecord | undefined;
+  readonly absentPrimary: Pick<AbsentPrimary, 'last' | 'isAwaited'>;
   /** Asks the peers; one that does not answer in time settles with undefined. */
   askPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
 }
@@ -76,7 +78,7 @@
 export function createCommitInquiry(
   options: CommitInquiryOptions,
 ): CommitInquiry {
-  const {timer, group} = options;
+  const {timer, group, absentPrimary} = options;
   const answers: CommitEvidence[] = [];
   let startedAt: Milliseconds = -Infinity;
   let pending = 0;
@@ -85,6 +87,11 @@
     return [evidenceOfGroup(group, options.copyRecord()), ...answers];
   }
 
+  function newestTerm(): number {
+    const known = group.positions.leader()?.term ?? 0;
+    return Math.max(known, absentPrimary.last()?.term ?? 0);
+  }
+
   function isMissingCommit({term, end}: RemainingLogs): boolean {
     return (
       group.hasSynchronousReplicas() &&
@@ -97,7 +104,7 @@
     );
   }
 
-  function mayBeLacking(term: number | undefined): boolean {
+  function mayBeLacking(term = newestTerm()): boolean {
     return (
       mayLackCopies(group, options.copyRecord(), term) ||
       answers.some(evidence => evidence.mayLackCopies)
@@ -126,7 +133,7 @@
       const {term, end, primaryEnd} = logs;
       const isUpToPrimary =
         primaryEnd === undefined
-          ? term === undefined
+          ? term === undefined && !absentPrimary.isAwaited()
           : compareLogPositions(end, primaryEnd) >= 0;
       return isMissingCommit(logs) || (!isUpToPrimary && mayBeLacking(term));
     },
--- a/packages/succession/src/copy_record.ts
+++ b/packages/succession/src/copy_record.ts
@@ -13,7 +13,9 @@
 
 /** Value of a group's row. */
 export const copyRecordSchema = z.object({
-  /** Term of the primary whose log was compared. */
+  /** Target that led when the logs were compared. */
+  primary: z.string(),
+  /** Term in which it led. */
   term: z.number().int().nonnegative(),
   /**
    * Replicas of the group when one of them had received all of the primary's
--- a/packages/succession/src/copy_recorder.ts
+++ b/packages/succession/src/copy_recorder.ts
@@ -51,6 +51,7 @@
 function isSameRecord(left: CopyRecord, right: CopyRecord): boolean {
   return (
     left.term === right.term &&
+    left.primary === right.primary &&
     left.replicas.length === right.replicas.length &&
     left.replicas.every(
       ({target, startedAt}, index) =>
@@ -75,7 +76,9 @@
     }
     const replicas = replicasOf(group, leader.target);
     const isPresent = term === leader.term && replicas.length > 0;
-    return isPresent ? {term: leader.term, replicas} : undefined;
+    return isPresent
+      ? {primary: leader.target, term: leader.term, replicas}
+      : undefined;
   }
 
   function outdatedBy(): CopyRecord | undefined {
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,10 +15,11 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {createAbsentPrimary} from './absent_primary';
 import {type KnownPrimary, describePrimary} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
-import type {KnownCopyRecord} from './copy_record';
+import {type KnownCopyRecord, mayLackCopies} from './copy_record';
 import {findPendingTarget, findPrimary, recordedPrimary} from './known_primary';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
@@ -151,16 +152,21 @@
   const {runtime, group, store, self, events} = options;
   const {timer, random} = runtime;
   const key = SUCCESSION_KEY_PREFIX + group.group;
+  const absentPrimary = createAbsentPrimary({...options, timer});
   const steps = createSuccessionSteps({
     ...options,
+    absentPrimary,
     onStep: events.onStep,
     onChoice: events.onChoice,
   });
   let missingSince: Milliseconds | undefined;
+  /** True while the return of the primary is awaited. */
+  let isWaiting = false;
 
   function updateMissingSince(): void {
     const isMissing = group.leader() === undefined && group.links().length > 0;
     missingSince = isMissing ? (missingSince ?? timer.now()) : undefined;
+    absentPrimary.observe();
   }
 
   function findReasonForChange(): SuccessionReason | undefined {
@@ -231,6 +237,30 @@
     return !isOwn && age < OTHER_PROXY_STEP_TIMEOUT_MS;
   }
 
+  /**
+   * True while a primary that does not answer is known to be the only one that
+   * may hold all commits. A change would only pause the replicas, which the
+   * primary needs once it is back.
+   */
+  function mustWaitForPrimary(reason: SuccessionReason): boolean {
+    const row = options.row()?.succession;
+    const isSilent = ['lost', 'missing', 'split'].includes(reason);
+    if (!isSilent || findPendingTarget(group, row) !== '') {
+      return false;
+    }
+    const primary = findPrimary(group, row);
+    const term = primary?.term ?? absentPrimary.last()?.term;
+    const isExpected = primary !== undefined || absentPrimary.isAwaited();
+    const mustWait =
+      isExpected && mayLackCopies(group, options.copyRecord(), term);
+    if (mustWait && !isWaiting) {
+      const target = primary?.link.target ?? absentPrimary.last()?.target;
+      events.onStep('only copy awaited', target ?? '', row?.epoch ?? 0);
+    }
+    isWaiting = mustWait;
+    return mustWait;
+  }
+
   function* monitor(): Task<void> {
     for (;;) {
       yield* sleep(MONITOR_INTERVAL_MS);
@@ -248,7 +278,7 @@
         yield* backOffFromIsolation();
         continue;
       }
-      if (reason !== undefined && !mustDefer()) {
+      if (reason !== undefined && !mustDefer() && !mustWaitForPrimary(reason)) {
         yield* changePrimary(reason);
       }
     }
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -11,6 +11,7 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import type {AbsentPrimary} from './absent_primary';
 import {describeContext, withMissingTime} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import {
@@ -55,6 +56,7 @@
   evidenceOfPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
   /** The group's last known copy record. */
   copyRecord(): KnownCopyRecord | undefined;
+  readonly absentPrimary: AbsentPrimary;
   /** True if the platform refuses orders with a lower epoch than an earlier one. */
   readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
@@ -119,8 +121,14 @@
   let inquiry = createInquiry();
 
   function createInquiry(): CommitInquiry {
-    const {evidenceOfPeers: askPeers, copyRecord} = options;
-    return createCommitInquiry({timer, group, copyRecord, askPeers});
+    const {evidenceOfPeers: askPeers, copyRecord, absentPrimary} = options;
+    return createCommitInquiry({
+      timer,
+      group,
+      copyRecord,
+      absentPrimary,
+      askPeers,
+    });
   }
 
   /** Starts an inquiry whose answers are awaited while the primary is probed. */
