fix(succession): a new proxy relies on a copy record once joined targets must be listed

The state search loses a commit that only a target outside the table had received, and of which only a proxy that has ended knew: a proxy that has just started took the copy record, written before that target joined, for a voucher.

A proxy that has observed nothing itself relies on the record 2 s after it first read it; targets that had joined before are listed by then and are compared.

--- a/packages/gateway/src/create_statement_proxy.ts
+++ b/packages/gateway/src/create_statement_proxy.ts
@@ -309,7 +309,11 @@
         evidenceOf(name) {
           const group = gateway.group(name);
           return group
-            ? evidenceOfGroup(group, copyRecords.get(name))
+            ? evidenceOfGroup({
+                group,
+                known: copyRecords.get(name),
+                now: timer.now(),
+              })
             : {mayLackCopies: false};
         },
         isStopping,
--- a/packages/succession/__tests__/copy_record.spec.ts
+++ b/packages/succession/__tests__/copy_record.spec.ts
@@ -60,6 +60,16 @@
   } as unknown as TargetGroup;
 }
 
+const NOW = 5000;
+
+function isLacking(
+  group: TargetGroup,
+  recorded: KnownCopyRecord | undefined,
+  term: number,
+): boolean {
+  return mayLackCopies({group, known: recorded, now: NOW}, term);
+}
+
 function known(record: CopyRecord, observedAt = 0): KnownCopyRecord {
   return {record, position: POSITION, observedAt};
 }
@@ -67,28 +77,36 @@
 describe('commits of a group', () => {
   test('have a copy if this proxy has compared the logs in the same term', () => {
     const group = createGroup(STARTED, OBSERVED);
-    expect(mayLackCopies(group, undefined, TERM)).toEqual(false);
-    expect(mayLackCopies(group, undefined, TERM + 1)).toEqual(true);
+    expect(isLacking(group, undefined, TERM)).toEqual(false);
+    expect(isLacking(group, undefined, TERM + 1)).toEqual(true);
   });
 
   test('have a copy for a proxy that has just started if the record says so', () => {
     const group = createGroup(STARTED, UNOBSERVED);
-    expect(mayLackCopies(group, undefined, TERM)).toEqual(true);
-    expect(mayLackCopies(group, known(RECORD), TERM)).toEqual(false);
-    expect(mayLackCopies(group, known(RECORD), TERM + 1)).toEqual(true);
+    expect(isLacking(group, undefined, TERM)).toEqual(true);
+    expect(isLacking(group, known(RECORD), TERM)).toEqual(false);
+    expect(isLacking(group, known(RECORD), TERM + 1)).toEqual(true);
+  });
+
+  // Guards against a choice without a target that had joined, and received,
+  // before the proxies that knew of it ended.
+  test('are not vouched for by a record that was read less than 2 s ago', () => {
+    const group = createGroup(STARTED, UNOBSERVED);
+    expect(isLacking(group, known(RECORD, NOW - 1900), TERM)).toEqual(true);
+    expect(isLacking(group, known(RECORD, NOW - 2000), TERM)).toEqual(false);
   });
 
   test('may have none if a recorded replica has left or started anew', () => {
     const left = createGroup({a: 10, c: 30}, UNOBSERVED);
-    expect(mayLackCopies(left, known(RECORD), TERM)).toEqual(true);
+    expect(isLacking(left, known(RECORD), TERM)).toEqual(true);
     const restarted = createGroup({...STARTED, b: 25}, UNOBSERVED);
-    expect(mayLackCopies(restarted, known(RECORD), TERM)).toEqual(true);
+    expect(isLacking(restarted, known(RECORD), TERM)).toEqual(true);
   });
 
   test('may have none if a replica was lost after the record was read', () => {
     const group = createGroup(STARTED, {lackingSince: 100, term: TERM});
-    expect(mayLackCopies(group, known(RECORD, 90), TERM)).toEqual(true);
-    expect(mayLackCopies(group, known(RECORD, 110), TERM)).toEqual(false);
+    expect(isLacking(group, known(RECORD, 90), TERM)).toEqual(true);
+    expect(isLacking(group, known(RECORD, 110), TERM)).toEqual(false);
   });
 });
 
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -8,7 +8,11 @@
 import type {AcknowledgedCommit, TargetGroup} from '@kelpstep/targets';
 
 import type {AbsentPrimary} from './absent_primary';
-import {type KnownCopyRecord, mayLackCopies} from './copy_record';
+import {
+  type CopyKnowledge,
+  type KnownCopyRecord,
+  mayLackCopies,
+} from './copy_record';
 
 /** What one proxy knows of acknowledged commits. */
 export interface CommitEvidence {
@@ -64,13 +68,10 @@
 }
 
 /** Returns what this proxy knows itself. */
-export function evidenceOfGroup(
-  group: TargetGroup,
-  copyRecord: KnownCopyRecord | undefined,
-): CommitEvidence {
+export function evidenceOfGroup(knowledge: CopyKnowledge): CommitEvidence {
   return {
-    newestCommit: group.positions.newestCommit(),
-    mayLackCopies: mayLackCopies(group, copyRecord),
+    newestCommit: knowledge.group.positions.newestCommit(),
+    mayLackCopies: mayLackCopies(knowledge),
   };
 }
 
@@ -83,8 +84,12 @@
   let startedAt: Milliseconds = -Infinity;
   let pending = 0;
 
+  function knowledge(): CopyKnowledge {
+    return {group, known: options.copyRecord(), now: timer.now()};
+  }
+
   function allEvidence(): CommitEvidence[] {
-    return [evidenceOfGroup(group, options.copyRecord()), ...answers];
+    return [evidenceOfGroup(knowledge()), ...answers];
   }
 
   function newestTerm(): number {
@@ -106,7 +111,7 @@
 
   function mayBeLacking(term = newestTerm()): boolean {
     return (
-      mayLackCopies(group, options.copyRecord(), term) ||
+      mayLackCopies(knowledge(), term) ||
       answers.some(evidence => evidence.mayLackCopies)
     );
   }
--- a/packages/succession/src/copy_record.ts
+++ b/packages/succession/src/copy_record.ts
@@ -98,14 +98,28 @@
   );
 }
 
+/**
+ * Time within which a target that joins is listed. A proxy that has started
+ * relies on a record only after it: a target that had joined before may have
+ * received commits that no one else remembers.
+ */
+const LISTING_TIME_MS: Milliseconds = 2000;
+
+/** What is known of a group's copies. */
+export interface CopyKnowledge {
+  readonly group: TargetGroup;
+  readonly known: KnownCopyRecord | undefined;
+  /** The present monotonic time. */
+  readonly now: Milliseconds;
+}
+
 /**
  * True if a commit that the primary of `term`, or by default the newest known
  * one, acknowledged may have no copy on the group's replicas: neither this proxy
  * nor the record vouches for one.
  */
 export function mayLackCopies(
-  group: TargetGroup,
-  known: KnownCopyRecord | undefined,
+  {group, known, now}: CopyKnowledge,
   term?: number,
 ): boolean {
   if (!group.hasSynchronousReplicas()) {
@@ -117,9 +131,11 @@
   if (copies.lackingSince === undefined) {
     return (copies.term ?? 0) < requiredTerm;
   }
+  const isNew = copies.lackingSince === -Infinity;
   const isRecorded =
     known !== undefined &&
     known.observedAt > copies.lackingSince &&
+    (!isNew || now - known.observedAt >= LISTING_TIME_MS) &&
     known.record.term >= requiredTerm &&
     hasAllReplicas(group, known.record);
   return !isRecorded;
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -251,8 +251,9 @@
     const primary = findPrimary(group, row);
     const term = primary?.term ?? absentPrimary.last()?.term;
     const isExpected = primary !== undefined || absentPrimary.isAwaited();
+    const known = options.copyRecord();
     const mustWait =
-      isExpected && mayLackCopies(group, options.copyRecord(), term);
+      isExpected && mayLackCopies({group, known, now: timer.now()}, term);
     if (mustWait && !isWaiting) {
       const target = primary?.link.target ?? absentPrimary.last()?.target;
       events.onStep('only copy awaited', target ?? '', row?.epoch ?? 0);
