fix(succession): confirm nothing while orders for several targets may be executed

Found by the state search, not seen by callers yet: a change orders one target, then another, then the first one again (or the primary itself), because targets fall silent in turn. The first order is executed, its target leads, and commits are confirmed, because the row names it; then the promotion of the second target takes effect without them.

Cause: proxies withheld success only at targets other than the row's.

The row says that it is contested once another target was ordered, also by an earlier holder. Proxies use no primary of a contested change and confirm nothing. It ends when a later order was executed, the longest promotion has passed, and the target still leads. A commit that a proxy knows of is compared with the log also after the primary that acknowledged it has left the table.

--- a/packages/gateway/__tests__/primary_changes.spec.ts
+++ b/packages/gateway/__tests__/primary_changes.spec.ts
@@ -69,6 +69,18 @@
     expect(whole.changes.isPrimaryChanging('g')).toEqual(false);
   });
 
+  // Guards against commits that are lost when a promotion of another target,
+  // ordered earlier in the change, takes effect after the successor's.
+  test('confirms nothing while orders for several targets may be executed', () => {
+    const contested = {...ORDERED, contested: true};
+    const {changes} = createChanges(contested, {target: 'new', term: 4});
+    expect(changes.isPrimaryChanging('g')).toEqual(true);
+    expect(changes.isSuperseded('g', 'new')).toEqual(true);
+    const done = {...contested, phase: 'done', contested: false} as const;
+    const after = createChanges(done, {target: 'new', term: 4});
+    expect(after.changes.isSuperseded('g', 'new')).toEqual(false);
+  });
+
   test('is replaced as soon as the successor leads', () => {
     const {changes} = createChanges(ORDERED, {target: 'new', term: 4});
     expect(changes.isPrimaryChanging('g')).toEqual(false);
--- a/packages/gateway/src/primary_changes.ts
+++ b/packages/gateway/src/primary_changes.ts
@@ -20,8 +20,9 @@
   /** True while the group's primary is being replaced. */
   isPrimaryChanging(group: string): boolean;
   /**
-   * True if the promotion of another target is ordered: commits that this
-   * target acknowledges may be lost when the order takes effect.
+   * True if the promotion of another target is ordered, or was in the same
+   * change: commits that this target acknowledges may be lost when the order
+   * takes effect.
    */
   isSuperseded(group: string, target: string): boolean;
 }
@@ -52,7 +53,9 @@
       leadership !== undefined && leadership.term > (change.term ?? 0);
     const isRowOld = options.rowAge() > SUCCESSION_ROW_TIMEOUT_MS;
     const isInEffect =
-      leadership?.target === change.target && !hasLostLog(group, change);
+      leadership?.target === change.target &&
+      change.contested !== true &&
+      !hasLostLog(group, change);
     const isOver = hasNewTerm && (isInEffect || isRowOld);
     return isOver ? undefined : change;
   }
@@ -77,7 +80,10 @@
     },
     isSuperseded(group, target) {
       const change = findPendingChange(group);
-      return change !== undefined && change.target !== target;
+      return (
+        change !== undefined &&
+        (change.target !== target || change.contested === true)
+      );
     },
   };
 }
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -98,12 +98,14 @@
   }
 
   function isMissingCommit({term, end}: RemainingLogs): boolean {
+    const isAwaited = term === undefined && absentPrimary.isAwaited();
+    const ackingTerm = isAwaited ? newestTerm() : term;
     return (
       group.hasSynchronousReplicas() &&
       allEvidence().some(
         ({newestCommit}) =>
           newestCommit !== undefined &&
-          newestCommit.term === term &&
+          newestCommit.term === ackingTerm &&
           compareLogPositions(newestCommit.after, end) >= 0,
       )
     );
--- a/packages/succession/src/epoch_lease.ts
+++ b/packages/succession/src/epoch_lease.ts
@@ -28,6 +28,8 @@
   epoch(): number;
   /** True once another proxy has written the row. */
   isLost(): boolean;
+  /** See `contested` of the row. */
+  isContested(): boolean;
   /** True if the target is recorded and an epoch is left for its orders. */
   mayOrder(target: string): boolean;
   /** An unused epoch; undefined if the lease is over or has none left. */
@@ -62,19 +64,23 @@
   let writtenAt = rowWrittenAt;
   let isLost = false;
   let pendingWrite: Future<boolean> | undefined;
+  /** True if an order for the recorded target may have been sent. */
+  let mayBeOrdered = isReserved;
 
   function startWrite(
     target: string,
     targetEnd: LogPosition | undefined,
   ): Future<boolean> {
-    const {epoch} = rowWriter.succession();
+    const {epoch, target: recorded, contested} = rowWriter.succession();
     const startedAt = timer.now();
+    const isSwitched = mayBeOrdered && recorded !== target;
     const write = rowWriter.write({
       phase: 'ordered',
       target,
       epoch: epoch + EPOCHS_PER_WRITE,
       demotedEnd: hold.demotedLogEnd(),
       targetEnd,
+      contested: contested === true || isSwitched,
     });
     const written = runtime.spawn('reserve epochs', write).result;
     pendingWrite = written;
@@ -123,8 +129,15 @@
     targetEnd: () => rowWriter.succession().targetEnd,
     epoch: () => rowWriter.succession().epoch,
     isLost: () => isLost,
+    isContested: () => rowWriter.succession().contested === true,
     mayOrder,
-    takeEpoch: target => (mayOrder(target) ? nextEpoch++ : undefined),
+    takeEpoch(target) {
+      if (!mayOrder(target)) {
+        return undefined;
+      }
+      mayBeOrdered = true;
+      return nextEpoch++;
+    },
     dropEpochs() {
       nextEpoch = Infinity;
     },
--- a/packages/succession/src/known_primary.ts
+++ b/packages/succession/src/known_primary.ts
@@ -57,3 +57,16 @@
   const hasLed = primary?.target === row.target;
   return hasLed && !primary.isReached() ? '' : row.target;
 }
+
+/**
+ * True if orders for other targets than the pending one may be executed in a
+ * change that follows `row`.
+ */
+export function isContested(
+  row: Succession | undefined,
+  pendingTarget: string,
+): boolean {
+  return (
+    row?.phase === 'ordered' && (pendingTarget === '' || row.contested === true)
+  );
+}
--- a/packages/succession/src/promotion_orders.ts
+++ b/packages/succession/src/promotion_orders.ts
@@ -101,11 +101,10 @@
 const KEEP_PRIMARY_DELAY_MS: Milliseconds = 500;
 /** Time for a target to report the primary role after a confirmed promotion. */
 const LEADERSHIP_TIMEOUT_MS: Milliseconds = 3000;
-/**
- * Time that covers a promotion of up to a second and the status probe that
- * detects it.
- */
-const UNANSWERED_LEADERSHIP_TIMEOUT_MS: Milliseconds = 1250;
+/** Time from the execution of an order until its promotion takes effect. */
+const LONGEST_PROMOTION_MS: Milliseconds = 1250;
+/** Time that covers a promotion and the status probe that detects it. */
+const UNANSWERED_LEADERSHIP_TIMEOUT_MS = LONGEST_PROMOTION_MS;
 /**
  * The same time where the platform refuses orders of lower epochs: an order that
  * is repeated too early then does no harm, and the group has no primary
@@ -273,29 +272,54 @@
     const leading =
       led === undefined ? undefined : yield* probeLeading(lease.target(), hold);
     const term = leading ? yield* withLog(leading, hold, lease) : led;
-    if (term !== undefined && outstanding.isUnanswered) {
-      yield* fenceOutstanding(hold, lease);
+    const mustSettle = lease.isContested() && options.arePromotionsFenced;
+    let isSettled = true;
+    if (term !== undefined && (outstanding.isUnanswered || mustSettle)) {
+      const isFenced = yield* fenceOutstanding(hold, lease);
+      isSettled =
+        !mustSettle ||
+        (isFenced && (yield* outlastsPromotions(hold, lease, term)));
     }
     yield* lease.end();
-    return lease.isLost() ? undefined : term;
+    return lease.isLost() || !isSettled ? undefined : term;
+  }
+
+  /**
+   * Waits until promotions of other targets that were executed before the fence
+   * have taken effect; true if the recorded target leads all the same.
+   */
+  function* outlastsPromotions(
+    hold: ReplicationHold,
+    lease: EpochLease,
+    term: number,
+  ): Task<boolean> {
+    const until = timer.now() + LONGEST_PROMOTION_MS;
+    while (timer.now() < until && !lease.isLost()) {
+      lease.renew();
+      yield* hold.pollHolding();
+    }
+    const leading = yield* probeLeading(lease.target(), hold);
+    return leading?.term === term;
   }
 
   /**
    * Orders the promotion of the target that leads, which only raises the epoch
    * below which orders are refused. An earlier order that is executed later
-   * could promote it again while the next change is under way.
+   * could promote it again while the next change is under way. True once one was
+   * executed.
    */
   function* fenceOutstanding(
     hold: ReplicationHold,
     lease: EpochLease,
-  ): Task<void> {
+  ): Task<boolean> {
     for (let attempt = 0; attempt < MAXIMUM_FENCE_ATTEMPTS; attempt++) {
       const count = attempt === 0 ? 1 : FENCING_ORDERS;
       const reply = yield* sender.send(hold, lease, count);
       if (reply === undefined || reply === 'done') {
-        return;
+        return reply === 'done';
       }
     }
+    return false;
   }
 
   function* orderUntilLed(
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -20,7 +20,12 @@
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
 import {type KnownCopyRecord, mayLackCopies} from './copy_record';
-import {findPendingTarget, findPrimary, recordedPrimary} from './known_primary';
+import {
+  findPendingTarget,
+  findPrimary,
+  isContested,
+  recordedPrimary,
+} from './known_primary';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
 import {
@@ -373,6 +378,7 @@
         term: primary?.term,
         demotedEnd: primary?.demotedEnd,
         targetEnd: pendingTarget === '' ? undefined : primary?.completeEnd,
+        contested: isContested(previous?.succession, pendingTarget),
       },
     );
     if (!(yield* successionRow.write({}))) {
--- a/packages/succession/src/succession_row.ts
+++ b/packages/succession/src/succession_row.ts
@@ -63,6 +63,12 @@
   demotedEnd: logPositionSchema.optional(),
   /** Log end of `target` when it was selected, which holds all commits. */
   targetEnd: logPositionSchema.optional(),
+  /**
+   * True once a promotion of another target than `target` was ordered in this or
+   * an unfinished earlier change. It may take effect before or after that of
+   * `target`, so no target's commits are safe before the change is done.
+   */
+  contested: z.boolean().optional(),
 });
 export type Succession = z.infer<typeof successionSchema>;
 
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -289,7 +289,7 @@
         ? 'overtaken'
         : yield* abandon(rowWriter);
     }
-    return yield* finish(rowWriter, {phase: 'done', term});
+    return yield* finish(rowWriter, {phase: 'done', term, contested: false});
   }
 
   function abandon(rowWriter: SuccessionRowWriter): Task<SuccessionOutcome> {
