test(stand-ins): let commits hold slots and status requests be refused

The stand-in target answered every status request, and a commit that waited for a replica took no slot. On the platform a status request occupies a slot and is answered BUSY when none is free, so a primary that is cut off from its replicas can be unable to state its log end.

Both are options of a target, off by default; without held slots, waiting tasks start when they did before.

--- a/packages/stand-ins/src/statement_group/pending_commits.ts
+++ b/packages/stand-ins/src/statement_group/pending_commits.ts
@@ -3,6 +3,7 @@
 
 interface PendingCommit {
   readonly position: LogPosition;
+  readonly release: () => void;
   readonly done: () => void;
 }
 
@@ -16,20 +17,29 @@
   clear(): void;
 }
 
-/** Creates an empty set of commits. */
-export function createPendingCommits(): PendingCommits {
+/**
+ * Creates an empty set of commits. `hold` is called for each one and returns
+ * the function to call when it no longer waits.
+ */
+export function createPendingCommits(
+  hold: () => () => void = () => () => {},
+): PendingCommits {
   let waiting: PendingCommit[] = [];
   return {
-    add: (position, done) => void waiting.push({position, done}),
+    add: (position, done) =>
+      void waiting.push({position, release: hold(), done}),
     acknowledge(position) {
       const done = waiting.filter(
         commit => compareLogPositions(commit.position, position) <= 0,
       );
       waiting = waiting.filter(commit => !done.includes(commit));
-      done.forEach(commit => commit.done());
+      done.forEach(commit => {
+        commit.release();
+        commit.done();
+      });
     },
     clear() {
-      waiting = [];
+      waiting.splice(0).forEach(({release}) => release());
     },
   };
 }
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -26,18 +26,11 @@
   applySessionStatement,
   resetSession,
   createTargetSession,
+  isRefusable,
   transactionStateOf,
 } from './target_session';
 import {createTargetSlots} from './target_slots';
 
-/** Statements that a target may refuse for lack of capacity. */
-const REFUSABLE = new Set<SessionStatement['kind']>([
-  'begin',
-  'read',
-  'write',
-  'execute',
-]);
-
 /** Creates a replica in term 1 with an empty log. */
 export function createStandInTarget(
   options: StandInTargetOptions,
@@ -59,12 +52,10 @@
     slowness: 1,
   };
   let nextNumber = 1;
-  const slots = createTargetSlots(
-    timer,
-    options.slots,
-    options.statementDuration,
+  const slots = createTargetSlots(options);
+  const pendingCommits = createPendingCommits(
+    options.commitsHoldSlots ? slots.hold : undefined,
   );
-  const pendingCommits = createPendingCommits();
 
   function receive(
     senderTerm: number,
@@ -81,7 +72,10 @@
     const position = {term, position: previous.position + 1};
     const newRecord = {position, writes: [...writes]};
     log.append(newRecord);
-    pendingCommits.add(position, done);
+    pendingCommits.add(position, () => {
+      options.onAcknowledged?.(newRecord);
+      done();
+    });
     options.onAppended(previous, newRecord);
   }
 
@@ -248,8 +242,8 @@
     session: TargetSession,
     answer: (answer: StatementAnswer) => void,
   ): void {
-    const {term: receivedTerm, position} = log.received();
-    const row = `${role} ${term} ${receivedTerm}.${position} ${termHeld} 0 ${slots.busy()} ${sessions.size}`;
+    const end = log.received();
+    const row = `${role} ${term} ${end.term}.${end.position} ${termHeld} 0 ${slots.busy()} ${sessions.size}`;
     answerSuccess(session, answer, '', [row]);
   }
 
@@ -260,7 +254,7 @@
     answer: (answer: StatementAnswer) => void,
   ): void {
     const {refusal} = faults;
-    if (refusal !== undefined && REFUSABLE.has(statement.kind)) {
+    if (refusal !== undefined && isRefusable(statement)) {
       answerFailure(session, answer, refusal);
       return;
     }
@@ -334,6 +328,10 @@
         answerSuccess(session, answer, '');
         return;
       case 'status':
+        if (options.statusNeedsSlot && slots.busy() >= options.slots) {
+          answerFailure(session, answer, 'busy');
+          return;
+        }
         answerStatus(session, answer);
         return;
       case 'pause':
--- a/packages/stand-ins/src/statement_group/stand_in_target_types.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target_types.ts
@@ -22,6 +22,12 @@
    * command is not answered; 0 executes and answers it immediately.
    */
   commandDelay(): Milliseconds;
+  /** True if a commit occupies a slot until a replica has received it. */
+  readonly commitsHoldSlots?: boolean;
+  /** True if a status request is refused while all slots are occupied. */
+  readonly statusNeedsSlot?: boolean;
+  /** Called when a commit is acknowledged to its session. */
+  onAcknowledged?(record: LogRecord): void;
   /** Called when a primary has appended a record, to replicate it. */
   onAppended(previous: LogPosition, record: LogRecord): void;
 }
--- a/packages/stand-ins/src/statement_group/target_session.ts
+++ b/packages/stand-ins/src/statement_group/target_session.ts
@@ -2,6 +2,7 @@
 import type {
   DeallocateStatement,
   PrepareStatement,
+  SessionStatement,
   SetStatement,
   TransactionState,
 } from '@kelpstep/statements';
@@ -78,3 +79,8 @@
   values.clear();
   prepared.clear();
 }
+
+/** True for a statement that a target may refuse for lack of capacity. */
+export function isRefusable({kind}: SessionStatement): boolean {
+  return ['begin', 'read', 'write', 'execute'].includes(kind);
+}
--- a/packages/stand-ins/src/statement_group/target_slots.ts
+++ b/packages/stand-ins/src/statement_group/target_slots.ts
@@ -8,23 +8,32 @@
    * runs the task. Calls `refuse` instead if the queue is full.
    */
   run(task: () => void, refuse: () => void, time?: Milliseconds): void;
+  /** Occupies a slot until the returned function is called. */
+  hold(): () => void;
   busy(): number;
   /** Discards running and waiting tasks, as when the process ends. */
   clear(): void;
 }
 
+export interface TargetSlotsOptions {
+  readonly timer: TimerService;
+  readonly slots: number;
+  readonly statementDuration: Milliseconds;
+}
+
 /** Maximum number of tasks that wait for a slot. */
 const QUEUE_CAPACITY = 24;
 
 /** Creates slots that are all free. */
-export function createTargetSlots(
-  timer: TimerService,
-  slots: number,
-  statementDuration: Milliseconds,
-): TargetSlots {
+export function createTargetSlots({
+  timer,
+  slots,
+  statementDuration,
+}: TargetSlotsOptions): TargetSlots {
   let busy = 0;
   let incarnationNumber = 0;
   let waiting: Array<() => void> = [];
+  const releases = new Set<() => void>();
 
   function start(task: () => void, time: Milliseconds): void {
     const startIncarnation = incarnationNumber;
@@ -33,11 +42,18 @@
       if (incarnationNumber === startIncarnation) {
         busy -= 1;
         task();
-        waiting.shift()?.();
+        startNext();
       }
     });
   }
 
+  /** Starts a waiting task, unless the task that ended holds its slot. */
+  function startNext(): void {
+    if (releases.size === 0 || busy < slots) {
+      waiting.shift()?.();
+    }
+  }
+
   return {
     run(task, refuse, time = statementDuration) {
       if (busy < slots) {
@@ -48,8 +64,20 @@
         refuse();
       }
     },
+    hold() {
+      function release(): void {
+        if (releases.delete(release)) {
+          busy -= 1;
+          startNext();
+        }
+      }
+      busy += 1;
+      releases.add(release);
+      return release;
+    },
     busy: () => busy,
     clear() {
+      releases.clear();
       incarnationNumber += 1;
       busy = 0;
       waiting = [];
