fix(succession): compare all targets if the known primary leads no more

A promotion executed twice made a target lead a term for a moment, which no proxy saw before it was demoted; from then on every change met a replica of a term above the one that it knew and was abandoned.

Cause: a newer term at any target ends a change, also while nobody leads.

If the known primary answers as a replica, or a target knows of a later term, and none that answers leads, the change takes no target for the primary: all are stopped and compared, the former primary included. A silent one still stops the choice.

--- a/packages/scenarios/__tests__/succession.spec.ts
+++ b/packages/scenarios/__tests__/succession.spec.ts
@@ -124,6 +124,34 @@
     }
   });
 
+  // Guards against a group that never gets a primary again: one that led for a
+  // moment, by a promotion executed twice, was demoted before a proxy saw it.
+  test('restores writes if a primary has led that no proxy has seen', () => {
+    const simulation = createStatementSimulation({
+      seed: 1,
+      duration: 2 * DURATION_MS,
+      promotionTime: PROMOTION_TIME_MS,
+    });
+    const {group, timer} = simulation;
+    timer.advance(WARM_UP_MS);
+    group.crash(PRIMARY);
+    timer.advance(WARM_UP_MS);
+    const {target: successor = ''} = group.primary() ?? {};
+    group.crash(successor);
+    const unseenTerm = 5;
+    for (const target of group.targets()) {
+      target.start(false);
+      target.follow(unseenTerm, group.target(successor).log());
+    }
+    const isRestored = timer.runUntil(
+      () => group.primary() !== undefined,
+      DURATION_MS,
+    );
+    expect(isRestored).toEqual(true);
+    simulation.finish();
+    expect(simulation.checker.broken()).toEqual([]);
+  });
+
   test('is completed by another proxy if its holder is killed', () => {
     const simulation = createStatementSimulation({
       seed: 1,
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -249,11 +249,13 @@
    */
   function mustWaitForPrimary(reason: SuccessionReason): boolean {
     const row = options.row()?.succession;
-    const isSilent = ['lost', 'missing', 'split'].includes(reason);
+    const primary = findPrimary(group, row);
+    const isSilent =
+      ['lost', 'missing', 'split'].includes(reason) &&
+      primary?.link.isReached() !== true;
     if (!isSilent || findPendingTarget(group, row) !== '') {
       return false;
     }
-    const primary = findPrimary(group, row);
     const term = primary?.term ?? absentPrimary.last()?.term;
     const isExpected = primary !== undefined || absentPrimary.isAwaited();
     const known = options.copyRecord();
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -252,8 +252,24 @@
     }
   }
 
+  /**
+   * The primary that is to be replaced; undefined if it leads no more, or another
+   * one has led since, and none leads now. All targets are compared then.
+   */
+  function presentPrimary(
+    known: ReplacedPrimary | undefined,
+    probed: readonly ProbedTarget[],
+  ): ReplacedPrimary | undefined {
+    const isLed = probed.some(({status}) => status.role === 'primary');
+    const hasEnded = probed.some(({link, status}) => {
+      const isKnown = link === known?.link && known.demotedEnd === undefined;
+      return isKnown || status.term > (known?.term ?? Infinity);
+    });
+    return hasEnded && !isLed ? undefined : known;
+  }
+
   function* replacePrimary(change: PrimaryChange): Task<SuccessionOutcome> {
-    const {rowWriter, primary, pendingTarget} = change;
+    const {rowWriter, pendingTarget} = change;
     if (timer.now() - inquiry.startedAt() > INQUIRY_LIFETIME_MS) {
       inquiry = createInquiry();
     }
@@ -268,6 +284,7 @@
       return yield* abandon(rowWriter);
     }
     const highestTerm = probes.highestTerm(probed);
+    const primary = presentPrimary(change.primary, probed);
     const hold = createReplicationHold({...options, primary, highestTerm});
     hold.setOrdered(pendingTarget);
     const orders = createOrders(change, hold, inquiry);
