fix(succession): don't demote the target that the change itself has promoted

Cause: a change that knows of no primary stops all targets, and demotes those that lead; nothing told it that its own order had taken effect. Each further change met the same.

Without a primary, a term above all in which a target was known to lead ends the change, as a term above the primary's does otherwise.

successor_selection.spec.ts, "leaves a target alone that leads a new term"; the test of a primary that no proxy has seen passes a term of the stand-in group now, which the platform counts, too: it fails on (no primary within 9 s), and without this change the promoted target is demoted at once.

--- a/packages/scenarios/__tests__/succession.spec.ts
+++ b/packages/scenarios/__tests__/succession.spec.ts
@@ -136,13 +136,9 @@
     timer.advance(WARM_UP_MS);
     group.crash(PRIMARY);
     timer.advance(WARM_UP_MS);
-    const {target: successor = ''} = group.primary() ?? {};
-    group.crash(successor);
-    const unseenTerm = 5;
-    for (const target of group.targets()) {
-      target.start(false);
-      target.follow(unseenTerm, group.target(successor).log());
-    }
+    group.restart(PRIMARY, false);
+    timer.advance(PROMOTION_TIME_MS);
+    group.passTerm(group.primary()?.target ?? '');
     const isRestored = timer.runUntil(
       () => group.primary() !== undefined,
       DURATION_MS,
--- a/packages/stand-ins/src/statement_group/stand_in_group.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_group.ts
@@ -93,6 +93,8 @@
   join(name: string, source: string): void;
   /** Ends a target's process for good; its log is lost with it. */
   leave(name: string): void;
+  /** Passes a term that the target leads for no time: all are replicas then. */
+  passTerm(name: string): void;
 }
 
 /** Creates a group whose first target is the primary of term 1. */
@@ -280,6 +282,12 @@
       left.set(name, requireTarget(name));
       targets.delete(name);
     },
+    passTerm(name) {
+      term += 1;
+      primaryName = name;
+      const log = [...requireTarget(name).log()];
+      targets.forEach(target => target.follow(term, log));
+    },
   };
 }
 
--- a/packages/succession/__tests__/epoch_lease.spec.ts
+++ b/packages/succession/__tests__/epoch_lease.spec.ts
@@ -38,6 +38,7 @@
     readStatus: () => undefined,
     primary: undefined,
     highestTerm: 1,
+    newestTerm: 1,
   });
   const lease = createEpochLease(runtime, hold, rowWriter, timer.now());
   function begin(target: string): void {
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -102,12 +102,16 @@
     readStatus,
     primary: primary && {link: primary.link, term: 1},
     highestTerm,
+    newestTerm: Math.max(...links.map(({status}) => status.term)),
   });
   const inquiry = createCommitInquiry({
     timer,
     group,
     copyRecord: () => undefined,
-    absentPrimary: {last: () => undefined, isAwaited: () => false},
+    absentPrimary: {
+      last: () => undefined,
+      isAwaited: () => primary !== undefined,
+    },
     askPeers() {
       const answer = createDeferred<CommitEvidence>();
       if (evidenceDelay === 0) {
@@ -188,6 +192,22 @@
     expect(selected()).toEqual('b');
   });
 
+  // Guards against a target that is demoted once its promotion takes effect, if
+  // the change knows of no primary.
+  test('leaves a target alone that leads a new term', () => {
+    const promoted = createFakeTarget('b', REPLICA);
+    const {hold, timer} = setUp([createFakeTarget('a', REPLICA), promoted]);
+    hold.refresh();
+    hold.startDemoting();
+    promoted.status = {...REPLICA, role: 'primary', term: 2};
+    timer.advance(100);
+    hold.refresh();
+    timer.advance(100);
+    hold.refresh();
+    expect(promoted.status.role).toEqual('primary');
+    expect(hold.isOver()).toEqual(true);
+  });
+
   // Guards against a choice without the replica that has the only copy because
   // the proxy takes it for the primary.
   test('ends if a target knows a newer term than that of the primary', () => {
--- a/packages/succession/src/group_probes.ts
+++ b/packages/succession/src/group_probes.ts
@@ -25,6 +25,8 @@
   probeReached(): Task<ProbedTarget[]>;
   /** Returns the highest term known to this proxy or to the probed targets. */
   highestTerm(probed: readonly ProbedTarget[]): number;
+  /** The same without terms for which targets are held only. */
+  newestTerm(probed: readonly ProbedTarget[]): number;
 }
 
 /**
@@ -75,13 +77,17 @@
     return true;
   }
 
+  function newestTerm(probed: readonly ProbedTarget[]): number {
+    const known = group.positions.leader()?.term ?? 0;
+    return Math.max(
+      known,
+      ...probed.map(({status}) => Math.max(status.term, status.received.term)),
+    );
+  }
+
   function highestTerm(probed: readonly ProbedTarget[]): number {
-    let highest = group.positions.leader()?.term ?? 0;
-    for (const {status} of probed) {
-      const {term, termHeld, received} = status;
-      highest = Math.max(highest, term, termHeld, received.term);
-    }
-    return highest;
+    const held = probed.map(({status}) => status.termHeld);
+    return Math.max(newestTerm(probed), ...held);
   }
 
   return {
@@ -90,5 +96,6 @@
     probeReached: () => probeStatuses(reachedLinks()),
     isIsolated,
     highestTerm,
+    newestTerm,
   };
 }
--- a/packages/succession/src/replication_hold.ts
+++ b/packages/succession/src/replication_hold.ts
@@ -91,7 +91,7 @@
   setOrdered(target: string): void;
   /** True while the newest order is for the primary itself. */
   keepsPrimary(): boolean;
-  /** True once a target has reported a term above the primary's. */
+  /** True once a target has reported a term above all known before. */
   isOver(): boolean;
   /** Sends the commands that are due; to be called repeatedly. */
   refresh(): void;
@@ -115,8 +115,10 @@
   readonly group: TargetGroup;
   readonly readStatus: ReadTargetStatus;
   readonly primary: ReplacedPrimary | undefined;
-  /** Highest term known before. */
+  /** Highest term known before, including those for which targets are held. */
   readonly highestTerm: number;
+  /** Highest term in which a target is known to have led. */
+  readonly newestTerm: number;
 }
 
 /**
@@ -168,8 +170,9 @@
     return group.links().filter(link => link !== primary?.link);
   }
 
+  /** Without the check, the target of the hold's own order would be demoted. */
   function hasNewTerm(status: TargetStatus): boolean {
-    return primary !== undefined && status.term > primary.term;
+    return status.term > (primary?.term ?? options.newestTerm);
   }
 
   function isOver(): boolean {
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -283,9 +283,13 @@
     if (isNeedless) {
       return yield* abandon(rowWriter);
     }
-    const highestTerm = probes.highestTerm(probed);
     const primary = presentPrimary(change.primary, probed);
-    const hold = createReplicationHold({...options, primary, highestTerm});
+    const hold = createReplicationHold({
+      ...options,
+      primary,
+      highestTerm: probes.highestTerm(probed),
+      newestTerm: probes.newestTerm(probed),
+    });
     hold.setOrdered(pendingTarget);
     const orders = createOrders(change, hold, inquiry);
     if (!(yield* stopGroup(change, hold, orders))) {
