fix(succession): a copy record keeps replicas that another proxy may know to run

Cause: what a proxy did not list it took for gone, the class of fault of this incident.

A record keeps a replica until a proxy has seen that its process ended, or it was absent for a minute. A proxy that has seen a loss does not rely on a record of the same term; one that meets a recorded replica that it never listed does not rely on its own observations, nor does one that was suspended. The primary's own removal takes no copy of the replicas along. Rows of a restored store do not count until they are written again. A silent primary with the only copies is waited for 10 s from its silence, listed or not (before: without end while listed; 18 s if it and a replica were gone for good). Rows of other kinds are not parsed; first records are written within 1.5 s.

--- a/packages/succession/src/absent_primary.ts
+++ b/packages/succession/src/absent_primary.ts
@@ -1,7 +1,7 @@
 /**
- * Tells whether a primary that is no longer listed is still waited for. It may
- * hold the only copies of commits, and targets that crashed come back with their
- * log, under an entry that had expired meanwhile.
+ * Tells whether a primary that is silent, or no longer listed, is still waited
+ * for. It may hold the only copies of commits, and targets that crashed come back
+ * with their log, under an entry that had expired meanwhile.
  */
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {TargetGroup} from '@kelpstep/targets';
@@ -16,27 +16,27 @@
   copyRecord(): KnownCopyRecord | undefined;
 }
 
-/** The primary that the group's rows name last, and its term. */
+/** The newest primary that this proxy or the group's rows know, and its term. */
 export interface LastPrimary {
   readonly target: string;
   readonly term: number;
 }
 
 export interface AbsentPrimary {
-  /** Undefined if no row names one. */
+  /** Undefined if none is known. */
   last(): LastPrimary | undefined;
   /** To be called repeatedly, as absences are timed from the first call on. */
   observe(): void;
-  /** True while the last primary is not listed, for a limited time. */
+  /** True unless the last primary has been silent for too long. */
   isAwaited(): boolean;
 }
 
 /**
  * Time for which a group with commits that may have no other copy waits for its
- * primary after its removal from the list. Without a primary nothing is written;
- * one that promotes a replica loses these commits for good.
+ * silent primary. Without a primary nothing is written; one that promotes a
+ * replica loses these commits for good.
  */
-const PATIENCE_MS: Milliseconds = 15_000;
+const PATIENCE_MS: Milliseconds = 10_000;
 
 /** Creates an observer of the last primary of a group. */
 export function createAbsentPrimary(
@@ -52,16 +52,21 @@
     const row = options.row()?.succession;
     const record = options.copyRecord()?.record;
     const target = row?.phase === 'done' ? row.target : row?.from;
-    const term = row?.term;
-    if (target && term !== undefined && term >= (record?.term ?? 0)) {
-      return {target, term};
-    }
-    return record && {target: record.primary, term: record.term};
+    const named: Array<LastPrimary | undefined> = [
+      group.positions.leader(),
+      target && row?.term !== undefined ? {target, term: row.term} : undefined,
+      record && {target: record.primary, term: record.term},
+    ];
+    return named.reduce(
+      (newest, next) =>
+        (next?.term ?? -1) > (newest?.term ?? -1) ? next : newest,
+      undefined,
+    );
   }
 
   function observe(): void {
     const target = last()?.target ?? '';
-    const isAbsent = target !== '' && group.link(target) === undefined;
+    const isAbsent = target !== '' && group.link(target)?.isReached() !== true;
     if (!isAbsent) {
       absent = {target: '', since: Infinity};
     } else if (absent.target !== target) {
@@ -74,7 +79,8 @@
     observe,
     isAwaited() {
       observe();
-      return timer.now() - absent.since < PATIENCE_MS && absent.target !== '';
+      const isKnown = last() !== undefined;
+      return isKnown && !(timer.now() - absent.since >= PATIENCE_MS);
     },
   };
 }
--- a/packages/succession/src/choice_context.ts
+++ b/packages/succession/src/choice_context.ts
@@ -28,7 +28,7 @@
 /** A target that has left, and how long ago. */
 export interface DepartureReport extends Omit<
   DepartedTarget,
-  'removedAt' | 'missingSince'
+  'removedAt' | 'missingSince' | 'startedAt' | 'hasEnded'
 > {
   readonly age: Milliseconds;
   /** Time since which its registration is missing, if it was missing. */
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -140,7 +140,7 @@
       const {term, end, primaryEnd} = logs;
       const isUpToPrimary =
         primaryEnd === undefined
-          ? term === undefined && !absentPrimary.isAwaited()
+          ? !absentPrimary.isAwaited()
           : compareLogPositions(end, primaryEnd) >= 0;
       return isMissingCommit(logs) || (!isUpToPrimary && mayBeLacking(term));
     },
--- a/packages/succession/src/copy_record.ts
+++ b/packages/succession/src/copy_record.ts
@@ -3,7 +3,7 @@
  * proxies have observed ends with their processes; the record tells a proxy that
  * has started since that a replica has left, or has lost its log.
  */
-import type {StorePosition, TableRows} from '@kelpstep/platform';
+import type {StorePosition, StoredRow, TableRows} from '@kelpstep/platform';
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {TargetGroup} from '@kelpstep/targets';
 import {z} from 'zod';
@@ -19,19 +19,24 @@
   term: z.number().int().nonnegative(),
   /**
    * Replicas of the group when one of them had received all of the primary's
-   * log. Every commit acknowledged in that term has a copy on one of them, or on
-   * a target that joined later.
+   * log, and those that a proxy knew before and that may still run. Every commit
+   * acknowledged in that term has a copy on one of them, or on a target that
+   * joined later.
    */
   replicas: z.array(z.object({target: z.string(), startedAt: z.number()})),
 });
 export type CopyRecord = z.infer<typeof copyRecordSchema>;
+export type RecordedReplica = CopyRecord['replicas'][number];
 
 /** The last known record of a group. */
 export interface KnownCopyRecord {
   readonly record: CopyRecord;
   /** Position of its row for conditional writes. */
   readonly position: StorePosition;
-  /** When the row was first read at its position. */
+  /**
+   * When the row was first read at its position; -Infinity for a row of a store
+   * that was restored from a copy.
+   */
   readonly observedAt: Milliseconds;
 }
 
@@ -47,29 +52,42 @@
 }: Pick<TimerService, 'now'>): CopyRecords {
   let records = new Map<string, KnownCopyRecord>();
 
+  let newestEra: number | undefined;
+
+  function read(
+    {value, version}: StoredRow,
+    era: number,
+    known: KnownCopyRecord | undefined,
+  ): KnownCopyRecord | undefined {
+    if (known?.position.era === era && known.position.version === version) {
+      return known;
+    }
+    const parsed = copyRecordSchema.safeParse(value);
+    // A restored store holds rows that are older than losses seen since.
+    const isRestored = newestEra !== undefined && era > newestEra;
+    return parsed.success
+      ? {
+          record: parsed.data,
+          position: {era, version},
+          observedAt: isRestored ? -Infinity : now(),
+        }
+      : undefined;
+  }
+
   return {
     update(rows, {era}) {
       const next = new Map<string, KnownCopyRecord>();
-      for (const [key, {value, version}] of rows) {
-        const parsed = copyRecordSchema.safeParse(value);
-        if (!key.startsWith(COPY_KEY_PREFIX) || !parsed.success) {
+      for (const [key, row] of rows) {
+        if (!key.startsWith(COPY_KEY_PREFIX)) {
           continue;
         }
         const group = key.slice(COPY_KEY_PREFIX.length);
-        const known = records.get(group);
-        const isKnown =
-          known?.position.era === era && known.position.version === version;
-        next.set(
-          group,
-          isKnown
-            ? known
-            : {
-                record: parsed.data,
-                position: {era, version},
-                observedAt: now(),
-              },
-        );
+        const known = read(row, era, records.get(group));
+        if (known !== undefined) {
+          next.set(group, known);
+        }
       }
+      newestEra = era;
       records = next;
     },
     get: group => records.get(group),
@@ -91,10 +109,23 @@
     .sort((left, right) => (left.target < right.target ? -1 : 1));
 }
 
-function hasAllReplicas(group: TargetGroup, {replicas}: CopyRecord): boolean {
-  return replicas.every(
-    ({target, startedAt}) =>
-      group.link(target)?.registration().startedAt === startedAt,
+/** True if this start of the replica is a member of the group. */
+export function isMember(
+  group: TargetGroup,
+  {target, startedAt}: RecordedReplica,
+): boolean {
+  return group.link(target)?.registration().startedAt === startedAt;
+}
+
+/** True if a proxy has recorded a replica that this one has never listed. */
+function hasUnknownReplica(
+  group: TargetGroup,
+  {replicas}: CopyRecord,
+): boolean {
+  return replicas.some(
+    replica =>
+      !isMember(group, replica) &&
+      group.departure(replica.target, replica.startedAt) === undefined,
   );
 }
 
@@ -125,18 +156,24 @@
   if (!group.hasSynchronousReplicas()) {
     return false;
   }
-  const {positions} = group;
-  const copies = positions.copies();
-  const requiredTerm = term ?? positions.leader()?.term ?? 0;
-  if (copies.lackingSince === undefined) {
-    return (copies.term ?? 0) < requiredTerm;
+  const {lackingSince, ...copies} = group.positions.copies();
+  const requiredTerm = term ?? group.positions.leader()?.term ?? 0;
+  const record =
+    known !== undefined && known.record.term >= requiredTerm
+      ? known.record
+      : undefined;
+  if (lackingSince === undefined && (copies.term ?? 0) >= requiredTerm) {
+    return record !== undefined && hasUnknownReplica(group, record);
   }
-  const isNew = copies.lackingSince === -Infinity;
+  // A loss that this proxy has seen in the same term is not in the record for
+  // sure: the proxy that wrote it may have listed fewer targets.
+  const isLater = (record?.term ?? 0) > (copies.term ?? 0);
+  const readAt = known?.observedAt ?? -Infinity;
   const isRecorded =
-    known !== undefined &&
-    known.observedAt > copies.lackingSince &&
-    (!isNew || now - known.observedAt >= LISTING_TIME_MS) &&
-    known.record.term >= requiredTerm &&
-    hasAllReplicas(group, known.record);
+    record !== undefined &&
+    (isLater || lackingSince === -Infinity) &&
+    readAt > (lackingSince ?? -Infinity) &&
+    now - Math.max(readAt, copies.observedFrom) >= LISTING_TIME_MS &&
+    record.replicas.every(replica => isMember(group, replica));
   return !isRecorded;
 }
--- a/packages/succession/src/copy_recorder.ts
+++ b/packages/succession/src/copy_recorder.ts
@@ -16,6 +16,8 @@
   COPY_KEY_PREFIX,
   type CopyRecord,
   type KnownCopyRecord,
+  type RecordedReplica,
+  isMember,
   replicasOf,
 } from './copy_record';
 
@@ -48,6 +50,14 @@
  */
 const PROBE_INTERVAL_MS: Milliseconds = 500;
 
+/**
+ * Time after which a replica that is not listed is taken for gone, although
+ * nobody has seen that its process ended.
+ */
+const ABSENCE_TIMEOUT_MS: Milliseconds = 60_000;
+/** Replaces the write delay for a group without a record, of which many start. */
+const FIRST_WRITE_DELAY_MS: Milliseconds = 1500;
+
 function isSameRecord(left: CopyRecord, right: CopyRecord): boolean {
   return (
     left.term === right.term &&
@@ -61,11 +71,17 @@
   );
 }
 
+function keyOf({target, startedAt}: RecordedReplica): string {
+  return `${target} ${startedAt}`;
+}
+
 /** Records the group's copies until `stop`. */
 export function startCopyRecorder(options: CopyRecorderOptions): CopyRecorder {
   const {runtime, group, rowWriter, table} = options;
   const {timer, random} = runtime;
   let probedAt: Milliseconds = timer.now();
+  /** Since when recorded replicas are not members here. */
+  const absences = new Map<string, Milliseconds>();
 
   /** The record of the present copies; undefined if they may be lacking. */
   function presentRecord(): CopyRecord | undefined {
@@ -74,16 +90,46 @@
     if (leader === undefined || lackingSince !== undefined) {
       return undefined;
     }
-    const replicas = replicasOf(group, leader.target);
+    const replicas = [
+      ...replicasOf(group, leader.target),
+      ...absentReplicas(leader.target),
+    ].sort((left, right) => (left.target < right.target ? -1 : 1));
     const isPresent = term === leader.term && replicas.length > 0;
     return isPresent
       ? {primary: leader.target, term: leader.term, replicas}
       : undefined;
   }
 
+  /**
+   * Recorded replicas that may still receive commits although this proxy does not
+   * list them: another one may reach them, or know more of the table.
+   */
+  function absentReplicas(primary: string): RecordedReplica[] {
+    const recorded = options.record()?.record.replicas ?? [];
+    const absent = recorded.filter(
+      replica => replica.target !== primary && !isMember(group, replica),
+    );
+    absences.forEach((unusedSince, key) => {
+      if (!absent.some(replica => keyOf(replica) === key)) {
+        absences.delete(key);
+      }
+    });
+    return absent.filter(replica => {
+      const {target, startedAt} = replica;
+      const since = absences.get(keyOf(replica)) ?? timer.now();
+      absences.set(keyOf(replica), since);
+      const hasEnded =
+        group.link(target) !== undefined ||
+        group.departure(target, startedAt)?.hasEnded === true;
+      return !hasEnded && timer.now() - since < ABSENCE_TIMEOUT_MS;
+    });
+  }
+
   function outdatedBy(): CopyRecord | undefined {
     const present = presentRecord();
-    const known = options.record()?.record;
+    const recorded = options.record();
+    const isRestored = recorded?.observedAt === -Infinity;
+    const known = isRestored ? undefined : recorded?.record;
     // A proxy that learns of a change late must not undo what others recorded.
     const isOlder = present && known && present.term < known.term;
     const isSame = present && known && isSameRecord(present, known);
@@ -110,7 +156,10 @@
       if (outdatedBy() === undefined) {
         continue;
       }
-      yield* sleep(MAXIMUM_WRITE_DELAY_MS * random.fraction());
+      const delay = options.record()
+        ? MAXIMUM_WRITE_DELAY_MS
+        : FIRST_WRITE_DELAY_MS;
+      yield* sleep(delay * random.fraction());
       const next = outdatedBy();
       const position = options.record()?.position ?? options.emptyPosition();
       if (next === undefined || position === undefined) {
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -257,10 +257,10 @@
       return false;
     }
     const term = primary?.term ?? absentPrimary.last()?.term;
-    const isExpected = primary !== undefined || absentPrimary.isAwaited();
     const known = options.copyRecord();
     const mustWait =
-      isExpected && mayLackCopies({group, known, now: timer.now()}, term);
+      absentPrimary.isAwaited() &&
+      mayLackCopies({group, known, now: timer.now()}, term);
     if (mustWait && !isWaiting) {
       const target = primary?.link.target ?? absentPrimary.last()?.target;
       events.onStep('only copy awaited', target ?? '', row?.epoch ?? 0);
--- a/packages/succession/src/succession_records.ts
+++ b/packages/succession/src/succession_records.ts
@@ -154,8 +154,11 @@
       }
       era = position.era;
       for (const [key, {value, version}] of rows) {
+        if (!key.startsWith(SUCCESSION_KEY_PREFIX)) {
+          continue;
+        }
         const parsed = successionSchema.safeParse(value);
-        if (key.startsWith(SUCCESSION_KEY_PREFIX) && parsed.success) {
+        if (parsed.success) {
           const group = key.slice(SUCCESSION_KEY_PREFIX.length);
           record(group, parsed.data, {era, version});
         }
--- a/packages/targets/__tests__/target_group.spec.ts
+++ b/packages/targets/__tests__/target_group.spec.ts
@@ -277,7 +277,9 @@
     expect(group.departed()).toEqual([
       {
         target: 'c',
+        startedAt: 1,
         reason: 'gone',
+        hasEnded: false,
         missingSince,
         removedAt: timer.now(),
         logEnd: {term: 1, position: 50},
--- a/packages/targets/src/copy_tracker.ts
+++ b/packages/targets/src/copy_tracker.ts
@@ -20,6 +20,8 @@
   readonly lackingSince: Milliseconds | undefined;
   /** Term of the primary whose log was compared; undefined before. */
   readonly term: number | undefined;
+  /** Monotonic time since which targets were observed without a gap. */
+  readonly observedFrom: Milliseconds;
 }
 
 /** End of a target's log as it was reported. */
@@ -33,8 +35,13 @@
 }
 
 export interface CopyTracker {
-  /** Records that a target has left or has lost its log. */
-  recordLoss(): void;
+  /**
+   * Records that a target has left or has lost its log. That of the last known
+   * primary takes no copy along that the replicas have.
+   */
+  recordLoss(target: string): void;
+  /** Forgets everything, as changes may have gone unnoticed. */
+  reset(): void;
   /** Records the end of a target's log, while `leader` is the known primary. */
   recordLogEnd(reported: ReportedLogEnd, leader: Leadership | undefined): void;
   state(): CopyState;
@@ -46,22 +53,35 @@
   /** End of the primary's log after copies were lost. */
   let primaryEnd: LogPosition | undefined;
   let term: number | undefined;
+  let primary = '';
+  let observedFrom = now();
 
-  function recordLoss(): void {
+  function startLacking(): void {
     lackingSince = now();
     primaryEnd = undefined;
   }
 
   return {
-    recordLoss,
+    recordLoss(target) {
+      if (target !== primary) {
+        startLacking();
+      }
+    },
+    reset() {
+      lackingSince = -Infinity;
+      primaryEnd = undefined;
+      term = undefined;
+      observedFrom = now();
+    },
     recordLogEnd({target, requestedAt, end, followedTerm}, leader) {
       if (leader === undefined) {
         return;
       }
       if (leader.term > (term ?? Infinity)) {
-        recordLoss();
+        startLacking();
       }
       term = leader.term;
+      primary = leader.target;
       if (lackingSince === undefined) {
         return;
       }
@@ -81,6 +101,6 @@
         primaryEnd = undefined;
       }
     },
-    state: () => ({lackingSince, term}),
+    state: () => ({lackingSince, term, observedFrom}),
   };
 }
--- a/packages/targets/src/group_positions.ts
+++ b/packages/targets/src/group_positions.ts
@@ -296,12 +296,13 @@
     newestCommit: () => newestCommit,
     copies: copies.state,
     discard(target) {
-      copies.recordLoss();
+      copies.recordLoss(target);
       logs.delete(target);
       statuses.delete(target);
       dismissLeader(target);
     },
     discardAll() {
+      copies.reset();
       logs.clear();
       statuses.clear();
       samples = [];
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -68,6 +68,11 @@
   missingSince(target: string): Milliseconds | undefined;
   /** Targets that were removed lately. */
   departed(): readonly DepartedTarget[];
+  /** The removal of a target with this start; undefined if it is not known. */
+  departure(
+    target: string,
+    startedAt: Milliseconds,
+  ): DepartedTarget | undefined;
   /** True if a commit is acknowledged only after a replica received it. */
   hasSynchronousReplicas(): boolean;
   readonly positions: GroupPositions;
@@ -208,7 +213,9 @@
     const member = members.get(target);
     departures.record({
       target,
+      startedAt: member?.link.registration().startedAt ?? 0,
       reason: event,
+      hasEnded: event === 'restarted' || member?.link.isDown() === true,
       missingSince: member?.missingSince,
       logEnd: knownLogEnd(positions, target),
     });
@@ -395,6 +402,7 @@
     leader,
     missingSince: target => members.get(target)?.missingSince,
     departed: departures.recent,
+    departure: departures.find,
     hasSynchronousReplicas: () => settings.synchronousReplicas > 0,
     positions,
     outliers,
