--- a/packages/succession/__tests__/succession_model_choice.ts
+++ b/packages/succession/__tests__/succession_model_choice.ts
@@ -27,13 +27,26 @@
   };
 }
 
+/** True if a replica may lack commits of the primary that led in `term`. */
+function mayLackCopies(
+  {mayLackCopies: isKnown, record, targets}: ModelState,
+  term: number,
+  {recordsCopies}: Guards,
+): boolean {
+  const isRecorded =
+    record.term >= term &&
+    !record.isBroken &&
+    targets.every(target => target.isListed || !target.isRecorded);
+  return isKnown || (recordsCopies && !isRecorded);
+}
+
 /** The answers' choice; undefined while it can't be made. */
 export function successorOf(
   state: ModelState,
   promoter: ModelPromoter,
   guards: Guards,
 ): number | undefined {
-  const {from, answers, primaryEnd, complete} = promoter;
+  const {from, fromTerm, answers, primaryEnd, complete} = promoter;
   const replicas = TARGETS.filter(
     target => target !== from && at(state.targets, target).isListed,
   );
@@ -43,8 +56,11 @@
   }
   const isMissing = (length: number) =>
     guards.asksForCommits && length < state.knownCommits;
+  const mayLack =
+    guards.countsLostCopies && mayLackCopies(state, fromTerm, guards);
+  const mayReturn = primaryEnd < 0 && at(state.targets, from).isListed;
   const mayMiss = (length: number) =>
-    guards.countsLostCopies && state.mayLackCopies && length < primaryEnd;
+    mayLack && (length < primaryEnd || (guards.waitsForPrimary && mayReturn));
   const isKnown = complete.end >= 0 && complete.primaryEnd === primaryEnd;
   const {successor} = chooseLongestLog({
     stopped: answered.map(target => toCandidate(target, at(answers, target))),
--- /dev/null
+++ b/packages/succession/__tests__/succession_model_faults.ts
@@ -0,0 +1,312 @@
+/** Faults of targets, proxies, the network and the store, and their ends. */
+import {at} from './succession_model_choice';
+import {type ModelStep, replaced} from './succession_model_promoter';
+import {
+  ENDED_PROMOTER,
+  type FaultKind,
+  type FaultMix,
+  type Guards,
+  INITIAL_ROW,
+  type LogLoss,
+  MAXIMUM_RESTORES,
+  type ModelState,
+  type ModelTarget,
+  TARGETS,
+} from './succession_model_state';
+
+function withTarget(
+  state: ModelState,
+  index: number,
+  change: Partial<ModelTarget>,
+): ModelState {
+  const target = {...at(state.targets, index), ...change};
+  return {...state, targets: replaced(state.targets, index, target)};
+}
+
+/** The target's process ends, and with it what the platform told it to do. */
+function withoutExecuted(state: ModelState, index: number): ModelState {
+  const orders = state.orders.filter(
+    ({target, isExecuted}) => target !== index || !isExecuted,
+  );
+  return {...state, orders};
+}
+
+/** The target is another one from now on; earlier answers don't count. */
+function withNewStart(
+  state: ModelState,
+  index: number,
+  change: Partial<ModelTarget>,
+): ModelState {
+  const {isRecorded} = at(state.targets, index);
+  const isBroken = state.record.isBroken || isRecorded;
+  const changed = withTarget(withoutExecuted(state, index), index, {
+    ...change,
+    pausedAt: 0,
+    isRecorded: false,
+  });
+  return {
+    ...changed,
+    record: {...state.record, isBroken},
+    promoters: state.promoters.map(promoter => ({
+      ...promoter,
+      answers: replaced(promoter.answers, index, -1),
+    })),
+  };
+}
+
+/** True if a new target may take the place of one that is gone. */
+function isFree(state: ModelState, index: number): boolean {
+  const {isRunning, isListed} = at(state.targets, index);
+  return (
+    !isRunning &&
+    !isListed &&
+    state.row.target !== index &&
+    state.orders.every(({target}) => target !== index) &&
+    state.promoters.every(
+      ({from, target}) => from !== index && target !== index,
+    )
+  );
+}
+
+function* memberFaults(
+  state: ModelState,
+  logLoss: LogLoss,
+): Generator<ModelStep & {readonly kind: FaultKind}> {
+  for (const replica of TARGETS) {
+    const target = at(state.targets, replica);
+    if (replica === state.leader) {
+      continue;
+    }
+    if (isFree(state, replica)) {
+      const {term} = at(state.targets, state.leader);
+      const joined = {isRunning: true, log: [], term};
+      yield {
+        kind: 'targetJoins',
+        name: `${replica} joins`,
+        state: withNewStart(state, replica, joined),
+      };
+    }
+    if (!target.isRunning) {
+      continue;
+    }
+    if (target.pausedAt > target.term) {
+      const restarted = withTarget(state, replica, {pausedAt: 0});
+      yield {
+        kind: 'replicaRestarts',
+        name: `replica ${replica} restarts`,
+        state: withoutExecuted(restarted, replica),
+      };
+    }
+    if (target.isListed) {
+      yield {
+        kind: 'registrationLapses',
+        name: `the registration of ${replica} lapses`,
+        state: {
+          ...withTarget(state, replica, {isListed: false}),
+          mayLackCopies: true,
+        },
+      };
+    }
+    const gone = {isListed: false, isRunning: false, log: []};
+    yield {
+      kind: 'replicaLeaves',
+      name: `${replica} leaves with its log`,
+      state: {
+        ...withNewStart(state, replica, gone),
+        mayLackCopies: state.mayLackCopies || target.isListed,
+      },
+    };
+    const isOrdered = state.orders.some(
+      order =>
+        order.target === replica &&
+        (order.isExecuted || order.epoch >= state.fence),
+    );
+    const mayLoseLog = logLoss === 'always' || !isOrdered;
+    if (mayLoseLog && target.log.length > 0 && target.isListed) {
+      yield {
+        kind: 'replicaReturnsEmpty',
+        name: `${replica} returns empty`,
+        state: {
+          ...withNewStart(state, replica, {log: []}),
+          mayLackCopies: true,
+        },
+      };
+    }
+  }
+}
+
+function* primaryFaults(
+  state: ModelState,
+): Generator<ModelStep & {readonly kind: FaultKind}> {
+  const leader = at(state.targets, state.leader);
+  if (leader.isRunning) {
+    const crashed = withTarget(state, state.leader, {isRunning: false});
+    yield {
+      kind: 'primaryCrashes',
+      name: `primary ${state.leader} crashes`,
+      state: withoutExecuted(crashed, state.leader),
+    };
+  }
+  if (leader.isListed) {
+    const gone = {isRunning: false, isListed: false};
+    const removed = withTarget(state, state.leader, gone);
+    yield {
+      kind: 'primaryIsRemoved',
+      name: `primary ${state.leader} is removed`,
+      state: withoutExecuted(removed, state.leader),
+    };
+  }
+  if (!state.isCut) {
+    yield {
+      kind: 'primaryIsCut',
+      name: 'promoters lose the primary',
+      state: {...state, isCut: true},
+    };
+  }
+}
+
+function* proxyFaults(
+  state: ModelState,
+  guards: Guards,
+): Generator<ModelStep & {readonly kind: FaultKind}> {
+  if (!state.hasUninformed) {
+    yield {
+      kind: 'rowIsUnknown',
+      name: 'some proxies lose the row',
+      state: {...state, hasUninformed: true},
+    };
+  }
+  const isForgetting =
+    state.knownCommits > 0 || (guards.startsUncertain && !state.mayLackCopies);
+  const mayLackCopies = state.mayLackCopies || guards.startsUncertain;
+  if (isForgetting) {
+    yield {
+      kind: 'proxyRestarts',
+      name: 'the proxy with the newest commit restarts',
+      state: {...state, knownCommits: 0, mayLackCopies},
+    };
+  }
+  yield {
+    kind: 'allProxiesRestart',
+    name: 'all proxies restart',
+    state: {
+      ...state,
+      knownCommits: 0,
+      mayLackCopies: guards.startsUncertain,
+      hasUninformed: false,
+      promoters: state.promoters.map(promoter =>
+        promoter.step === 'idle' ? promoter : ENDED_PROMOTER,
+      ),
+    },
+  };
+}
+
+/** The store returns from a copy without the row. */
+function* storeFaults(
+  state: ModelState,
+  guards: Guards,
+): Generator<ModelStep & {readonly kind: FaultKind}> {
+  if (state.era < MAXIMUM_RESTORES) {
+    yield {
+      kind: 'storeIsRestored',
+      name: 'the store is restored',
+      state: {
+        ...state,
+        era: state.era + 1,
+        row: guards.remembersLostRows ? state.row : INITIAL_ROW,
+        promoters: state.promoters.map(promoter => ({
+          ...promoter,
+          holdsRow: false,
+        })),
+      },
+    };
+  }
+}
+
+/** The faults that a mix allows. */
+export function* faultSteps(
+  state: ModelState,
+  guards: Guards,
+  logLoss: LogLoss,
+  {kinds, maximum}: FaultMix,
+): Generator<ModelStep> {
+  if (state.faults >= maximum) {
+    return;
+  }
+  const groups = [
+    memberFaults(state, logLoss),
+    primaryFaults(state),
+    proxyFaults(state, guards),
+    storeFaults(state, guards),
+  ];
+  for (const group of groups) {
+    for (const {kind, name, state: after} of group) {
+      if (kinds.includes(kind)) {
+        yield {name, state: {...after, faults: state.faults + 1}};
+      }
+    }
+  }
+}
+
+/** Faults end: targets return, are listed and receive; the network heals. */
+export function* recoverySteps(state: ModelState): Generator<ModelStep> {
+  const leader = at(state.targets, state.leader);
+  if (state.isCut) {
+    yield {name: 'the cut heals', state: {...state, isCut: false}};
+  }
+  for (const index of TARGETS) {
+    const target = at(state.targets, index);
+    if (!target.isRunning && target.isListed) {
+      const returned = withTarget(state, index, {isRunning: true, pausedAt: 0});
+      const isPrimary = index === state.leader;
+      yield {
+        name: `${index} returns`,
+        state: isPrimary ? {...returned, isDemoted: false} : returned,
+      };
+    }
+    if (target.isRunning && !target.isListed) {
+      yield {
+        name: `${index} is listed`,
+        state: withTarget(state, index, {isListed: true}),
+      };
+    }
+  }
+  if (!leader.isRunning || state.isDemoted) {
+    return;
+  }
+  for (const index of TARGETS) {
+    const target = at(state.targets, index);
+    const isReplica = target.isRunning && index !== state.leader;
+    if (!isReplica || target.term !== leader.term) {
+      continue;
+    }
+    if (target.log.length < leader.log.length) {
+      if (target.pausedAt <= target.term) {
+        yield {
+          name: `${index} catches up`,
+          state: withTarget(state, index, {log: leader.log}),
+        };
+      }
+    } else if (target.isListed) {
+      const isNew =
+        state.mayLackCopies ||
+        state.record.isBroken ||
+        state.record.term < leader.term ||
+        state.targets.some(({isListed, isRecorded}) => isListed !== isRecorded);
+      if (isNew) {
+        yield {
+          name: `${index} is seen with all of the primary's log`,
+          state: {
+            ...state,
+            mayLackCopies: false,
+            record: {term: leader.term, isBroken: false},
+            targets: state.targets.map(other => ({
+              ...other,
+              isRecorded: other.isListed,
+            })),
+          },
+        };
+      }
+    }
+  }
+}
