--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -7,13 +7,10 @@
   type Task,
   receive,
   receiveWithTimeout,
-  sleep,
   waitWithTimeout,
-  waitFor,
 } from '@kelpstep/runtime';
 import {
   type CallerRequest,
-  type PreparedShape,
   type SessionStatement,
   type StatementAnswer,
   type TransactionState,
@@ -26,17 +23,20 @@
 import type {PinnedConnection} from '@kelpstep/targets';
 
 import type {CallerConnection, CallerMessage} from './caller_connection';
-import type {ActiveConfiguration, CallerRoute} from './configuration';
+import type {ActiveConfiguration} from './configuration';
 import {type Dispatcher, refusalAnswer} from './dispatch_types';
 import type {GatewayEvents} from './gateway_events';
+import {type ResolvedStatement, sendPinned} from './pinned_statement';
 import {
   type AdmittedSession,
   LOCAL_REQUEST,
+  type OpenTransaction,
   type RequestDetails,
+  describeCutOff,
   describeRequest,
 } from './request_details';
 import {createRunCounter} from './statement_runs';
-import {withoutSuccess} from './superseded_primary';
+import {SUPERSEDED_PRIMARY, withoutSuccess} from './superseded_primary';
 import {
   type FailureReason,
   LOST_ANSWER,
@@ -57,34 +57,20 @@
   isStopping(): boolean;
   /** True if commits that the target acknowledges may be lost. */
   isSuperseded(group: string, target: string): boolean;
+  /** For each request that is being served, a function that reports its loss. */
+  readonly unfinished: Set<() => void>;
 }
 
-interface Transaction {
+interface Transaction extends OpenTransaction {
   readonly pinned: PinnedConnection;
-  /** Peer that has the transaction's connection; empty if it is local. */
-  readonly via: string;
-  readonly route: CallerRoute;
-  /** Client account that began the transaction. */
-  readonly account: string | undefined;
   hasWritten: boolean;
 }
 
-/**
- * A statement to forward, and the prepared statement that it executes, if any.
- */
-interface ResolvedStatement {
-  readonly statement: SessionStatement;
-  readonly shape: PreparedShape | undefined;
-  readonly isWrite: boolean;
-}
-
 /**
  * How long a statement waits for the first configuration. The store answers
  * within milliseconds if it is available.
  */
 const FIRST_CONFIGURATION_TIMEOUT_MS: Milliseconds = 300;
-/** Backoff before a statement is sent again after a `busy` answer. */
-const BUSY_BACKOFF_MS: Milliseconds = 20;
 
 const OVER_QUOTA = 'over quota';
 
@@ -205,38 +191,15 @@
     } else if (resolved.isWrite && answer.error === undefined) {
       lastCommit = answer.position ?? lastCommit;
     }
-    const details = describeRequest(admission, result, statement.kind);
+    const details = describeRequest(
+      admission,
+      result,
+      statement.kind,
+      resolved.isWrite,
+    );
     return [{...answer, state}, details];
   }
 
-  function* sendPinned(
-    current: Transaction,
-    request: CallerRequest,
-    {statement, shape}: ResolvedStatement,
-  ): Task<StatementAnswer | undefined> {
-    const deadline = timer.now() + current.route.timeout;
-    const {id} = request;
-    for (;;) {
-      const reply = yield* waitFor(
-        current.pinned.send(
-          {id, body: statement},
-          shape,
-          deadline - timer.now(),
-        ),
-      );
-      if (reply.err) {
-        return undefined;
-      }
-      const answer = reply.val;
-      const mayRepeat =
-        answer.error?.name === 'busy' && answer.state === 'open';
-      if (!mayRepeat || timer.now() + BUSY_BACKOFF_MS >= deadline) {
-        return answer;
-      }
-      yield* sleep(BUSY_BACKOFF_MS);
-    }
-  }
-
   function* serveInTransaction(
     current: Transaction,
     request: CallerRequest,
@@ -259,7 +222,9 @@
       return [errorAnswer('malformed', state), details];
     }
     current.hasWritten ||= resolved.isWrite;
-    const answer = yield* sendPinned(current, request, resolved);
+    const isWrite =
+      resolved.isWrite || (statement.kind === 'commit' && current.hasWritten);
+    const answer = yield* sendPinned(timer, current, request.id, resolved);
     const isDoubtful =
       statement.kind === 'commit' &&
       current.hasWritten &&
@@ -269,10 +234,15 @@
       if (state !== 'open') {
         recordEnd(current, statement, answer);
       }
-      return [answer, details];
+      return [answer, {...details, isWrite}];
     }
-    const reason = answer?.error?.name ?? LOST_ANSWER;
-    return [failCurrent(current, statement, reason), {...details, reason}];
+    const failure = answer?.error?.name ?? LOST_ANSWER;
+    const isWithheld = answer !== undefined && answer.error === undefined;
+    const reason = isWithheld ? SUPERSEDED_PRIMARY : failure;
+    return [
+      failCurrent(current, statement, failure),
+      {...details, reason, isWrite},
+    ];
   }
 
   /** Ends the transaction and records the position if it committed writes. */
@@ -365,16 +335,38 @@
    */
   function* handle(request: CallerRequest): Task<StatementAnswer> {
     const startedAt = timer.now();
-    const [answer, details] = yield* serve(request);
-    // Log positions are not exposed to callers.
-    caller.answer({...answer, position: undefined});
-    events.onRequestEnd({
-      id: request.id,
-      ...details,
-      outcome: answer.error?.name ?? 'ok',
-      duration: timer.now() - startedAt,
-    });
-    return answer;
+    const reportLoss = () => reportCutOff(request, startedAt);
+    options.unfinished.add(reportLoss);
+    try {
+      const [answer, details] = yield* serve(request);
+      const isUndelivered = caller.isClosed();
+      // Log positions are not exposed to callers.
+      caller.answer({...answer, position: undefined});
+      events.onRequestEnd({
+        id: request.id,
+        ...details,
+        outcome: answer.error?.name ?? 'ok',
+        duration: timer.now() - startedAt,
+        isUndelivered,
+      });
+      return answer;
+    } finally {
+      options.unfinished.delete(reportLoss);
+    }
+  }
+
+  function reportCutOff(
+    {id, statement}: CallerRequest,
+    startedAt: Milliseconds,
+  ): void {
+    if (statement === undefined) {
+      return;
+    }
+    const admission = configuration.admit(caller);
+    const details = describeCutOff(statement, admission, transaction);
+    const duration = timer.now() - startedAt;
+    const isWrite = details.isWrite || resolve(statement)?.isWrite === true;
+    events.onRequestEnd({id, ...details, isWrite, duration});
   }
 
   try {
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -1,6 +1,7 @@
 import {
   type Runtime,
   type VirtualTimer,
+  createDeferred,
   createRandom,
   createRuntime,
   createVirtualTimer,
@@ -71,6 +72,8 @@
   readonly runtime: Runtime;
   readonly hold: ReturnType<typeof createReplicationHold>;
   selected(): string | undefined;
+  /** The same, if a target is preferred that qualifies. */
+  select(preferred: string): string | undefined;
   verdictOf(target: string): string | undefined;
 }
 
@@ -79,6 +82,7 @@
   primary?: FakeTarget,
   highestTerm = 1,
   evidence: CommitEvidence = {mayLackCopies: false},
+  evidenceDelay = 0,
 ): Setup {
   const timer = createVirtualTimer();
   const runtime = createRuntime({timer, random: createRandom(1)});
@@ -86,7 +90,11 @@
   const group = {
     links: () => links.map(({link}) => link),
     hasSynchronousReplicas: () => true,
-    positions: {newestCommit: () => undefined, mayLackCopies: () => false},
+    positions: {
+      newestCommit: () => undefined,
+      leader: () => undefined,
+      copies: () => ({lackingSince: undefined, term: 1}),
+    },
   } as unknown as TargetGroup;
   const hold = createReplicationHold({
     runtime,
@@ -98,16 +106,26 @@
   const inquiry = createCommitInquiry({
     timer,
     group,
-    askPeers: () => [settledFuture(evidence)],
+    copyRecord: () => undefined,
+    absentPrimary: {last: () => undefined, isAwaited: () => false},
+    askPeers() {
+      const answer = createDeferred<CommitEvidence>();
+      if (evidenceDelay === 0) {
+        answer.settle(evidence);
+      } else {
+        timer.after(evidenceDelay, () => answer.settle(evidence));
+      }
+      return [answer.future];
+    },
   });
   inquiry.start();
-  const select = () =>
+  const select = (preferred = '') =>
     selectSuccessor({
       hold,
       inquiry,
       now: timer.now(),
       since: timer.now() - 250,
-      preferred: '',
+      preferred,
       mayLead: !hold.isDemoting(),
       mayKeepPrimary: false,
     });
@@ -116,6 +134,7 @@
     runtime,
     hold,
     selected: () => select().successor?.target,
+    select: preferred => select(preferred).successor?.target,
     verdictOf: name =>
       select().considered.find(({target}) => target === name)?.verdict,
   };
@@ -277,6 +296,58 @@
     expect(verdictOf('a')).toEqual('incomplete');
   });
 
+  // Guards against a lost log after all proxies that knew of its copies ended.
+  test('waits for a silent primary while nobody vouches for other copies', () => {
+    const members = [createFakeTarget('a', REPLICA)];
+    const silent = createFakeTarget('b', {...REPLICA, role: 'primary'});
+    const {hold, selected} = setUp(members, silent, 1, {mayLackCopies: true});
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    const unknown = setUp(members, undefined, 1, {mayLackCopies: true});
+    unknown.hold.refresh();
+    unknown.timer.advance(100);
+    unknown.hold.refresh();
+    expect(unknown.selected()).toEqual('a');
+  });
+
+  // Guards against a recorded target that is selected by an earlier comparison,
+  // although the primary has led since and another replica has received more.
+  test('does not rely on a comparison that a longer log disproves', () => {
+    const primary = createFakeTarget('c', {...REPLICA, role: 'primary'});
+    const replica = createFakeTarget('b', shorter);
+    const down = createFakeTarget('d', shorter);
+    const {hold, select, timer} = setUp(
+      [createFakeTarget('a', shorter), replica, down],
+      primary,
+    );
+    hold.refresh();
+    hold.recordCompleteEnd(shorter.received);
+    Object.assign(down.link, {isDown: () => true});
+    replica.status = {...replica.status, received: REPLICA.received};
+    timer.advance(100);
+    hold.refresh();
+    timer.advance(260);
+    hold.refresh();
+    expect(select('a')).toEqual(undefined);
+  });
+
+  // Guards against a choice without the evidence of a peer on a slow machine.
+  test('waits for a peer that has not answered yet', () => {
+    const {hold, selected, timer} = setUp(
+      [createFakeTarget('a', shorter)],
+      createFakeTarget('b', {...REPLICA, role: 'primary'}),
+      1,
+      {mayLackCopies: false},
+      120,
+    );
+    hold.refresh();
+    timer.advance(110);
+    hold.refresh();
+    expect(selected()).toEqual(undefined);
+    timer.advance(20);
+    expect(selected()).toEqual('a');
+  });
+
   test('does not demote the primary while its own promotion is ordered', () => {
     const {hold, timer} = selectAfterDemotion({mayLackCopies: true});
     const {link} = hold.primary ?? {};
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -7,10 +7,15 @@
 import type {Future, Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {AcknowledgedCommit, TargetGroup} from '@kelpstep/targets';
 
+import type {AbsentPrimary} from './absent_primary';
+import {type KnownCopyRecord, mayLackCopies} from './copy_record';
+
 /** What one proxy knows of acknowledged commits. */
 export interface CommitEvidence {
+  /** The proxy that has it; undefined for this one. */
+  readonly proxy?: string | undefined;
   readonly newestCommit?: AcknowledgedCommit | undefined;
-  /** See `GroupPositions.mayLackCopies`. */
+  /** True if the proxy can't tell that replicas hold all commits. */
   readonly mayLackCopies: boolean;
 }
 
@@ -29,15 +34,21 @@
   start(): void;
   /** When the peers were first asked; -Infinity before. */
   startedAt(): Milliseconds;
-  /** True once the peers have answered or had time to when first asked. */
+  /** True unless a peer that was asked may still answer. */
   isComplete(): boolean;
-  /** True if a proxy does not know the replicas to hold all commits. */
-  mayLackCopies(): boolean;
+  /** What this proxy and the peers that have answered know. */
+  evidence(): readonly CommitEvidence[];
+  /**
+   * True if a proxy can't tell that the replicas hold all commits that the
+   * primary of `term` acknowledged.
+   */
+  mayLackCopies(term: number | undefined): boolean;
   /** True if a commit that was acknowledged is known to be missing. */
   isMissingCommit(logs: RemainingLogs): boolean;
   /**
    * True if a commit that was acknowledged is missing, or may be: it may have
-   * had its only copy besides the primary's on a target that has left.
+   * had its only copy besides the primary's on a target that has left, and the
+   * primary's log is longer, or the primary is silent or waited for.
    */
   mayMissCommit(logs: RemainingLogs): boolean;
 }
@@ -45,22 +56,21 @@
 export interface CommitInquiryOptions {
   readonly timer: TimerService;
   readonly group: TargetGroup;
-  /** Asks the peers; a peer that does not answer settles with undefined. */
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
+  readonly absentPrimary: Pick<AbsentPrimary, 'last' | 'isAwaited'>;
+  /** Asks the peers; one that does not answer in time settles with undefined. */
   askPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
 }
 
-/**
- * Time for which a choice waits for answers: two round trips between regions.
- * Peers that answer in time don't delay a change, which compares logs over the
- * same distances meanwhile; later answers count for the next choice.
- */
-const ANSWER_TIMEOUT_MS: Milliseconds = 60;
-
 /** Returns what this proxy knows itself. */
-export function evidenceOfGroup({positions}: TargetGroup): CommitEvidence {
+export function evidenceOfGroup(
+  group: TargetGroup,
+  copyRecord: KnownCopyRecord | undefined,
+): CommitEvidence {
   return {
-    newestCommit: positions.newestCommit(),
-    mayLackCopies: positions.mayLackCopies(),
+    newestCommit: group.positions.newestCommit(),
+    mayLackCopies: mayLackCopies(group, copyRecord),
   };
 }
 
@@ -68,13 +78,18 @@
 export function createCommitInquiry(
   options: CommitInquiryOptions,
 ): CommitInquiry {
-  const {timer, group} = options;
+  const {timer, group, absentPrimary} = options;
   const answers: CommitEvidence[] = [];
   let startedAt: Milliseconds = -Infinity;
   let pending = 0;
 
   function allEvidence(): CommitEvidence[] {
-    return [evidenceOfGroup(group), ...answers];
+    return [evidenceOfGroup(group, options.copyRecord()), ...answers];
+  }
+
+  function newestTerm(): number {
+    const known = group.positions.leader()?.term ?? 0;
+    return Math.max(known, absentPrimary.last()?.term ?? 0);
   }
 
   function isMissingCommit({term, end}: RemainingLogs): boolean {
@@ -89,8 +104,11 @@
     );
   }
 
-  function mayLackCopies(): boolean {
-    return allEvidence().some(evidence => evidence.mayLackCopies);
+  function mayBeLacking(term = newestTerm()): boolean {
+    return (
+      mayLackCopies(group, options.copyRecord(), term) ||
+      answers.some(evidence => evidence.mayLackCopies)
+    );
   }
 
   return {
@@ -107,15 +125,17 @@
       }
     },
     startedAt: () => startedAt,
-    isComplete: () =>
-      pending === 0 || timer.now() - startedAt >= ANSWER_TIMEOUT_MS,
-    mayLackCopies,
+    isComplete: () => pending === 0,
+    evidence: allEvidence,
+    mayLackCopies: mayBeLacking,
     isMissingCommit,
     mayMissCommit(logs) {
-      const {end, primaryEnd} = logs;
-      const isBehind =
-        primaryEnd !== undefined && compareLogPositions(end, primaryEnd) < 0;
-      return isMissingCommit(logs) || (isBehind && mayLackCopies());
+      const {term, end, primaryEnd} = logs;
+      const isUpToPrimary =
+        primaryEnd === undefined
+          ? term === undefined && !absentPrimary.isAwaited()
+          : compareLogPositions(end, primaryEnd) >= 0;
+      return isMissingCommit(logs) || (!isUpToPrimary && mayBeLacking(term));
     },
   };
 }
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -15,9 +15,12 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import {createAbsentPrimary} from './absent_primary';
+import {type KnownPrimary, describePrimary} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import type {CommitEvidence} from './commit_inquiry';
-import type {ReplacedPrimary} from './replication_hold';
+import {type KnownCopyRecord, mayLackCopies} from './copy_record';
+import {findPendingTarget, findPrimary, recordedPrimary} from './known_primary';
 import {type PrimaryView, reasonToReplace} from './split_group';
 import type {VersionedSuccession} from './succession_records';
 import {
@@ -49,11 +52,15 @@
 
 /** Callbacks for the progress of a succession, used for logging. */
 export interface SuccessionEvents {
-  /** `previous` is the row that the change has replaced. */
+  /**
+   * `previous` is the row that the change has replaced, and `primary` the target
+   * that it replaces.
+   */
   onStart(
     reason: SuccessionReason,
     epoch: number,
     previous: Succession | undefined,
+    primary: KnownPrimary | undefined,
   ): void;
   onStep(step: string, target: string, epoch: number): void;
   onChoice(choice: SuccessionChoice): void;
@@ -85,6 +92,8 @@
    * settles with undefined.
    */
   evidenceOfPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
   /** The group's last known succession. */
   row(): VersionedSuccession | undefined;
   /**
@@ -143,16 +152,21 @@
   const {runtime, group, store, self, events} = options;
   const {timer, random} = runtime;
   const key = SUCCESSION_KEY_PREFIX + group.group;
+  const absentPrimary = createAbsentPrimary({...options, timer});
   const steps = createSuccessionSteps({
     ...options,
+    absentPrimary,
     onStep: events.onStep,
     onChoice: events.onChoice,
   });
   let missingSince: Milliseconds | undefined;
+  /** True while the return of the primary is awaited. */
+  let isWaiting = false;
 
   function updateMissingSince(): void {
     const isMissing = group.leader() === undefined && group.links().length > 0;
     missingSince = isMissing ? (missingSince ?? timer.now()) : undefined;
+    absentPrimary.observe();
   }
 
   function findReasonForChange(): SuccessionReason | undefined {
@@ -170,7 +184,10 @@
     ) {
       return 'lost';
     }
-    if (isChangeInProgress() && findPendingTarget() === leader.target) {
+    if (
+      isChangeInProgress() &&
+      findPendingTarget(group, options.row()?.succession) === leader.target
+    ) {
       return 'unfinished';
     }
     const hasReplacement = group
@@ -220,6 +237,30 @@
     return !isOwn && age < OTHER_PROXY_STEP_TIMEOUT_MS;
   }
 
+  /**
+   * True while a primary that does not answer is known to be the only one that
+   * may hold all commits. A change would only pause the replicas, which the
+   * primary needs once it is back.
+   */
+  function mustWaitForPrimary(reason: SuccessionReason): boolean {
+    const row = options.row()?.succession;
+    const isSilent = ['lost', 'missing', 'split'].includes(reason);
+    if (!isSilent || findPendingTarget(group, row) !== '') {
+      return false;
+    }
+    const primary = findPrimary(group, row);
+    const term = primary?.term ?? absentPrimary.last()?.term;
+    const isExpected = primary !== undefined || absentPrimary.isAwaited();
+    const mustWait =
+      isExpected && mayLackCopies(group, options.copyRecord(), term);
+    if (mustWait && !isWaiting) {
+      const target = primary?.link.target ?? absentPrimary.last()?.target;
+      events.onStep('only copy awaited', target ?? '', row?.epoch ?? 0);
+    }
+    isWaiting = mustWait;
+    return mustWait;
+  }
+
   function* monitor(): Task<void> {
     for (;;) {
       yield* sleep(MONITOR_INTERVAL_MS);
@@ -237,7 +278,7 @@
         yield* backOffFromIsolation();
         continue;
       }
-      if (reason !== undefined && !mustDefer()) {
+      if (reason !== undefined && !mustDefer() && !mustWaitForPrimary(reason)) {
         yield* changePrimary(reason);
       }
     }
@@ -297,11 +338,13 @@
    */
   function canFinishChange(): boolean {
     const row = options.row()?.succession;
-    const primary = findPrimary(row)?.link;
+    const primary = findPrimary(group, row)?.link;
     const others = group.links().filter(link => link !== primary);
     const areReached =
       others.length > 0 && others.every(link => link.isReached());
-    const pending = group.link(findPendingTarget());
+    const pending = group.link(
+      findPendingTarget(group, options.row()?.succession),
+    );
     return areReached || pending?.isReached() === true;
   }
 
@@ -311,11 +354,11 @@
     const era = options.era();
     const epoch =
       nextEpoch(previous?.succession.epoch ?? 0, era) + EPOCHS_PER_WRITE - 1;
-    const pendingTarget = findPendingTarget();
+    const pendingTarget = findPendingTarget(group, options.row()?.succession);
     const isInEffect = pendingTarget === group.leader()?.target;
     const primary = isInEffect
-      ? recordedPrimary(previous?.succession)
-      : findPrimary(previous?.succession);
+      ? recordedPrimary(group, previous?.succession)
+      : findPrimary(group, previous?.succession);
     const successionRow = createSuccessionRowWriter(
       {store, rowWriter: options.rowWriter, table: options.table, key},
       previous?.position ?? {era, version: 0},
@@ -334,7 +377,8 @@
     if (!(yield* successionRow.write({}))) {
       return;
     }
-    events.onStart(reason, epoch, previous?.succession);
+    const known = describePrimary(group, primary);
+    events.onStart(reason, epoch, previous?.succession, known);
     const isUnordered = reason === 'unfinished' && pendingTarget === '';
     const outcome = isUnordered
       ? yield* steps.finish(successionRow, {phase: 'abandoned'})
@@ -360,57 +404,6 @@
     }
   }
 
-  /**
-   * Returns the primary according to the row, for a proxy that knows an older
-   * one or none. Commits that a lost primary has acknowledged are on a replica,
-   * so the primary's own answer is not needed. Undefined if the row does not tell
-   * the term: the target may then have been replaced without being recorded.
-   */
-  function recordedPrimary(
-    row: Succession | undefined,
-  ): ReplacedPrimary | undefined {
-    const name = row?.phase === 'done' ? row.target : row?.from;
-    const link = name === undefined ? undefined : group.link(name);
-    if (row?.term === undefined || link === undefined) {
-      return undefined;
-    }
-    const {demotedEnd, targetEnd: completeEnd} = row;
-    return row.phase === 'done'
-      ? {link, term: row.term}
-      : {link, term: row.term, demotedEnd, completeEnd};
-  }
-
-  /** Returns the newest primary that this proxy or the row knows. */
-  function findPrimary(
-    row: Succession | undefined,
-  ): ReplacedPrimary | undefined {
-    const recorded = recordedPrimary(row);
-    const leadership = group.positions.leader();
-    const link = group.leader();
-    if (leadership === undefined || link === undefined) {
-      return recorded;
-    }
-    const {term} = leadership;
-    return recorded !== undefined && recorded.term >= term
-      ? recorded
-      : {link, term};
-  }
-
-  /**
-   * Returns the target of a recorded promotion order; '' if there is none, or if
-   * the target has led and is lost. Such an order may still take effect whether
-   * the target is reached or not, also again after it has taken effect.
-   */
-  function findPendingTarget(): string {
-    const row = options.row()?.succession;
-    if (row?.phase !== 'ordered') {
-      return '';
-    }
-    const primary = findPrimary(row)?.link;
-    const hasLed = primary?.target === row.target;
-    return hasLed && !primary.isReached() ? '' : row.target;
-  }
-
   const task: TaskHandle<void> = runtime.spawn('succession', monitor());
   return {stop: task.cancel};
 }
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -11,12 +11,15 @@
 import type {ReadTargetStatus} from '@kelpstep/statements';
 import type {TargetGroup, TargetLink} from '@kelpstep/targets';
 
+import type {AbsentPrimary} from './absent_primary';
+import {describeContext, withMissingTime} from './choice_context';
 import type {SuccessionChoice} from './choice_report';
 import {
   type CommitEvidence,
   type CommitInquiry,
   createCommitInquiry,
 } from './commit_inquiry';
+import type {KnownCopyRecord} from './copy_record';
 import {
   type GroupProbes,
   type ProbedTarget,
@@ -51,6 +54,9 @@
   readonly readStatus: ReadTargetStatus;
   readonly orderPromotion: OrderPromotion;
   evidenceOfPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
+  /** The group's last known copy record. */
+  copyRecord(): KnownCopyRecord | undefined;
+  readonly absentPrimary: AbsentPrimary;
   /** True if the platform refuses orders with a lower epoch than an earlier one. */
   readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
@@ -115,8 +121,14 @@
   let inquiry = createInquiry();
 
   function createInquiry(): CommitInquiry {
-    const askPeers = options.evidenceOfPeers;
-    return createCommitInquiry({timer, group, askPeers});
+    const {evidenceOfPeers: askPeers, copyRecord, absentPrimary} = options;
+    return createCommitInquiry({
+      timer,
+      group,
+      copyRecord,
+      absentPrimary,
+      askPeers,
+    });
   }
 
   /** Starts an inquiry whose answers are awaited while the primary is probed. */
@@ -135,9 +147,14 @@
       ...options,
       inquiry,
       onSelection({successor, considered}: Selection) {
-        const {epoch} = rowWriter.succession();
-        const selected = successor?.target ?? '';
-        options.onChoice({epoch, term: hold.term(), selected, considered});
+        const now = timer.now();
+        options.onChoice({
+          epoch: rowWriter.succession().epoch,
+          term: hold.term(),
+          selected: successor?.target ?? '',
+          considered: withMissingTime(considered, group, now),
+          context: describeContext({group, hold, inquiry, considered, now}),
+        });
       },
     });
   }
@@ -212,7 +229,7 @@
     for (;;) {
       const leading = answers.find(({link}) => link === primary?.link);
       if (primary === undefined || leading?.status.role !== 'primary') {
-        return !inquiry.mayLackCopies();
+        return !inquiry.mayLackCopies(primary?.term);
       }
       const ends = answers
         .filter(answer => answer !== leading)
--- a/packages/targets/src/target_group.ts
+++ b/packages/targets/src/target_group.ts
@@ -18,30 +18,18 @@
 
 import {type ChangeSignal, createChangeSignal} from './change_signal';
 import {connectionsPerOwner} from './connection_shares';
+import {type DepartedTarget, createDepartedTargets} from './departed_targets';
 import {type GroupPositions, createGroupPositions} from './group_positions';
+import {knownLogEnd} from './known_log_end';
 import {
   type OutlierDetection,
   type OutlierEvent,
   createOutlierDetection,
 } from './outlier_detection';
 import type {GroupSettings, TargetRegistration} from './registration';
+import type {TargetGroupEvents} from './target_group_events';
 import {type TargetLink, createTargetLink} from './target_link';
 
-/**
- * Receives changes of a group's targets and leader for the log, and
- * measurements for metrics.
- */
-export interface TargetGroupEvents {
-  onReachability(target: string, isReached: boolean, reason: string): void;
-  onLeader(target: string, term: number): void;
-  onTarget(target: string, event: 'added' | 'gone' | 'restarted'): void;
-  /** Called when a connection to a target was opened, for any use. */
-  onConnectionOpened(target: string): void;
-  /** Called when a statement starts, with the time that it was queued. */
-  onStatementStart(target: string, queueTime: Milliseconds): void;
-  onOutlier(event: OutlierEvent): void;
-}
-
 /** What a group needs to open links to its targets. */
 export interface TargetGroupOptions {
   readonly group: string;
@@ -60,9 +48,9 @@
 export interface TargetGroup {
   readonly group: string;
   /**
-   * Applies the current registrations and settings. Unknown targets are added;
-   * a target is removed when its registration has been missing for
-   * `REMOVAL_DELAY_MS`.
+   * Applies the current registrations and settings. Unknown targets are added.
+   * A target whose registration has been missing for `REMOVAL_DELAY_MS` is
+   * removed once it does not answer; until then it counts as leaving.
    */
   update(
     registrations: readonly TargetRegistration[],
@@ -73,6 +61,13 @@
   link(target: string): TargetLink | undefined;
   /** The newest known leader; its leadership may have ended. */
   leader(): TargetLink | undefined;
+  /**
+   * Monotonic time since which the target's registration is missing; undefined
+   * while it is listed.
+   */
+  missingSince(target: string): Milliseconds | undefined;
+  /** Targets that were removed lately. */
+  departed(): readonly DepartedTarget[];
   /** True if a commit is acknowledged only after a replica received it. */
   hasSynchronousReplicas(): boolean;
   readonly positions: GroupPositions;
@@ -132,6 +127,7 @@
   const positions = createGroupPositions(timer.now);
   const changes = createChangeSignal();
   const members = new Map<string, Member>();
+  const departures = createDepartedTargets(timer.now);
   const suspension = createSuspensionDetector(timer);
   let settings: GroupSettings = {
     group: options.group,
@@ -165,11 +161,11 @@
     }
   }
 
-  function reportLeader(): void {
+  function reportLeader(logEnd: LogPosition): void {
     const leadership = positions.leader();
     const name = leadership ? `${leadership.target}@${leadership.term}` : '';
     if (name !== reportedLeader && leadership !== undefined) {
-      events.onLeader(leadership.target, leadership.term);
+      events.onLeader(leadership.target, leadership.term, logEnd);
     }
     reportedLeader = name;
   }
@@ -189,11 +185,14 @@
       },
       onStatus(requestedAt, status) {
         positions.recordStatus(target, requestedAt, status);
-        reportLeader();
+        reportLeader(status.received);
         changes.notify();
       },
       logEnd: () => positions.logOf(target)?.position,
-      onCommit: after => positions.recordCommit(target, after),
+      onCommit(after) {
+        positions.recordCommit(target, after);
+        events.onCommit(target, after);
+      },
       onReachability(isReached, reason) {
         events.onReachability(target, isReached, reason);
         changes.notify();
@@ -206,7 +205,14 @@
   }
 
   function remove(target: string, event: 'gone' | 'restarted'): void {
-    members.get(target)?.link.close();
+    const member = members.get(target);
+    departures.record({
+      target,
+      reason: event,
+      missingSince: member?.missingSince,
+      logEnd: knownLogEnd(positions, target),
+    });
+    member?.link.close();
     members.delete(target);
     positions.discard(target);
     outliers?.forget(target);
@@ -237,14 +243,22 @@
     }
   }
 
+  /**
+   * A target that is cut off from the registration store may still receive
+   * commits, and hold the only copies of some. It remains a member while it
+   * answers, but is given no statements.
+   */
   function removeMissing(): void {
-    for (const [target, {missingSince}] of [...members]) {
-      if (
+    for (const [target, {link, missingSince}] of [...members]) {
+      const isOverdue =
         missingSince !== undefined &&
-        timer.now() - missingSince > REMOVAL_DELAY_MS
-      ) {
+        timer.now() - missingSince > REMOVAL_DELAY_MS;
+      if (isOverdue && !link.isReached()) {
         remove(target, 'gone');
         setTargets();
+      } else if (isOverdue && !link.registration().isLeaving) {
+        link.update({...link.registration(), isLeaving: true});
+        events.onTarget(target, 'lapsed');
       }
     }
   }
@@ -379,6 +393,8 @@
     links,
     link: target => members.get(target)?.link,
     leader,
+    missingSince: target => members.get(target)?.missingSince,
+    departed: departures.recent,
     hasSynchronousReplicas: () => settings.synchronousReplicas > 0,
     positions,
     outliers,
