test(succession): a search with faults that end, beside the whole search

The succession model is back as it was, with all of its tests; the new search stands beside it as succession_search*.ts and shares its guards, choices and bounds.

Changes of the search: a restarted proxy relies on the record of copies, unless a target that joined is not yet listed (startsUncertain); until now it counted copies as lacking until it saw them, which hid the need of recordsCopies. A contested change ends only with no executed order left. The guard settlesPromotions is gone: no mix of these loses a commit without it. Each guard's mix is searched with all guards and without each one.

All 18 guards have a mix that loses a commit without them and none with them.

Documented losses, open: a restarted replica (48,138) or a repeated order (263,699) while proxies that do not know the row reach the primary; a primary with the only copy that is removed (4,863); a target that joins, has the only copy and leaves before it is recorded, then all proxies restart (30,975).

--- a/packages/succession/__tests__/guard_tests.ts
+++ b/packages/succession/__tests__/guard_tests.ts
@@ -3,15 +3,15 @@
 import {test} from 'node:test';
 
 import {searchSuccession} from './succession_model';
-import {ALL_GUARDS, type FaultMix, type Guards} from './succession_model_state';
+import {ALL_GUARDS, type Guards} from './succession_model_state';
 
-/** Declares a test that the mix loses a commit only without the guard. */
-export function testGuard(guard: keyof Guards, mix: FaultMix): void {
-  test(`loses an acknowledged commit without the guard ${guard}`, () => {
-    const guards = {...ALL_GUARDS, [guard]: false};
-    expect(searchSuccession(guards, mix).counterexample === undefined).toEqual(
-      false,
-    );
-    expect(searchSuccession(ALL_GUARDS, mix).counterexample).toEqual(undefined);
-  });
+/** Declares a test for each guard; the searches take up to a minute each. */
+export function testGuards(names: ReadonlyArray<keyof Guards>): void {
+  for (const guard of names) {
+    test(`loses an acknowledged commit without the guard ${guard}`, () => {
+      const guards = {...ALL_GUARDS, [guard]: false};
+      const {counterexample} = searchSuccession(guards);
+      expect(counterexample === undefined).toEqual(false);
+    });
+  }
 }
--- a/packages/succession/__tests__/model_state_set.ts
+++ b/packages/succession/__tests__/search_state_set.ts
@@ -1,5 +1,5 @@
 /** A set of states that keeps a hash of 64 bits of each. */
-import type {ModelState} from './succession_model_state';
+import type {SearchState} from './succession_search_state';
 
 const STEPS = ['idle', 'stopping', 'ordered', 'resuming', 'ended'];
 const PHASES = ['none', 'stopping', 'ordered', 'done', 'abandoned'];
@@ -21,7 +21,7 @@
 }
 
 /** Writes the numbers of a state to the buffer. */
-function write(state: ModelState): void {
+function write(state: SearchState): void {
   length = 0;
   for (const target of state.targets) {
     putAll(target.log);
@@ -39,7 +39,8 @@
       (Number(state.isCut) << 1) |
       (Number(state.hasUninformed) << 2) |
       (Number(state.mayLackCopies) << 3) |
-      (Number(state.record.isBroken) << 4),
+      (Number(state.record.isBroken) << 4) |
+      (Number(state.hasStarted) << 5),
   );
   put(state.record.term);
   put(state.knownCommits);
@@ -89,14 +90,14 @@
   return (result ^ (result >>> 16)) | 1;
 }
 
-export interface ModelStateSet {
+export interface SearchStateSet {
   size(): number;
   /** False if an equal state was added before. */
-  add(state: ModelState): boolean;
+  add(state: SearchState): boolean;
 }
 
 /** Creates an empty set. */
-export function createModelStateSet(): ModelStateSet {
+export function createSearchStateSet(): SearchStateSet {
   let capacity = 1 << 20;
   let hashes = new Int32Array(capacity * 2);
   let size = 0;
--- /dev/null
+++ b/packages/succession/__tests__/search_tests.ts
@@ -0,0 +1,62 @@
+/** Declares tests of the succession search. */
+import {expect} from 'earl';
+import {test} from 'node:test';
+
+import type {LogLoss} from './succession_model_state';
+import {searchSuccession} from './succession_search';
+import {
+  ALL_GUARDS,
+  type FaultMix,
+  type SearchGuards,
+} from './succession_search_state';
+
+/** Declares a test that the mix loses no commit with all guards. */
+export function testSafety(name: string, mix: FaultMix): void {
+  test(`preserves acknowledged commits if ${name}`, () => {
+    const {states, counterexample} = searchSuccession(ALL_GUARDS, mix);
+    process.stdout.write(`# succession search, ${name}: ${states} states\n`);
+    expect(counterexample).toEqual(undefined);
+    expect(states > 1000).toEqual(true);
+  });
+}
+
+/** Declares a test that the mix loses a commit, by a path with this step. */
+export function testLoss(
+  name: string,
+  mix: FaultMix,
+  {
+    without = [],
+    logLoss,
+    step = '',
+  }: {
+    readonly without?: ReadonlyArray<keyof SearchGuards>;
+    readonly logLoss?: LogLoss;
+    readonly step?: string;
+  } = {},
+): void {
+  test(`loses an acknowledged commit ${name}`, () => {
+    const disabled = Object.fromEntries(without.map(guard => [guard, false]));
+    const guards = {...ALL_GUARDS, ...disabled};
+    const {states, counterexample = []} = searchSuccession(
+      guards,
+      mix,
+      logLoss,
+    );
+    process.stdout.write(`# succession search, ${name}: ${states} states\n`);
+    expect(counterexample.length > 0).toEqual(true);
+    expect(counterexample.some(each => each.endsWith(step))).toEqual(true);
+  });
+}
+
+/** Declares tests that the mix loses a commit only without one of the guards. */
+export function testGuards(
+  name: string,
+  mix: FaultMix,
+  guards: ReadonlyArray<keyof SearchGuards>,
+): void {
+  testSafety(name, mix);
+  for (const guard of guards) {
+    const reason = `if ${name}, without the guard ${guard}`;
+    testLoss(reason, mix, {without: [guard]});
+  }
+}
--- a/packages/succession/__tests__/succession_model_choice.ts
+++ b/packages/succession/__tests__/succession_model_choice.ts
@@ -18,7 +18,10 @@
   return items[index] as T;
 }
 
-function toCandidate(target: number, length: number): SuccessorCandidate {
+export function toCandidate(
+  target: number,
+  length: number,
+): SuccessorCandidate {
   return {
     target: String(target),
     received: {term: 1, position: length},
@@ -27,26 +30,13 @@
   };
 }
 
-/** True if a replica may lack commits of the primary that led in `term`. */
-function mayLackCopies(
-  {mayLackCopies: isKnown, record, targets}: ModelState,
-  term: number,
-  {recordsCopies}: Guards,
-): boolean {
-  const isRecorded =
-    record.term >= term &&
-    !record.isBroken &&
-    targets.every(target => target.isListed || !target.isRecorded);
-  return isKnown || (recordsCopies && !isRecorded);
-}
-
 /** The answers' choice; undefined while it can't be made. */
 export function successorOf(
   state: ModelState,
   promoter: ModelPromoter,
   guards: Guards,
 ): number | undefined {
-  const {from, fromTerm, answers, primaryEnd, complete} = promoter;
+  const {from, answers, primaryEnd, complete} = promoter;
   const replicas = TARGETS.filter(
     target => target !== from && at(state.targets, target).isListed,
   );
@@ -56,11 +46,8 @@
   }
   const isMissing = (length: number) =>
     guards.asksForCommits && length < state.knownCommits;
-  const mayLack =
-    guards.countsLostCopies && mayLackCopies(state, fromTerm, guards);
-  const mayReturn = primaryEnd < 0 && at(state.targets, from).isListed;
   const mayMiss = (length: number) =>
-    mayLack && (length < primaryEnd || (guards.waitsForPrimary && mayReturn));
+    guards.countsLostCopies && state.mayLackCopies && length < primaryEnd;
   const isKnown = complete.end >= 0 && complete.primaryEnd === primaryEnd;
   const {successor} = chooseLongestLog({
     stopped: answered.map(target => toCandidate(target, at(answers, target))),
--- /dev/null
+++ b/packages/succession/__tests__/succession_model_guards_of_duplicates.spec.ts
@@ -0,0 +1,7 @@
+import {describe} from 'node:test';
+
+import {testGuards} from './guard_tests';
+
+describe('the succession model', () => {
+  testGuards(['fencesOrders']);
+});
--- a/packages/succession/__tests__/succession_model_promoter.ts
+++ b/packages/succession/__tests__/succession_model_promoter.ts
@@ -5,10 +5,10 @@
  */
 import {at, successorOf} from './succession_model_choice';
 import {
-  ENDED_PROMOTER,
   EPOCHS_PER_ERA,
-  type FaultMix,
   type Guards,
+  MAXIMUM_CHOICES,
+  MAXIMUM_ORDERS,
   MAXIMUM_STARTS,
   type ModelPromoter,
   type ModelRow,
@@ -27,22 +27,27 @@
   return items.map((other, position) => (position === index ? item : other));
 }
 
-/** Writes the row for a promoter; undefined if it does not hold it. */
+export function isPrefix<T>(left: readonly T[], right: readonly T[]): boolean {
+  return left.every((commit, index) => right[index] === commit);
+}
+
+function isRowAt(
+  {era, row}: ModelState,
+  expected: {readonly era: number; readonly version: number},
+): boolean {
+  return era === expected.era && row.version === expected.version;
+}
+
 function writeRow(
   state: ModelState,
   guards: Guards,
-  index: number,
-  row: ModelRow,
+  expected: {readonly era: number; readonly version: number},
+  row: Omit<ModelRow, 'version'>,
 ): ModelState | undefined {
-  if (guards.comparesVersions && !at(state.promoters, index).holdsRow) {
+  if (guards.comparesVersions && !isRowAt(state, expected)) {
     return undefined;
   }
-  const promoters = state.promoters.map((promoter, other) =>
-    promoter.holdsRow === (other === index)
-      ? promoter
-      : {...promoter, holdsRow: other === index},
-  );
-  return {...state, row, promoters};
+  return {...state, row: {...row, version: state.row.version + 1}};
 }
 
 function withPromoter(
@@ -81,16 +86,13 @@
   const keepsOrder = guards.keepsOrders && row.phase === 'ordered' && !isLost;
   const phase = keepsOrder ? 'ordered' : 'stopping';
   const target = keepsOrder ? row.target : -1;
+  const expected = {era, version: row.version};
   const complete =
     keepsOrder && row.complete.primaryEnd >= 0 ? row.complete : NO_COMPLETE_LOG;
-  const taken = withPromoter(state, index, {holdsRow: true});
-  const isContested =
-    row.isContested || (!keepsOrder && row.phase === 'ordered');
-  const next = writeRow(taken, guards, index, {
+  const next = writeRow(state, guards, expected, {
     epoch,
     phase,
     target,
-    isContested,
     complete,
   });
   if (next === undefined) {
@@ -101,6 +103,8 @@
       name: `promoter ${index} takes the row of ${from}${keepsOrder ? ', keeps its order' : ''}`,
       state: withPromoter(next, index, {
         step: phase,
+        era,
+        version: next.row.version,
         epoch,
         from,
         fromTerm: from === state.leader ? at(state.targets, from).term : 1,
@@ -213,42 +217,33 @@
 function* chooseSteps(
   state: ModelState,
   guards: Guards,
-  mix: FaultMix,
   index: number,
 ): Generator<ModelStep> {
   const promoter = at(state.promoters, index);
-  const {step, from, choices} = promoter;
+  const {step, choices} = promoter;
   const mayChoose = step === 'stopping' || step === 'ordered';
   const target = mayChoose ? successorOf(state, promoter, guards) : undefined;
   const isNew = target !== undefined && target !== promoter.target;
-  const isSettled =
-    !guards.settlesPromotions ||
-    !state.orders.some(
-      order =>
-        order.isExecuted &&
-        order.target !== target &&
-        (order.target === from || order.target === promoter.target),
-    );
-  if (!isNew || !isSettled || choices >= mix.choices) {
+  if (!isNew || choices >= MAXIMUM_CHOICES) {
     return;
   }
   const epoch = step === 'stopping' ? promoter.epoch : promoter.epoch + 1;
-  const next = writeRow(state, guards, index, {
+  const next = writeRow(state, guards, promoter, {
     epoch,
     phase: 'ordered',
     target,
-    isContested: state.row.isContested || step === 'ordered',
     complete: NO_COMPLETE_LOG,
   });
   yield {
     name: `promoter ${index} chooses ${target}${next ? '' : ', too late'}`,
     state:
       next === undefined
-        ? withPromoter(state, index, ENDED_PROMOTER)
+        ? withPromoter(state, index, {step: 'ended'})
         : withPromoter(next, index, {
             step: 'ordered',
             epoch,
             target,
+            version: next.row.version,
             choices: choices + 1,
             sawStopped: false,
           }),
@@ -265,7 +260,7 @@
   const hasNewTerm = state.targets.some(({term}) => term > fromTerm);
   return (
     sawStopped &&
-    promoter.holdsRow &&
+    isRowAt(state, promoter) &&
     (!guards.checksTerms || !hasNewTerm) &&
     (!guards.comparesAgain || successorOf(state, promoter, guards) === target)
   );
@@ -279,23 +274,21 @@
 function* orderSteps(
   state: ModelState,
   guards: Guards,
-  mix: FaultMix,
   index: number,
 ): Generator<ModelStep> {
   const promoter = at(state.promoters, index);
-  const {step, epoch, target, sent} = promoter;
+  const {step, epoch, target, version, sent} = promoter;
   if (step !== 'ordered') {
     return;
   }
-  if (sent < mix.orders && mayOrder(state, guards, promoter)) {
+  if (sent < MAXIMUM_ORDERS && mayOrder(state, guards, promoter)) {
     const row = {
       epoch: epoch + 1,
       phase: 'ordered' as const,
       target,
-      isContested: state.row.isContested,
       complete: state.row.complete,
     };
-    const written = sent === 0 ? state : writeRow(state, guards, index, row);
+    const written = sent === 0 ? state : writeRow(state, guards, promoter, row);
     const orderEpoch = sent === 0 ? epoch : epoch + 1;
     if (written !== undefined) {
       const {from, primaryEnd, answers} = promoter;
@@ -306,6 +299,7 @@
       const change = {
         sent: sent + 1,
         epoch: orderEpoch,
+        version: sent === 0 ? version : written.row.version,
         complete,
       };
       yield {
@@ -329,18 +323,10 @@
 ): Generator<ModelStep> {
   const promoter = at(state.promoters, index);
   const {epoch, target} = promoter;
-  const isOpen =
-    phase === 'done' &&
-    state.row.isContested &&
-    state.orders.some(order => order.isExecuted && order.target !== target);
-  if (guards.withholdsWhileContested && isOpen) {
-    return;
-  }
-  const next = writeRow(state, guards, index, {
+  const next = writeRow(state, guards, promoter, {
     epoch,
     phase,
     target,
-    isContested: phase === 'abandoned' && state.row.isContested,
     complete: NO_COMPLETE_LOG,
   });
   if (next !== undefined) {
@@ -349,9 +335,8 @@
     yield {
       name: `promoter ${index} ends: ${phase}`,
       state: withPromoter({...next, fence}, index, {
-        ...ENDED_PROMOTER,
         step: 'resuming',
-        holdsRow: true,
+        version: next.row.version,
       }),
     };
   }
@@ -375,7 +360,7 @@
   index: number,
 ): Generator<ModelStep> {
   const promoter = at(state.promoters, index);
-  const isInTime = promoter.holdsRow;
+  const isInTime = isRowAt(state, promoter);
   if (promoter.step !== 'resuming' || (guards.resumesInTime && !isInTime)) {
     return;
   }
@@ -396,7 +381,6 @@
 export function* promoterSteps(
   state: ModelState,
   guards: Guards,
-  mix: FaultMix,
   index: number,
 ): Generator<ModelStep> {
   const {step, target} = at(state.promoters, index);
@@ -407,9 +391,9 @@
   }
   yield* startSteps(state, guards, index);
   yield* pauseSteps(state, guards, index);
-  yield* chooseSteps(state, guards, mix, index);
+  yield* chooseSteps(state, guards, index);
   yield* stopPrimarySteps(state, guards, index);
-  yield* orderSteps(state, guards, mix, index);
+  yield* orderSteps(state, guards, index);
   yield* abandonSteps(state, guards, index);
   yield* resumeSteps(state, guards, index);
 }
--- a/packages/succession/__tests__/succession_model_state.ts
+++ b/packages/succession/__tests__/succession_model_state.ts
@@ -51,31 +51,6 @@
    * of a target that left, or lost its log, have not been replaced.
    */
   readonly countsLostCopies: boolean;
-  /**
-   * A row of the store tells which targets were listed when a replica was last
-   * seen with all of the primary's log, so that a loss outlives the proxies.
-   */
-  readonly recordsCopies: boolean;
-  /**
-   * No replica is selected while copies may be lacking and the primary, which is
-   * listed, has not been demoted.
-   */
-  readonly waitsForPrimary: boolean;
-  /**
-   * No other target is selected while an executed order for the replaced or the
-   * selected target may still take effect.
-   */
-  readonly settlesPromotions: boolean;
-  /**
-   * A proxy that starts counts copies as lacking until it sees a replica with
-   * all of the primary's log.
-   */
-  readonly startsUncertain: boolean;
-  /**
-   * While an order for a target that was given up may take effect, the success
-   * of writes is withheld at every target, and the change doesn't end.
-   */
-  readonly withholdsWhileContested: boolean;
 }
 
 /** All guards enabled, as in production. */
@@ -94,11 +69,6 @@
   remembersLostRows: true,
   asksForCommits: true,
   countsLostCopies: true,
-  recordsCopies: true,
-  waitsForPrimary: true,
-  settlesPromotions: true,
-  startsUncertain: true,
-  withholdsWhileContested: true,
 };
 
 /**
@@ -107,47 +77,18 @@
  */
 export type LogLoss = 'unlessOrdered' | 'always';
 
-export type FaultKind =
-  | 'primaryCrashes'
-  | 'primaryIsCut'
-  | 'primaryIsRemoved'
-  | 'rowIsUnknown'
-  | 'replicaRestarts'
-  | 'replicaLeaves'
-  | 'replicaReturnsEmpty'
-  | 'targetJoins'
-  | 'registrationLapses'
-  | 'proxyRestarts'
-  | 'allProxiesRestart'
-  | 'storeIsRestored';
-
-/** The faults of a search. */
-export interface FaultMix {
-  readonly kinds: readonly FaultKind[];
-  readonly maximum: number;
-  /** Number of targets at the start; the others may join. */
-  readonly targets: number;
-  readonly commits: number;
-  /** Maximum number of orders of a promoter. */
-  readonly orders: number;
-  /** Maximum number of targets that a promoter selects. */
-  readonly choices: number;
-}
-
 /**
  * State of a target in the model; a target that is not running answers nothing.
  */
 export interface ModelTarget {
-  /** Numbers of commits, in the order of their writes. */
-  readonly log: readonly number[];
+  /** Names of commits, each `TERM.NUMBER`. */
+  readonly log: readonly string[];
   readonly term: number;
   /** Term of the order that paused it; 0 while it is not paused. */
   readonly pausedAt: number;
   readonly isRunning: boolean;
   /** False if the table does not show it: it has left, or has just joined. */
   readonly isListed: boolean;
-  /** True if the record of copies names this start of the target. */
-  readonly isRecorded: boolean;
 }
 
 /** A log length that holds all commits; -1 if it is not known. */
@@ -159,29 +100,21 @@
 
 export const NO_COMPLETE_LOG: CompleteLog = {end: -1, primaryEnd: -1};
 
-/** The row that tells when the replicas last held all commits. */
-export interface ModelRecord {
-  /** Term of the primary then. */
-  readonly term: number;
-  /** True if a recorded target has left, or has started without its log. */
-  readonly isBroken: boolean;
-}
-
 /** The succession row of the group. */
 export interface ModelRow {
+  readonly version: number;
   readonly epoch: number;
   readonly phase: 'none' | 'stopping' | 'ordered' | 'done' | 'abandoned';
   readonly target: number;
-  /** True if an order for another target may still be executed. */
-  readonly isContested: boolean;
   readonly complete: CompleteLog;
 }
 
 /** State of a promoter between its steps. */
 export interface ModelPromoter {
   readonly step: 'idle' | 'stopping' | 'ordered' | 'resuming' | 'ended';
-  /** True if nobody else has written the row since, and the store keeps it. */
-  readonly holdsRow: boolean;
+  /** Era of the store in which the row was taken. */
+  readonly era: number;
+  readonly version: number;
   readonly epoch: number;
   readonly from: number;
   /** Term in which `from` led, as far as this promoter knows. */
@@ -226,14 +159,13 @@
   readonly mayLackCopies: boolean;
   /** Log length that includes every commit known to a proxy as acknowledged. */
   readonly knownCommits: number;
-  readonly record: ModelRecord;
   /** Number of times that the store was restored from a copy. */
   readonly era: number;
   readonly row: ModelRow;
   readonly promoters: readonly ModelPromoter[];
   readonly orders: readonly ModelOrder[];
   readonly fence: number;
-  readonly acknowledged: readonly number[];
+  readonly acknowledged: readonly string[];
   readonly commits: number;
   /** Number of faults other than late and lost messages. */
   readonly faults: number;
@@ -243,14 +175,19 @@
 export const TARGETS = [0, 1, 2] as const;
 export const PROMOTERS = [0, 1] as const;
 /** Bounds that keep the search finite. */
+export const MAXIMUM_COMMITS = 2;
 export const MAXIMUM_STARTS = 1;
+export const MAXIMUM_ORDERS = 2;
+export const MAXIMUM_CHOICES = 2;
 export const MAXIMUM_RESTORES = 1;
+export const MAXIMUM_FAULTS = 2;
 /** Epochs of each era, more than one era uses. */
 export const EPOCHS_PER_ERA = 10;
 
-export const IDLE_PROMOTER: ModelPromoter = {
+const IDLE_PROMOTER: ModelPromoter = {
   step: 'idle',
-  holdsRow: false,
+  era: 0,
+  version: 0,
   epoch: 0,
   from: -1,
   fromTerm: 0,
@@ -264,18 +201,11 @@
   choices: 0,
 };
 
-/** A promoter that takes no further step. */
-export const ENDED_PROMOTER: ModelPromoter = {
-  ...IDLE_PROMOTER,
-  step: 'ended',
-  starts: MAXIMUM_STARTS,
-};
-
 export const INITIAL_ROW: ModelRow = {
+  version: 0,
   epoch: 0,
   phase: 'none',
   target: -1,
-  isContested: false,
   complete: NO_COMPLETE_LOG,
 };
 
@@ -286,7 +216,6 @@
     pausedAt: 0,
     isRunning: true,
     isListed: true,
-    isRecorded: true,
   })),
   leader: 0,
   isDemoted: false,
@@ -294,7 +223,6 @@
   hasUninformed: false,
   mayLackCopies: false,
   knownCommits: 0,
-  record: {term: 1, isBroken: false},
   era: 0,
   row: INITIAL_ROW,
   promoters: [IDLE_PROMOTER, IDLE_PROMOTER],
--- a/packages/succession/__tests__/succession_model_faults.ts
+++ b/packages/succession/__tests__/succession_search_faults.ts
@@ -1,30 +1,33 @@
 /** Faults of targets, proxies, the network and the store, and their ends. */
 import {at} from './succession_model_choice';
-import {type ModelStep, replaced} from './succession_model_promoter';
+import {replaced} from './succession_model_promoter';
+import type {SearchStep} from './succession_search_writes';
 import {
-  ENDED_PROMOTER,
-  type FaultKind,
-  type FaultMix,
-  type Guards,
-  INITIAL_ROW,
   type LogLoss,
   MAXIMUM_RESTORES,
-  type ModelState,
-  type ModelTarget,
   TARGETS,
 } from './succession_model_state';
+import {
+  ENDED_PROMOTER,
+  type FaultKind,
+  type FaultMix,
+  type SearchGuards,
+  INITIAL_ROW,
+  type SearchState,
+  type SearchTarget,
+} from './succession_search_state';
 
 function withTarget(
-  state: ModelState,
+  state: SearchState,
   index: number,
-  change: Partial<ModelTarget>,
-): ModelState {
+  change: Partial<SearchTarget>,
+): SearchState {
   const target = {...at(state.targets, index), ...change};
   return {...state, targets: replaced(state.targets, index, target)};
 }
 
 /** The target's process ends, and with it what the platform told it to do. */
-function withoutExecuted(state: ModelState, index: number): ModelState {
+function withoutExecuted(state: SearchState, index: number): SearchState {
   const orders = state.orders.filter(
     ({target, isExecuted}) => target !== index || !isExecuted,
   );
@@ -33,10 +36,10 @@
 
 /** The target is another one from now on; earlier answers don't count. */
 function withNewStart(
-  state: ModelState,
+  state: SearchState,
   index: number,
-  change: Partial<ModelTarget>,
-): ModelState {
+  change: Partial<SearchTarget>,
+): SearchState {
   const {isRecorded} = at(state.targets, index);
   const isBroken = state.record.isBroken || isRecorded;
   const changed = withTarget(withoutExecuted(state, index), index, {
@@ -55,7 +58,7 @@
 }
 
 /** True if a new target may take the place of one that is gone. */
-function isFree(state: ModelState, index: number): boolean {
+function isFree(state: SearchState, index: number): boolean {
   const {isRunning, isListed} = at(state.targets, index);
   return (
     !isRunning &&
@@ -69,9 +72,9 @@
 }
 
 function* memberFaults(
-  state: ModelState,
+  state: SearchState,
   logLoss: LogLoss,
-): Generator<ModelStep & {readonly kind: FaultKind}> {
+): Generator<SearchStep & {readonly kind: FaultKind}> {
   for (const replica of TARGETS) {
     const target = at(state.targets, replica);
     if (replica === state.leader) {
@@ -136,8 +139,8 @@
 }
 
 function* primaryFaults(
-  state: ModelState,
-): Generator<ModelStep & {readonly kind: FaultKind}> {
+  state: SearchState,
+): Generator<SearchStep & {readonly kind: FaultKind}> {
   const leader = at(state.targets, state.leader);
   if (leader.isRunning) {
     const crashed = withTarget(state, state.leader, {isRunning: false});
@@ -166,9 +169,8 @@
 }
 
 function* proxyFaults(
-  state: ModelState,
-  guards: Guards,
-): Generator<ModelStep & {readonly kind: FaultKind}> {
+  state: SearchState,
+): Generator<SearchStep & {readonly kind: FaultKind}> {
   if (!state.hasUninformed) {
     yield {
       kind: 'rowIsUnknown',
@@ -176,14 +178,11 @@
       state: {...state, hasUninformed: true},
     };
   }
-  const isForgetting =
-    state.knownCommits > 0 || (guards.startsUncertain && !state.mayLackCopies);
-  const mayLackCopies = state.mayLackCopies || guards.startsUncertain;
-  if (isForgetting) {
+  if (state.knownCommits > 0 || !state.hasStarted) {
     yield {
       kind: 'proxyRestarts',
       name: 'the proxy with the newest commit restarts',
-      state: {...state, knownCommits: 0, mayLackCopies},
+      state: {...state, knownCommits: 0, hasStarted: true},
     };
   }
   yield {
@@ -192,7 +191,8 @@
     state: {
       ...state,
       knownCommits: 0,
-      mayLackCopies: guards.startsUncertain,
+      mayLackCopies: false,
+      hasStarted: true,
       hasUninformed: false,
       promoters: state.promoters.map(promoter =>
         promoter.step === 'idle' ? promoter : ENDED_PROMOTER,
@@ -203,9 +203,9 @@
 
 /** The store returns from a copy without the row. */
 function* storeFaults(
-  state: ModelState,
-  guards: Guards,
-): Generator<ModelStep & {readonly kind: FaultKind}> {
+  state: SearchState,
+  guards: SearchGuards,
+): Generator<SearchStep & {readonly kind: FaultKind}> {
   if (state.era < MAXIMUM_RESTORES) {
     yield {
       kind: 'storeIsRestored',
@@ -225,18 +225,18 @@
 
 /** The faults that a mix allows. */
 export function* faultSteps(
-  state: ModelState,
-  guards: Guards,
+  state: SearchState,
+  guards: SearchGuards,
   logLoss: LogLoss,
   {kinds, maximum}: FaultMix,
-): Generator<ModelStep> {
+): Generator<SearchStep> {
   if (state.faults >= maximum) {
     return;
   }
   const groups = [
     memberFaults(state, logLoss),
     primaryFaults(state),
-    proxyFaults(state, guards),
+    proxyFaults(state),
     storeFaults(state, guards),
   ];
   for (const group of groups) {
@@ -249,7 +249,7 @@
 }
 
 /** Faults end: targets return, are listed and receive; the network heals. */
-export function* recoverySteps(state: ModelState): Generator<ModelStep> {
+export function* recoverySteps(state: SearchState): Generator<SearchStep> {
   const leader = at(state.targets, state.leader);
   if (state.isCut) {
     yield {name: 'the cut heals', state: {...state, isCut: false}};
@@ -290,6 +290,7 @@
     } else if (target.isListed) {
       const isNew =
         state.mayLackCopies ||
+        state.hasStarted ||
         state.record.isBroken ||
         state.record.term < leader.term ||
         state.targets.some(({isListed, isRecorded}) => isListed !== isRecorded);
@@ -299,6 +300,7 @@
           state: {
             ...state,
             mayLackCopies: false,
+            hasStarted: false,
             record: {term: leader.term, isBroken: false},
             targets: state.targets.map(other => ({
               ...other,
--- a/packages/succession/__tests__/succession_model_mixes.ts
+++ b/packages/succession/__tests__/succession_search_mixes.ts
@@ -1,5 +1,5 @@
 /** Combinations of faults, each small enough for a search of all its states. */
-import type {FaultKind, FaultMix} from './succession_model_state';
+import type {FaultKind, FaultMix} from './succession_search_state';
 
 type Bounds = Pick<FaultMix, 'commits' | 'orders' | 'choices'>;
 
