--- a/packages/succession/__tests__/succession_model_choice.ts
+++ b/packages/succession/__tests__/succession_model_choice.ts
@@ -18,7 +18,10 @@
   return items[index] as T;
 }
 
-function toCandidate(target: number, length: number): SuccessorCandidate {
+export function toCandidate(
+  target: number,
+  length: number,
+): SuccessorCandidate {
   return {
     target: String(target),
     received: {term: 1, position: length},
--- a/packages/succession/__tests__/succession_model_promoter.ts
+++ b/packages/succession/__tests__/succession_model_promoter.ts
@@ -27,10 +27,7 @@
   return items.map((other, position) => (position === index ? item : other));
 }
 
-export function isPrefix(
-  left: readonly string[],
-  right: readonly string[],
-): boolean {
+export function isPrefix<T>(left: readonly T[], right: readonly T[]): boolean {
   return left.every((commit, index) => right[index] === commit);
 }
 
