refactor(succession): drop a second sort, and a term that the last primary includes

Behaviour is unchanged: the recorder sorts the replicas that it records, and the last known primary is the newest of the known leader, the row and the record.

--- a/packages/succession/src/absent_primary.ts
+++ b/packages/succession/src/absent_primary.ts
@@ -79,8 +79,7 @@
     observe,
     isAwaited() {
       observe();
-      const isKnown = last() !== undefined;
-      return isKnown && !(timer.now() - absent.since >= PATIENCE_MS);
+      return last() !== undefined && timer.now() - absent.since < PATIENCE_MS;
     },
   };
 }
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -93,8 +93,7 @@
   }
 
   function newestTerm(): number {
-    const known = group.positions.leader()?.term ?? 0;
-    return Math.max(known, absentPrimary.last()?.term ?? 0);
+    return absentPrimary.last()?.term ?? 0;
   }
 
   function isMissingCommit({term, end}: RemainingLogs): boolean {
--- a/packages/succession/src/copy_record.ts
+++ b/packages/succession/src/copy_record.ts
@@ -51,7 +51,6 @@
   now,
 }: Pick<TimerService, 'now'>): CopyRecords {
   let records = new Map<string, KnownCopyRecord>();
-
   let newestEra: number | undefined;
 
   function read(
@@ -105,8 +104,7 @@
     .map(link => ({
       target: link.target,
       startedAt: link.registration().startedAt,
-    }))
-    .sort((left, right) => (left.target < right.target ? -1 : 1));
+    }));
 }
 
 /** True if this start of the replica is a member of the group. */
