--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -16,6 +16,7 @@
   createLineSplitter,
   now,
   splitWord,
+  startPath,
   startPromotions,
   startService,
   startStore,
@@ -81,22 +82,34 @@
  * Starts the deployment that `site` describes, with `proxyCount` proxies.
  * Returns its parts, and `stop`, which ends all of them.
  */
-export async function startDeployment(site, proxyCount, onEvent) {
+export async function startDeployment(
+  site,
+  proxyCount,
+  onEvent,
+  onPromotion = () => {},
+) {
   const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
   const store = await startStore();
   const service = await startService({...site.service, onEvent});
-  const promotions = await startPromotions(service);
+  const promotions = await startPromotions(service, {
+    delayMs: site.promotionDelayMs,
+    onCall: onPromotion,
+  });
+  const promotionPath = await startPath(
+    promotions.address,
+    site.service.networkMs,
+  );
   const proxies = [];
 
   function beat(seq) {
-    for (const {id, address, zone, role} of service.databases) {
+    for (const {id, address, zone, role, state} of service.databases) {
       store.write('servers', id, {
         service: site.service.name,
         address,
         zone,
         version: 'v1',
         slots: site.service.slots,
-        state: 'ready',
+        state,
         'cold-left-ms': 0,
         'db-role': role,
         seq,
@@ -128,7 +141,7 @@
       'internal-ports': ports.slice(5 * index + 3, 5 * index + 5),
       seeds: [addresses[2], addresses[7]].filter(Boolean),
       platform: {address: store.address},
-      cloud: {address: promotions.address},
+      cloud: {address: promotionPath.address},
     };
     writeFileSync(file, fillIn(text, fields));
     const child = spawn(run[0], run.slice(1), {
@@ -176,6 +189,7 @@
     store.close();
     service.close();
     promotions.close();
+    promotionPath.close();
     rmSync(folder, {recursive: true, force: true});
   }
 
@@ -185,6 +199,7 @@
     proxies,
     startProxy,
     awaitReady,
+    announce: () => beat(++seq),
     stop,
     isStarted: areReady.every(Boolean),
   };
--- a/review/stand_ins.mjs
+++ b/review/stand_ins.mjs
@@ -3,12 +3,14 @@
  * databases, as the users' pages describe them. They listen on loopback.
  */
 import {createServer as createHttpServer} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {performance} from 'node:perf_hooks';
 
 const HOST = '127.0.0.1';
 /** Messages waiting for a slot; one more is answered with BUSY. */
 const QUEUE_LENGTH = 24;
+/** Largest difference between the delays of two connections. */
+const PATH_VARIATION_MS = 1.5;
 
 export const now = () => Math.round(performance.now());
 const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -134,6 +136,7 @@
       const text = Buffer.from(JSON.stringify(value)).toString('base64');
       transact({puts: [{table, key, value: text}]});
     },
+    remove: (table, key) => transact({remove: [{table, key}]}),
     close() {
       server.closeAllConnections();
       server.close();
@@ -148,6 +151,7 @@
 export async function startService(options) {
   const {name, count, slots, networkMs, promoteMs, onEvent} = options;
   let term = 1;
+  let replacements = 0;
   const databases = [];
 
   function positionOf({log}) {
@@ -194,6 +198,20 @@
     }
   }
 
+  function promote(next) {
+    if (next.role === 'primary') {
+      return;
+    }
+    term += 1;
+    for (const database of databases) {
+      database.role = database === next ? 'primary' : 'replica';
+      database.term = term;
+      database.held = 0;
+      database.isReceiving = database !== next;
+      database.log = [...next.log];
+    }
+  }
+
   function statusOf(database) {
     const {role, isReceiving, held} = database;
     const fields = [role, database.term, positionOf(database), held, 0, 0, 0];
@@ -386,6 +404,7 @@
       role: index === 0 ? 'primary' : 'replica',
       term,
       held: 0,
+      state: 'ready',
       isReceiving: index > 0,
       log: [],
       items: new Map(),
@@ -400,22 +419,21 @@
 
   return {
     databases,
-    /** `POST /promote`; true if the database runs. */
-    async promote(id) {
+    /** Puts a new database with the same log at the address of this one. */
+    replace(database) {
+      replacements += 1;
+      database.id = `i-${replacements}b2e81d4`;
+      database.state = 'ready';
+      database.sockets.forEach(socket => socket.destroy());
+    },
+    /** Promotes a database some time later; false if it doesn't run. */
+    startPromotion(id) {
       const next = databases.find(database => database.id === id);
       if (next === undefined) {
         return false;
       }
       if (next.role !== 'primary') {
-        await sleep(promoteMs);
-        term += 1;
-        for (const database of databases) {
-          database.role = database === next ? 'primary' : 'replica';
-          database.term = term;
-          database.held = 0;
-          database.isReceiving = database !== next;
-          database.log = [...next.log];
-        }
+        setTimeout(() => promote(next), promoteMs);
       }
       return true;
     },
@@ -428,15 +446,22 @@
   };
 }
 
-/** The platform's promotion call. */
-export async function startPromotions(service) {
+/**
+ * The platform's promotion call. `onCall` gets each call as it arrives; its
+ * answer comes `delayMs` after it was carried out.
+ */
+export async function startPromotions(service, {delayMs = 0, onCall}) {
   const server = createHttpServer(async (request, response) => {
     const chunks = [];
     for await (const chunk of request) {
       chunks.push(chunk);
     }
     const {id} = JSON.parse(Buffer.concat(chunks).toString());
-    response.writeHead((await service.promote(id)) ? 200 : 409);
+    const {'duty-holder': holder, 'fencing-token': token} = request.headers;
+    onCall({at: now(), holder, token: Number(token), id});
+    const isDone = service.startPromotion(id);
+    await sleep(delayMs);
+    response.writeHead(isDone ? 200 : 409);
     response.end('{}');
   });
   return {
@@ -447,3 +472,39 @@
     },
   };
 }
+
+/**
+ * A path of some length to a server: bytes take `oneWayMs`, and the first ones
+ * of a connection two ways more, as the connection is set up before. The time
+ * varies a little between connections, as on any network.
+ */
+export async function startPath(address, oneWayMs) {
+  const [host, port] = address.split(':');
+  const server = createServer(socket => {
+    const target = connect({host, port: Number(port), noDelay: true});
+    const openAt = now() + 2 * oneWayMs + PATH_VARIATION_MS * Math.random();
+    const pipe = (from, to, earliest) => {
+      from.on('data', chunk => {
+        const at = Math.max(now(), earliest) + oneWayMs;
+        setTimeout(() => to.writable && to.write(chunk), at - now());
+      });
+      from.on('error', () => {});
+      from.on('close', () => setTimeout(() => to.destroy(), oneWayMs));
+    };
+    socket.setNoDelay(true);
+    pipe(socket, target, openAt);
+    pipe(target, socket, 0);
+  });
+  const sockets = new Set();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  return {
+    address: await listen(server),
+    close() {
+      sockets.forEach(socket => socket.destroy());
+      server.close();
+    },
+  };
+}
