--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -126,6 +126,14 @@
   const ports = await findPorts(5 * proxyCount);
   const addresses = ports.map(port => `${HOST}:${port}`);
 
+  // No proxy outlives the script, however it ends.
+  process.once('exit', () =>
+    proxies.forEach(({child}) => child.kill('SIGKILL')),
+  );
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.once(signal, () => process.exit(EXIT.notRun));
+  }
+
   /** Starts a proxy, or starts it again after it has ended. */
   function startProxy(index) {
     const [front, ready, control] = addresses.slice(5 * index);
