fix(succession): keep promotion orders in order where nothing fences them

What callers saw: on a platform that does not check fencing tokens, promotion orders were executed after orders with a higher token.

Cause: a holder sends up to eight orders at once, each with a higher epoch on a connection of its own, and nothing keeps their order on the way. A slow answer is enough to get there, as an order counts as unanswered after 300 ms.

Ruled out: repeated orders (at least 280 ms apart, in order), the next holder (5 s later), requests that are sent again (no token occurs twice).

Why this works: where orders are not fenced, those that are sent at once share one epoch, so their order does not matter. Unanswered orders are abandoned, their connections reset, before one with a higher epoch is sent and once another proxy may take the change over. As many orders are sent as before, and the epochs still rise from one batch to the next. Fenced platforms: unchanged.

--- a/packages/platform/__tests__/http_exchange.spec.ts
+++ b/packages/platform/__tests__/http_exchange.spec.ts
@@ -1,7 +1,15 @@
-import {createRealTimer, promiseFromFuture} from '@kelpstep/runtime';
+import {
+  createDeferred,
+  createRealTimer,
+  promiseFromFuture,
+} from '@kelpstep/runtime';
 import {expect} from 'earl';
 import {type Server, createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import {
+  type AddressInfo,
+  type Socket,
+  createServer as createTcpServer,
+} from 'node:net';
 import {afterEach, describe, test} from 'node:test';
 
 import {
@@ -110,6 +118,36 @@
     expect([first.kind, second.kind]).toEqual(['failed', 'answer']);
   });
 
+  // Guards against orders that arrive after they were given up.
+  test('resets the connection of an abandoned request', async () => {
+    const server = createTcpServer();
+    const reset = new Promise<string>(resolve => {
+      server.on('connection', socket => {
+        socket.on('error', error => resolve(error.message));
+        socket.on('data', () => abandoned.settle(undefined));
+      });
+    });
+    const abandoned = createDeferred<undefined>();
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    cleanups.push(() => server.close());
+    const {port} = server.address() as AddressInfo;
+    const outcome = await promiseFromFuture(
+      startExchanger().exchange(
+        `127.0.0.1:${port}`,
+        {...REQUEST, abandoned: abandoned.future},
+        LONG_TIMEOUT_MS,
+      ),
+    );
+    expect(outcome).toEqual({
+      kind: 'failed',
+      sent: true,
+      message: 'Abandoned.',
+    });
+    expect(await reset).toEqual('read ECONNRESET');
+  });
+
   test('receives a response that takes longer than the timeout', async () => {
     const server = await startServer();
     const outcome = await sendRequest(
--- a/packages/platform/src/http_exchange.ts
+++ b/packages/platform/src/http_exchange.ts
@@ -22,6 +22,11 @@
   readonly contentType?: string;
   /** Headers besides `content-type` and `content-length`. */
   readonly headers?: Readonly<Record<string, string>>;
+  /**
+   * Settles once the request must not arrive any more. Its connection is then
+   * reset, which discards data that a network partition holds back.
+   */
+  readonly abandoned?: Future<undefined>;
 }
 
 /** A response of the platform. */
@@ -108,7 +113,7 @@
 
   function exchange(
     address: string,
-    {method, path, body, contentType, headers}: HttpRequest,
+    {method, path, body, contentType, headers, abandoned}: HttpRequest,
     timeout: Milliseconds,
   ): Future<HttpOutcome> {
     const outcome = createDeferred<HttpOutcome>();
@@ -193,6 +198,14 @@
       fail(String(error), !isUnsent);
     });
     clientRequest.end(body);
+    abandoned?.onSettled(() => {
+      if (!outcome.future.isSettled()) {
+        if (isConnected) {
+          clientRequest.socket?.resetAndDestroy();
+        }
+        fail('Abandoned.', isConnected);
+      }
+    });
     return outcome.future;
   }
 
--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -43,6 +43,7 @@
   type ReplaceMessage,
   createReplacingTransport,
 } from './replacing_transport';
+import {type PromotionPath, sendOnPath} from './promotion_path';
 import {startSessionCallers} from './session_callers';
 import {createTargetRegistrations} from './target_registrations';
 
@@ -74,6 +75,8 @@
   readonly relays?: boolean;
   /** True if proxies know that late promotions are refused; false by default. */
   readonly arePromotionsFenced?: boolean;
+  /** By default orders arrive at once, in the order of sending. */
+  readonly promotionPath?: PromotionPath;
   /**
    * Replaces a message that a proxy sends to another one; for proxies of an
    * older version. By default messages are sent unchanged.
@@ -212,7 +215,13 @@
     return isNear ? LOCAL_DELAY_MS : REMOTE_DELAY_MS;
   }
 
-  const orderPromotion: OrderPromotion = ({target, epoch, holder}) => {
+  const orderPromotion: OrderPromotion = (order, abandoned) => {
+    const {target, epoch, holder} = order;
+    if (options.promotionPath !== undefined) {
+      return sendOnPath(timer, options.promotionPath, order, abandoned, () =>
+        group.promote(target, epoch, holder),
+      );
+    }
     const result = createDeferred<PromotionReply>();
     if (faultRandom.fraction() < simulation.latePromotionShare) {
       const delay = COMMAND_DELAY_SPAN_MS * faultRandom.fraction();
--- a/packages/succession/src/epoch_lease.ts
+++ b/packages/succession/src/epoch_lease.ts
@@ -12,7 +12,7 @@
 } from '@kelpstep/runtime';
 
 import type {ReplicationHold} from './replication_hold';
-import {EPOCHS_PER_WRITE} from './succession_row';
+import {EPOCHS_PER_WRITE, OTHER_PROXY_STEP_TIMEOUT_MS} from './succession_row';
 import type {SuccessionRowWriter} from './succession_row_writer';
 
 export interface EpochLease {
@@ -34,6 +34,8 @@
   mayOrder(target: string): boolean;
   /** An unused epoch; undefined if the lease is over or has none left. */
   takeEpoch(target: string): number | undefined;
+  /** Earliest time at which another proxy may have taken the change over. */
+  takeoverAt(): Milliseconds;
   /** Drops the reserved epochs: a higher one has been used elsewhere. */
   dropEpochs(): void;
   /** Waits for a write that is under way. */
@@ -138,6 +140,7 @@
       mayBeOrdered = true;
       return nextEpoch++;
     },
+    takeoverAt: () => writtenAt + OTHER_PROXY_STEP_TIMEOUT_MS,
     dropEpochs() {
       nextEpoch = Infinity;
     },
--- a/packages/succession/src/order_sender.ts
+++ b/packages/succession/src/order_sender.ts
@@ -26,9 +26,16 @@
   readonly self: string;
   readonly group: TargetGroup;
   readonly orderPromotion: OrderPromotion;
+  /** True if the platform refuses orders with a lower epoch than an earlier one. */
+  readonly arePromotionsFenced: boolean;
   onStep(step: string, target: string, epoch: number): void;
 }
 
+interface PendingOrder {
+  readonly epoch: number;
+  abandon(): void;
+}
+
 export interface OrderSender {
   /**
    * Sends orders for the recorded target, as many as epochs are left but at most
@@ -54,18 +61,59 @@
 }
 
 export function createOrderSender(options: OrderSenderOptions): OrderSender {
-  const {runtime, group, self, onStep} = options;
+  const {runtime, group, self, onStep, arePromotionsFenced} = options;
   const {timer} = runtime;
 
+  /** Orders without a reply. */
+  const pending = new Set<PendingOrder>();
+
   function sendOrder(
     target: string,
     epoch: number,
+    lease: EpochLease,
     onReply: (reply: PromotionReply) => void,
   ): void {
     onStep('promotion ordered', target, epoch);
     const {group: name} = group;
     const order = {group: name, target, holder: self, epoch};
-    options.orderPromotion(order).onSettled(onReply);
+    const abandoned = createDeferred<undefined>();
+    const abandon = () => abandoned.settle(undefined);
+    const cancelTimeout = arePromotionsFenced
+      ? undefined
+      : timer.after(lease.takeoverAt() - timer.now(), abandon);
+    const entry = {epoch, abandon};
+    pending.add(entry);
+    options.orderPromotion(order, abandoned.future).onSettled(reply => {
+      pending.delete(entry);
+      cancelTimeout?.();
+      onReply(reply);
+    });
+  }
+
+  /**
+   * Abandons earlier orders that must not arrive after one with this epoch. If
+   * orders are fenced, the platform refuses them.
+   */
+  function abandonLower(epoch: number): void {
+    if (!arePromotionsFenced) {
+      [...pending]
+        .filter(order => order.epoch < epoch)
+        .forEach(order => order.abandon());
+    }
+  }
+
+  /**
+   * Epoch of the next of several orders that are sent at once. They arrive in any
+   * order, so they share their epoch unless the platform refuses lower ones.
+   */
+  function nextEpoch(
+    lease: EpochLease,
+    target: string,
+    lastEpoch: number | undefined,
+  ): number | undefined {
+    return arePromotionsFenced || lastEpoch === undefined
+      ? lease.takeEpoch(target)
+      : lastEpoch;
   }
 
   function* send(
@@ -77,22 +125,23 @@
     const result = createDeferred<PromotionReply>();
     const replies: PromotionReply[] = [];
     let sent = 0;
-    let lastEpoch = 0;
+    let lastEpoch: number | undefined;
     hold.setOrdered(target);
     for (; sent < count; sent++) {
-      const epoch = lease.takeEpoch(target);
+      const epoch = nextEpoch(lease, target, lastEpoch);
       if (epoch === undefined) {
         break;
       }
       lastEpoch = epoch;
-      sendOrder(target, epoch, reply => {
+      abandonLower(epoch);
+      sendOrder(target, epoch, lease, reply => {
         replies.push(reply);
         if (reply === 'done' || replies.length === sent) {
           result.settle(combineReplies(replies));
         }
       });
     }
-    if (sent === 0) {
+    if (lastEpoch === undefined) {
       return undefined;
     }
     const reply = yield* awaitReply(result.future, hold, target);
--- a/packages/succession/src/succession_monitor.ts
+++ b/packages/succession/src/succession_monitor.ts
@@ -30,6 +30,7 @@
 import type {VersionedSuccession} from './succession_records';
 import {
   EPOCHS_PER_WRITE,
+  OTHER_PROXY_STEP_TIMEOUT_MS,
   type OrderPromotion,
   SUCCESSION_KEY_PREFIX,
   type Succession,
@@ -124,11 +125,6 @@
 const PRIMARY_LOST_TIMEOUT_MS: Milliseconds = 150;
 /** Time without a known primary after which a group is given a new one. */
 const PRIMARY_MISSING_TIMEOUT_MS: Milliseconds = 1000;
-/**
- * A change by another proxy may be taken over once its row has not been written
- * for this long.
- */
-const OTHER_PROXY_STEP_TIMEOUT_MS: Milliseconds = 2500;
 /**
  * Minimum time between two changes. The proxy that ended a change resumes
  * replication, which must not undo the pause of the next change. The time
--- a/packages/succession/src/succession_row.ts
+++ b/packages/succession/src/succession_row.ts
@@ -3,7 +3,7 @@
  * phase.
  */
 import {logPositionSchema} from '@kelpstep/protocol';
-import type {Future} from '@kelpstep/runtime';
+import type {Future, Milliseconds} from '@kelpstep/runtime';
 import {z} from 'zod';
 
 /** Prefix of the row keys, which is followed by the name of the group. */
@@ -34,6 +34,12 @@
   return Math.max(epoch, era * EPOCHS_PER_ERA) + 1;
 }
 
+/**
+ * A change by another proxy may be taken over once its row has not been written
+ * for this long.
+ */
+export const OTHER_PROXY_STEP_TIMEOUT_MS: Milliseconds = 2500;
+
 /**
  * Number of epochs that a holder reserves with each write of the row, so that it
  * can repeat an order while the store is unavailable.
@@ -98,5 +104,11 @@
   readonly epoch: number;
 }
 
-/** Orders a promotion from the platform; an adapter implements it. */
-export type OrderPromotion = (order: PromotionOrder) => Future<PromotionReply>;
+/**
+ * Orders a promotion from the platform; an adapter implements it. Once `abandoned`
+ * settles, the order must not arrive at the platform any more.
+ */
+export type OrderPromotion = (
+  order: PromotionOrder,
+  abandoned: Future<undefined>,
+) => Future<PromotionReply>;
