fix(gateway): report requests that a stop refuses or rolls back

Requests that were refused because they waited behind one without a result were answered but not reported, and rolled-back transactions were reported without the reason `stopping`. Both are in `request ended` now.

--- a/packages/gateway/__tests__/session_stop.spec.ts
+++ b/packages/gateway/__tests__/session_stop.spec.ts
@@ -43,7 +43,7 @@
     session.send(BEGIN, WRITE);
     session.enterPhase('endingTransactions');
     expect(session.state.endedTransactions).toEqual(1);
-    session.send(COMMIT);
+    expect(session.send(COMMIT)?.reason).toEqual('stopping');
     expect(session.runs).toEqual(['begin', 'write']);
     expect(session.outcomes().slice(2)).toEqual(['aborted']);
     expect(session.state.isClosed).toEqual(true);
@@ -111,6 +111,7 @@
     const runs = session.runs.length;
     session.resume();
     expect(session.runs.length).toEqual(runs);
+    expect(session.ends.length >= session.answers.length).toEqual(true);
     return session.outcomes().slice(before.length);
   }
 
--- a/packages/gateway/src/serve_session.ts
+++ b/packages/gateway/src/serve_session.ts
@@ -281,7 +281,8 @@
       return [errorAnswer('malformed', state), LOCAL_REQUEST];
     }
     if (rolledBackBy !== undefined) {
-      return [answerRolledBack(statement, rolledBackBy), LOCAL_REQUEST];
+      const details = {...LOCAL_REQUEST, reason: rolledBackBy};
+      return [answerRolledBack(statement, rolledBackBy), details];
     }
     if (state === 'failed') {
       return [
@@ -373,6 +374,14 @@
       }
       if (message.kind === 'request') {
         caller.answer(refuseStopping());
+        events.onRequestEnd({
+          id: message.request.id,
+          ...LOCAL_REQUEST,
+          reason: STOPPING,
+          outcome: 'busy',
+          duration: 0,
+          isUndelivered: caller.isClosed(),
+        });
       }
     }
   }
