feat(scenarios): check that a group gets a primary again

The checker of the statement simulation had rules for what is lost, doubled or stale, none for service that does not return: a group without a primary broke no rule as long as its log was still at some target.

Rule 'no primary': for 12 s (recovery-s of the small deployments, the shortest) there was no primary, no fault was active (partitions, store, lossy paths, impaired, unlisted or stopped but listed targets, proxies killed or started), and a running target held every acknowledged commit.

--- a/packages/scenarios/src/statements/rule_checker.ts
+++ b/packages/scenarios/src/statements/rule_checker.ts
@@ -28,7 +28,12 @@
   | 'epoch used twice'
   | 'not asked for'
   | 'wrong account'
-  | 'key taken away';
+  | 'key taken away'
+  /**
+   * A target with every acknowledged commit answers, all faults have ended, and
+   * no target was promoted in time.
+   */
+  | 'no primary';
 
 /** A violation of a rule. */
 export interface BrokenRule {
@@ -64,6 +69,10 @@
   onKeysRevoked(account: string, from: Milliseconds): void;
   /** The caller was told that none of these writes is committed. */
   onReportedNotRun(writes: readonly string[]): void;
+  /** True if the log holds every commit that was acknowledged so far. */
+  holdsAllCommits(log: readonly LogRecord[]): boolean;
+  /** The group has had no primary since this time and should have one. */
+  onPrimaryOverdue(since: Milliseconds): void;
   /** Runs the final checks on the primary's log after the run is quiescent. */
   finish(primary: StandInTarget | undefined): void;
   /** Operations of an account that targets ran. */
@@ -229,6 +238,13 @@
     }
   }
 
+  function holdsAllCommits(log: readonly LogRecord[]): boolean {
+    const present = writeIdsOf(log);
+    return acknowledged.every(({writes}) =>
+      writes.every(id => present.has(id)),
+    );
+  }
+
   function onPromotion(promotion: PromotionRecord): void {
     const present = writeIdsOf(promotion.log);
     for (const {writes} of acknowledged) {
@@ -295,6 +311,9 @@
     onReportedNotRun: writes => writes.forEach(id => reportedNotRun.add(id)),
     onRun,
     onPromotion,
+    holdsAllCommits,
+    onPrimaryOverdue: since =>
+      report('no primary', `since ${Math.round(since)}`),
     finish,
     operationsOf: account => operations.get(account) ?? [],
     broken: () => findings,
--- a/packages/scenarios/src/statements/statement_simulation.ts
+++ b/packages/scenarios/src/statements/statement_simulation.ts
@@ -39,6 +39,7 @@
 import {GROUP, ROUTES, createConfiguration} from './statement_routes';
 import type {OperationCounts} from './operation_counts';
 import {IGNORED_EVENTS, readStatus} from './proxy_stubs';
+import {startRecoveryMonitor} from './recovery_monitor';
 import {
   type ReplaceMessage,
   createReplacingTransport,
@@ -299,6 +300,7 @@
       seeds: proxies.map(feedAddressOf),
     });
     running.set(proxy, {gateway, runtime, close});
+    recovery.noteDisturbance();
   }
 
   function killProxy(proxy: string): void {
@@ -307,6 +309,7 @@
     relays.killHost(hostOf(proxy));
     killed?.runtime.shutdown();
     killed?.close();
+    recovery.noteDisturbance();
   }
 
   function cutPower(proxy: string): void {
@@ -326,6 +329,26 @@
     slots,
   });
 
+  const recovery = startRecoveryMonitor({
+    timer,
+    group,
+    network,
+    relays,
+    store,
+    runningProxies: () =>
+      [...running.keys()].map(proxy => ({
+        endpoint: endpointOf(proxy),
+        host: hostOf(proxy),
+      })),
+    isListed: registrations.isListed,
+    hasLossyPaths: () =>
+      simulation.latePromotionShare > 0 ||
+      simulation.lateTargetCommandShare > 0 ||
+      simulation.lostAnswerShare > 0,
+    holdsAllCommits: target => checker.holdsAllCommits(target.log()),
+    onOverdue: checker.onPrimaryOverdue,
+  });
+
   function connect(caller: CallerConnection): boolean {
     const names = [...running.keys()];
     if (names.length === 0) {
--- a/packages/scenarios/src/statements/target_registrations.ts
+++ b/packages/scenarios/src/statements/target_registrations.ts
@@ -21,6 +21,7 @@
   setLeaving(target: string, isLeaving: boolean): void;
   /** Removes and withholds the entry of a target, or writes it from now on. */
   setListed(target: string, isListed: boolean): void;
+  isListed(target: string): boolean;
 }
 
 /** The entry of a stopped target is removed after three missed heartbeats. */
@@ -110,5 +111,6 @@
         }
       }
     },
+    isListed: target => entries.has(target),
   };
 }
--- a/packages/stand-ins/src/statement_group/stand_in_target.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target.ts
@@ -383,6 +383,7 @@
       log.restart(wiped);
     },
     setReplicationBlocked: isBlocked => void (isReplicationBlocked = isBlocked),
+    isReplicationBlocked: () => isReplicationBlocked,
     receive,
     follow(nextTerm, primaryLog) {
       role = 'replica';
--- a/packages/stand-ins/src/statement_group/stand_in_target_types.ts
+++ b/packages/stand-ins/src/statement_group/stand_in_target_types.ts
@@ -53,6 +53,7 @@
   start(wiped: boolean): void;
   /** Blocks or unblocks the receipt of records. */
   setReplicationBlocked(isBlocked: boolean): void;
+  isReplicationBlocked(): boolean;
   /** Appends records that follow a position; false if it can't take them. */
   receive(
     term: number,
