feat(succession): log whether a choice waits for the last primary

'succession choice' told that copies may be lacking, and that the longest log was passed over as incomplete, but not which primary the group waits for, nor for how long: a group that waits for 10 s and one that waits without end wrote the same lines.

The line says 'last primary: TARGET term TERM awaited [MS]' or 'not awaited'. The wait itself is unchanged.

--- a/packages/succession/__tests__/choice_context.spec.ts
+++ b/packages/succession/__tests__/choice_context.spec.ts
@@ -3,7 +3,11 @@
 import {expect} from 'earl';
 import {describe, test} from 'node:test';
 
-import {describeContext, withMissingTime} from '../src/choice_context';
+import {
+  describeContext,
+  formatContext,
+  withMissingTime,
+} from '../src/choice_context';
 import type {ConsideredTarget} from '../src/choice_report';
 import type {CommitEvidence} from '../src/commit_inquiry';
 import type {ReplicationHold} from '../src/replication_hold';
@@ -30,6 +34,7 @@
   readonly recordedEnd?: LogPosition;
   readonly evidence?: readonly CommitEvidence[];
   readonly departed?: readonly DepartedTarget[];
+  readonly remainingWait?: number;
 }
 
 function describeKnown(known: Known) {
@@ -49,7 +54,11 @@
   return describeContext({
     group,
     hold,
-    inquiry: {evidence: () => known.evidence ?? []},
+    inquiry: {
+      evidence: () => known.evidence ?? [],
+      lastPrimary: () => ({target: 'a', term: 2}),
+      remainingWait: () => known.remainingWait ?? Infinity,
+    },
     considered: [considered('a', 90), considered('b', 6), considered('c', 7)],
     now: NOW,
   });
@@ -77,6 +86,16 @@
     });
   });
 
+  test('has for how long the last primary is still waited for', () => {
+    const format = (remainingWait?: number) =>
+      formatContext(
+        describeKnown(remainingWait === undefined ? {} : {remainingWait}),
+      ).split('; ')[2];
+    expect(format()).toEqual('last primary: a term 2 awaited');
+    expect(format(4300.4)).toEqual('last primary: a term 2 awaited 4300');
+    expect(format(0)).toEqual('last primary: a term 2 not awaited');
+  });
+
   test('names the proxies by whose evidence copies may be lacking', () => {
     const context = describeKnown({
       evidence: [
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -110,6 +110,7 @@
     copyRecord: () => undefined,
     absentPrimary: {
       last: () => undefined,
+      remainingWait: () => (primary === undefined ? 0 : 1000),
       isAwaited: () => primary !== undefined,
     },
     askPeers() {
--- a/packages/succession/src/absent_primary.ts
+++ b/packages/succession/src/absent_primary.ts
@@ -1,7 +1,7 @@
 /**
- * Tells whether a primary that is silent, or no longer listed, is still waited
- * for. It may hold the only copies of commits, and targets that crashed come back
- * with their log, under an entry that had expired meanwhile.
+ * Tells whether the last primary, which leads no more, is still waited for. It may
+ * hold the only copies of commits, and targets that crashed come back with their
+ * log, under an entry that had expired meanwhile.
  */
 import type {Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {TargetGroup} from '@kelpstep/targets';
@@ -27,14 +27,20 @@
   last(): LastPrimary | undefined;
   /** To be called repeatedly, as absences are timed from the first call on. */
   observe(): void;
-  /** True unless the last primary has been silent for too long. */
+  /**
+   * Remaining time for which the last primary is waited for: Infinity while it
+   * leads, 0 once the wait is over or if none is known.
+   */
+  remainingWait(): Milliseconds;
+  /** True while the last primary leads or is waited for. */
   isAwaited(): boolean;
 }
 
 /**
  * Time for which a group with commits that may have no other copy waits for its
- * silent primary. Without a primary nothing is written; one that promotes a
- * replica loses these commits for good.
+ * last primary, whether that is silent or answers without leading. Without a
+ * primary nothing is written; one that promotes a replica loses these commits for
+ * good.
  */
 const PATIENCE_MS: Milliseconds = 10_000;
 
@@ -74,12 +80,16 @@
     }
   }
 
+  function remainingWait(): Milliseconds {
+    observe();
+    const waited = timer.now() - absent.since;
+    return last() === undefined ? 0 : Math.max(0, PATIENCE_MS - waited);
+  }
+
   return {
     last,
     observe,
-    isAwaited() {
-      observe();
-      return last() !== undefined && timer.now() - absent.since < PATIENCE_MS;
-    },
+    remainingWait,
+    isAwaited: () => remainingWait() > 0,
   };
 }
--- a/packages/succession/src/choice_context.ts
+++ b/packages/succession/src/choice_context.ts
@@ -8,6 +8,7 @@
   knownLogEnd,
 } from '@kelpstep/targets';
 
+import type {LastPrimary} from './absent_primary';
 import {type ConsideredTarget, formatLogEnd} from './choice_report';
 import type {CommitEvidence, CommitInquiry} from './commit_inquiry';
 import type {ReplacedPrimary, ReplicationHold} from './replication_hold';
@@ -25,6 +26,12 @@
   readonly source: 'demoted primary' | 'row' | 'comparison' | 'longest log';
 }
 
+/** The newest primary that is known, and for how long it is waited for. */
+export interface LastPrimaryReport extends LastPrimary {
+  /** Infinity while it leads, 0 once the wait is over. */
+  readonly remainingWait: Milliseconds;
+}
+
 /** A target that has left, and how long ago. */
 export interface DepartureReport extends Omit<
   DepartedTarget,
@@ -39,6 +46,11 @@
 export interface ChoiceContext {
   readonly primary: KnownPrimary | undefined;
   readonly required: RequiredEnd | undefined;
+  /**
+   * It may be another one than `primary`, which is undefined if nothing is known
+   * to lead any more.
+   */
+  readonly lastPrimary: LastPrimaryReport | undefined;
   /** Proxies by whose evidence copies may be lacking; `self` for this one. */
   readonly lackingCopies: readonly string[];
   /** Number of proxies whose evidence was used, this one included. */
@@ -51,7 +63,10 @@
 export interface ChoiceContextOptions {
   readonly group: TargetGroup;
   readonly hold: ReplicationHold;
-  readonly inquiry: Pick<CommitInquiry, 'evidence'>;
+  readonly inquiry: Pick<
+    CommitInquiry,
+    'evidence' | 'lastPrimary' | 'remainingWait'
+  >;
   readonly considered: readonly ConsideredTarget[];
   readonly now: Milliseconds;
 }
@@ -123,10 +138,12 @@
   // A peer that was asked twice may have answered twice.
   const evidence = inquiry.evidence();
   const nameOf = ({proxy = 'self'}: CommitEvidence) => proxy;
+  const last = inquiry.lastPrimary();
   const lacking = evidence.filter(({mayLackCopies}) => mayLackCopies);
   return {
     primary: describePrimary(group, hold.primary),
     required: requiredEnd(options),
+    lastPrimary: last && {...last, remainingWait: inquiry.remainingWait()},
     lackingCopies: [...new Set(lacking.map(nameOf))],
     proxyCount: new Set(evidence.map(nameOf)).size,
     newestCommit: newestOf(evidence),
@@ -149,6 +166,17 @@
     : `${primary.target} term ${primary.term} end ${formatLogEnd(primary.logEnd)}`;
 }
 
+function formatLastPrimary(last: LastPrimaryReport | undefined): string {
+  if (last === undefined) {
+    return 'unknown';
+  }
+  const {target, term, remainingWait} = last;
+  const wait =
+    remainingWait === Infinity ? '' : ` ${Math.round(remainingWait)}`;
+  const state = remainingWait === 0 ? 'not awaited' : `awaited${wait}`;
+  return `${target} term ${term} ${state}`;
+}
+
 function formatDeparture(departure: DepartureReport): string {
   const {target, reason, logEnd, age, missingFor} = departure;
   const missing =
@@ -166,6 +194,7 @@
   return [
     `replaced: ${formatPrimary(primary)}`,
     `required: ${end ?? 'unknown'}`,
+    `last primary: ${formatLastPrimary(context.lastPrimary)}`,
     `lacking copies: ${lackingCopies.join(' ') || 'none'} of ${context.proxyCount} heard`,
     `newest commit: ${commit ?? 'unknown'}`,
     `departed: ${departed.map(formatDeparture).join(', ') || 'none'}`,
--- a/packages/succession/src/commit_inquiry.ts
+++ b/packages/succession/src/commit_inquiry.ts
@@ -7,7 +7,7 @@
 import type {Future, Milliseconds, TimerService} from '@kelpstep/runtime';
 import type {AcknowledgedCommit, TargetGroup} from '@kelpstep/targets';
 
-import type {AbsentPrimary} from './absent_primary';
+import type {AbsentPrimary, LastPrimary} from './absent_primary';
 import {
   type CopyKnowledge,
   type KnownCopyRecord,
@@ -29,7 +29,7 @@
   readonly term: number | undefined;
   /** End of the log of the target. */
   readonly end: LogPosition;
-  /** End of the primary's log; undefined if it is not known. */
+  /** End of the last primary's whole log; undefined if it is not known. */
   readonly primaryEnd: LogPosition | undefined;
 }
 
@@ -40,6 +40,10 @@
   startedAt(): Milliseconds;
   /** True unless a peer that was asked may still answer. */
   isComplete(): boolean;
+  /** The newest primary that is known; undefined without one. */
+  lastPrimary(): LastPrimary | undefined;
+  /** See `AbsentPrimary.remainingWait`. */
+  remainingWait(): Milliseconds;
   /** What this proxy and the peers that have answered know. */
   evidence(): readonly CommitEvidence[];
   /**
@@ -52,7 +56,7 @@
   /**
    * True if a commit that was acknowledged is missing, or may be: it may have
    * had its only copy besides the primary's on a target that has left, and the
-   * primary's log is longer, or the primary is silent or waited for.
+   * primary's log is longer, or its end is not known and it is waited for.
    */
   mayMissCommit(logs: RemainingLogs): boolean;
 }
@@ -62,7 +66,7 @@
   readonly group: TargetGroup;
   /** The group's last known copy record. */
   copyRecord(): KnownCopyRecord | undefined;
-  readonly absentPrimary: Pick<AbsentPrimary, 'last' | 'isAwaited'>;
+  readonly absentPrimary: Omit<AbsentPrimary, 'observe'>;
   /** Asks the peers; one that does not answer in time settles with undefined. */
   askPeers(): ReadonlyArray<Future<CommitEvidence | undefined>>;
 }
@@ -132,6 +136,8 @@
     },
     startedAt: () => startedAt,
     isComplete: () => pending === 0,
+    lastPrimary: absentPrimary.last,
+    remainingWait: absentPrimary.remainingWait,
     evidence: allEvidence,
     mayLackCopies: mayBeLacking,
     isMissingCommit,
