fix(succession): note the log end of a primary that returns during a change

What callers saw: after a primary had been out of reach for some seconds, writes were refused for as long as it stayed in the group, and 10 s more, though it answered and every other target had its log.

Cause: a hold that goes on demotes a primary that returns (refresh), without asking how far its log reached while it led. Only demotePrimary() asked. The demoted primary was then a replica about which nobody knew that it had led until then, so its log counted for nothing in this change and in every later one: the row got no demotedEnd.

Fix: the primary is asked for its status before it is demoted, and a log end that it reports while it leads in its term is a lower bound of its log from then on. It is not lowered any more if the primary leads with less than it had: it has lost its log then. One round trip is added to the demotion of a primary that returns; one that works is demoted as before.

last_primary.spec.ts 'knows the log of a primary that returns during the change' failed before; it passes now.

--- a/packages/succession/src/replication_hold.ts
+++ b/packages/succession/src/replication_hold.ts
@@ -159,7 +159,7 @@
   let isDemoting = false;
   let orderedTarget = '';
   let requiredSince: Milliseconds = -Infinity;
-  /** Log end that a demoted primary has at least. */
+  /** Log end that the primary had when it led, which it has at least. */
   let lowestDemotedEnd = primary?.demotedEnd;
   let complete: CompleteEnd | undefined =
     primary?.completeEnd && primary.demotedEnd
@@ -200,6 +200,20 @@
     }
   }
 
+  /** A primary whose log ends before an end that was known has lost its log. */
+  function recordPrimaryEnd(link: TargetLink, status: TargetStatus): void {
+    const isLeading =
+      link === primary?.link &&
+      status.role === 'primary' &&
+      status.term === primary.term;
+    const isLater =
+      lowestDemotedEnd === undefined ||
+      compareLogPositions(status.received, lowestDemotedEnd) > 0;
+    if (isLeading && isLater) {
+      lowestDemotedEnd = status.received;
+    }
+  }
+
   function send(link: TargetLink, command: TargetCommand): void {
     const requestedAt = timer.now();
     pending.add(link);
@@ -209,6 +223,7 @@
       if (status !== undefined) {
         answers.set(link, {status, requestedAt});
         raiseTerm(status);
+        recordPrimaryEnd(link, status);
         checkCompleteEnd(link, status);
       }
     });
@@ -220,7 +235,8 @@
       answer === undefined ||
       answer.requestedAt < requiredSince ||
       timer.now() - answer.requestedAt >= REFRESH_INTERVAL_MS ||
-      mustStopNow(link, answer);
+      mustStopNow(link, answer) ||
+      mustDemoteNow(link, answer);
     return !pending.has(link) && isOld;
   }
 
@@ -236,6 +252,16 @@
     );
   }
 
+  /** True for the primary if it is known to lead and its demotion is due. */
+  function mustDemoteNow(link: TargetLink, {status}: TimedAnswer): boolean {
+    return (
+      link === primary?.link &&
+      isDemoting &&
+      status.role === 'primary' &&
+      !keepsPrimary()
+    );
+  }
+
   function refresh(): void {
     if (isOver()) {
       // A pause or demotion that arrives now would concern the new term.
@@ -245,13 +271,21 @@
       send(link, commandFor(link));
     }
     if (primary !== undefined && isDemoting && isDue(primary.link)) {
-      send(
-        primary.link,
-        keepsPrimary() ? {kind: 'status'} : {kind: 'demote', term},
-      );
+      send(primary.link, commandForPrimary(primary.link));
     }
   }
 
+  /**
+   * A primary that returns is first asked for its status: its log holds every
+   * commit only if it leads until it is demoted.
+   */
+  function commandForPrimary(link: TargetLink): TargetCommand {
+    const isUnknown = lowestDemotedEnd === undefined && !answers.has(link);
+    return isUnknown || keepsPrimary()
+      ? {kind: 'status'}
+      : {kind: 'demote', term};
+  }
+
   /** A member may be the former primary, which has returned under another id. */
   function commandFor(member: TargetLink): TargetCommand {
     if (isDemoting && answers.get(member)?.status.role === 'primary') {
@@ -338,7 +372,7 @@
     if (before?.role !== 'primary' || before.term !== primary.term) {
       return false;
     }
-    lowestDemotedEnd = before.received;
+    recordPrimaryEnd(primary.link, before);
     const deadline = timer.now() + COMMAND_TIMEOUT_MS;
     while (demotedLogEnd() === undefined && timer.now() < deadline) {
       yield* pollHolding();
