fix(succession): let a last primary that answers vouch for its log

The former primary and a replica held every commit and answered.

Cause: a change that found the former primary demoted compared its log as one of many, and passed the longest one over, as nobody vouched for copies: the proxies were new, and the copy record named the replica that had left. It then waited for the former primary. isAwaited() is true while that one is reached, so the wait had no end, and as a replica it never says more.

The race of two holders for the term (held 30, term 31) costs up to 0.8 s of a change and is not the cause.

Fix: only a promotion in a newer term removes commits from the log of a primary. A last primary that is a stopped member, in the term that it led, holds all that it acknowledged; its log is not lost if it isn't empty and none is longer, and no member knows a newer term. Peers are asked as before. Its end counts as the end of the primary's log (F15, C8 of acknowledged-commits.md). One that doesn't vouch is waited for 10 s, as a silent one was.

Each condition of F15 taken out fails a test; without F15 the search has a state without service, without the check of the log it loses a commit.

One check changed: the search called a demoted primary without its log a lost commit; it may return empty now, and counts once one is promoted. knownCommits of the search end with their term, as in the code.

--- a/packages/succession/__tests__/absent_primary.spec.ts
+++ b/packages/succession/__tests__/absent_primary.spec.ts
@@ -26,10 +26,13 @@
   const timer = createVirtualTimer();
   const listed = new Set<string>();
   const silent = new Set<string>();
+  const leading = new Set<string>();
   const absentPrimary = createAbsentPrimary({
     timer,
     group: {
-      positions: {leader: () => undefined},
+      positions: {
+        leader: () => [...leading].map(target => ({target, term: 1})).pop(),
+      },
       link: (name: string) =>
         listed.has(name)
           ? ({isReached: () => !silent.has(name)} as TargetLink)
@@ -38,7 +41,7 @@
     row: () => row && {succession: row, position: POSITION},
     copyRecord: () => record,
   });
-  return {timer, listed, silent, absentPrimary};
+  return {timer, listed, silent, leading, absentPrimary};
 }
 
 describe('the last primary of a group', () => {
@@ -69,4 +72,30 @@
     timer.advance(200);
     expect(absentPrimary.isAwaited()).toEqual(false);
   });
+
+  // Guards against a group that waits without end for a primary that answers, and
+  // never leads again.
+  test('is waited for while it leads, and for 10 s if it answers as a replica', () => {
+    const {timer, listed, leading, absentPrimary} = setUp(
+      undefined,
+      recordOf('a', 1),
+    );
+    listed.add('a');
+    leading.add('a');
+    absentPrimary.observe();
+    timer.advance(60_000);
+    expect(absentPrimary.remainingWait()).toEqual(Infinity);
+    leading.delete('a');
+    expect(absentPrimary.remainingWait()).toEqual(10_000);
+    timer.advance(9900);
+    expect(absentPrimary.isAwaited()).toEqual(true);
+    timer.advance(200);
+    expect(absentPrimary.isAwaited()).toEqual(false);
+    leading.add('a');
+    expect(absentPrimary.remainingWait()).toEqual(Infinity);
+  });
+
+  test('is not waited for if none is known', () => {
+    expect(setUp().absentPrimary.remainingWait()).toEqual(0);
+  });
 });
--- a/packages/succession/__tests__/choice_context.spec.ts
+++ b/packages/succession/__tests__/choice_context.spec.ts
@@ -35,6 +35,7 @@
   readonly evidence?: readonly CommitEvidence[];
   readonly departed?: readonly DepartedTarget[];
   readonly remainingWait?: number;
+  readonly vouchedEnd?: LogPosition;
 }
 
 function describeKnown(known: Known) {
@@ -60,6 +61,7 @@
       remainingWait: () => known.remainingWait ?? Infinity,
     },
     considered: [considered('a', 90), considered('b', 6), considered('c', 7)],
+    vouchedEnd: known.vouchedEnd,
     now: NOW,
   });
 }
@@ -76,6 +78,8 @@
     expect(describeKnown(row).required?.source).toEqual('row');
     const compared = {completeEnd: at(7), demotedEnd: at(9)};
     expect(describeKnown(compared).required?.source).toEqual('comparison');
+    const vouched = {vouchedEnd: at(7)};
+    expect(describeKnown(vouched).required?.source).toEqual('last primary');
   });
 
   test('has the newest log end that is known of the primary', () => {
--- a/packages/succession/__tests__/search_state_set.ts
+++ b/packages/succession/__tests__/search_state_set.ts
@@ -60,6 +60,7 @@
     put(promoter.fromTerm);
     put(promoter.target);
     put(promoter.primaryEnd);
+    put(promoter.foundEnd);
     put(promoter.complete.end);
     put(promoter.complete.primaryEnd);
     putAll(promoter.answers);
--- a/packages/succession/__tests__/search_tests.ts
+++ b/packages/succession/__tests__/search_tests.ts
@@ -10,16 +10,45 @@
   type SearchGuards,
 } from './succession_search_state';
 
-/** Declares a test that the mix loses no commit with all guards. */
+/**
+ * Declares a test that the mix loses no commit with all guards, and that the group
+ * can be given a primary whenever a target holds them all.
+ */
 export function testSafety(name: string, mix: FaultMix): void {
-  test(`preserves acknowledged commits if ${name}`, () => {
-    const {states, counterexample} = searchSuccession(ALL_GUARDS, mix);
+  test(`preserves acknowledged commits, and service, if ${name}`, () => {
+    const {states, counterexample} = searchSuccession(
+      ALL_GUARDS,
+      mix,
+      'unlessOrdered',
+      'service',
+    );
     process.stdout.write(`# succession search, ${name}: ${states} states\n`);
     expect(counterexample).toEqual(undefined);
     expect(states > 1000).toEqual(true);
   });
 }
 
+/** Declares a test that the group can't get a primary without these guards. */
+export function testServiceLoss(
+  name: string,
+  mix: FaultMix,
+  without: ReadonlyArray<keyof SearchGuards>,
+): void {
+  test(`has no primary any more ${name}`, () => {
+    const disabled = Object.fromEntries(without.map(guard => [guard, false]));
+    const guards = {...ALL_GUARDS, ...disabled};
+    const {states, counterexample} = searchSuccession(
+      guards,
+      mix,
+      'unlessOrdered',
+      'service',
+    );
+    process.stdout.write(`# succession search, ${name}: ${states} states\n`);
+    expect(counterexample === undefined).toEqual(false);
+    expect(searchSuccession(guards, mix).counterexample).toEqual(undefined);
+  });
+}
+
 /** Declares a test that the mix loses a commit, by a path with this step. */
 export function testLoss(
   name: string,
--- a/packages/succession/__tests__/succession_search.ts
+++ b/packages/succession/__tests__/succession_search.ts
@@ -8,6 +8,7 @@
 import {at} from './succession_model_choice';
 import {isPrefix, replaced} from './succession_model_promoter';
 import {type LogLoss, PROMOTERS, TARGETS} from './succession_model_state';
+import {isServable} from './succession_search_choice';
 import {faultSteps, recoverySteps} from './succession_search_faults';
 import {promoterSteps} from './succession_search_promoter';
 import {
@@ -24,6 +25,12 @@
   readonly counterexample: readonly string[] | undefined;
 }
 
+/**
+ * What a search looks for besides lost commits. `service`: states in which no
+ * target can be selected although one holds every acknowledged commit.
+ */
+export type SearchAim = 'commits' | 'service';
+
 /** A commit at the primary, received by one replica or by none. */
 function* commitSteps(
   state: SearchState,
@@ -129,6 +136,8 @@
     isDemoted: false,
     isCut: false,
     mayLackCopies: true,
+    // Known commits are compared in the term in which they were acknowledged.
+    knownCommits: 0,
   };
 }
 
@@ -147,10 +156,14 @@
   yield* promotionSteps(state, guards);
 }
 
-/** True if the primary holds every acknowledged commit. */
-function isSafe({targets, leader, acknowledged}: SearchState): boolean {
+/**
+ * True if the primary holds every acknowledged commit. One that was demoted may
+ * return without its log while another target still holds them.
+ */
+function isSafe(state: SearchState): boolean {
+  const {targets, leader, isDemoted, acknowledged} = state;
   const {log} = at(targets, leader);
-  return acknowledged.every(commit => log.includes(commit));
+  return isDemoted || acknowledged.every(commit => log.includes(commit));
 }
 
 function initialState({targets: count}: FaultMix): SearchState {
@@ -187,11 +200,12 @@
   });
 }
 
-/** Searches all reachable states of a mix breadth-first. */
+/** Searches the reachable states of a mix breadth-first. */
 export function searchSuccession(
   guards: SearchGuards,
   mix: FaultMix,
   logLoss: LogLoss = 'unlessOrdered',
+  aim: SearchAim = 'commits',
 ): SearchResult {
   const seen = createSearchStateSet();
   const initial = initialState(mix);
@@ -210,7 +224,8 @@
           origins.parents.push(parent);
           origins.steps.push(step);
           next.push(after);
-          if (!isSafe(after)) {
+          const isServed = aim === 'commits' || isServable(after, guards);
+          if (!isSafe(after) || !isServed) {
             const last = seen.size() - 1;
             const names = namesOfSteps(origins, last, initial, stepsOf);
             return {states: seen.size(), counterexample: names};
--- a/packages/succession/__tests__/succession_search_choice.ts
+++ b/packages/succession/__tests__/succession_search_choice.ts
@@ -6,10 +6,11 @@
 
 import {at, toCandidate} from './succession_model_choice';
 import {TARGETS} from './succession_model_state';
-import type {
-  SearchGuards,
-  SearchPromoter,
-  SearchState,
+import {
+  IDLE_PROMOTER,
+  type SearchGuards,
+  type SearchPromoter,
+  type SearchState,
 } from './succession_search_state';
 
 /** True if a replica may lack commits of the primary that led in `term`. */
@@ -29,13 +30,27 @@
   return isKnown || isUncertain || (recordsCopies && !isRecorded);
 }
 
+/** Log length of a primary that was found demoted, if it vouches for its log. */
+function vouchedEnd(
+  {foundEnd, answers}: SearchPromoter,
+  {findsDemotedPrimary, checksLogOfPrimary}: SearchGuards,
+): number {
+  const isWhole = foundEnd > 0 && answers.every(length => length <= foundEnd);
+  const vouches = findsDemotedPrimary && (isWhole || !checksLogOfPrimary);
+  return vouches ? foundEnd : -1;
+}
+
 /** The answers' choice; undefined while it can't be made. */
 export function successorOf(
   state: SearchState,
   promoter: SearchPromoter,
   guards: SearchGuards,
 ): number | undefined {
-  const {from, fromTerm, answers, primaryEnd, complete} = promoter;
+  const {from, fromTerm, answers, foundEnd, complete} = promoter;
+  const primaryEnd =
+    promoter.primaryEnd < 0
+      ? vouchedEnd(promoter, guards)
+      : promoter.primaryEnd;
   const replicas = TARGETS.filter(
     target => target !== from && at(state.targets, target).isListed,
   );
@@ -51,8 +66,15 @@
   const mayMiss = (length: number) =>
     mayLack && (length < primaryEnd || (guards.waitsForPrimary && mayReturn));
   const isKnown = complete.end >= 0 && complete.primaryEnd === primaryEnd;
+  const stopped = answered.map(target =>
+    toCandidate(target, at(answers, target)),
+  );
+  const {findsDemotedPrimary} = guards;
+  if (findsDemotedPrimary && promoter.primaryEnd < 0 && foundEnd >= 0) {
+    stopped.push(toCandidate(from, foundEnd));
+  }
   const {successor} = chooseLongestLog({
-    stopped: answered.map(target => toCandidate(target, at(answers, target))),
+    stopped,
     completeEnd: isKnown ? {term: 1, position: complete.end} : undefined,
     primary: primaryEnd < 0 ? undefined : toCandidate(from, primaryEnd),
     preferred: String(promoter.target),
@@ -61,3 +83,34 @@
   });
   return successor && Number(successor.target);
 }
+
+/**
+ * True if the group has a primary, or a promoter that starts now, and is answered
+ * by all targets, can select one; also while faults go on. It selects without a
+ * wait if the last primary answers with a log that holds every acknowledged commit.
+ */
+export function isServable(state: SearchState, guards: SearchGuards): boolean {
+  const {targets, leader, isDemoted, isCut, acknowledged, orders} = state;
+  const last = at(targets, leader);
+  const isLed = last.isRunning && !isDemoted;
+  const isDisturbed =
+    isCut || targets.some(({isRunning, isListed}) => isRunning !== isListed);
+  const holdsAll = ({isRunning, log}: (typeof targets)[number]) =>
+    isRunning && acknowledged.every(commit => log.includes(commit));
+  if (isLed || isDisturbed || orders.length > 0 || !targets.some(holdsAll)) {
+    return true;
+  }
+  const promoter: SearchPromoter = {
+    ...IDLE_PROMOTER,
+    from: leader,
+    fromTerm: last.term,
+    foundEnd: last.isRunning ? last.log.length : -1,
+    answers: targets.map(({isRunning, log}, index) =>
+      isRunning && index !== leader ? log.length : -1,
+    ),
+  };
+  const hasItsLog = holdsAll(last) && last.log.length > 0;
+  const waitsForPrimary = guards.waitsForPrimary && hasItsLog;
+  const after = {...guards, waitsForPrimary};
+  return successorOf(state, promoter, after) !== undefined;
+}
--- a/packages/succession/__tests__/succession_search_faults.ts
+++ b/packages/succession/__tests__/succession_search_faults.ts
@@ -41,7 +41,8 @@
   change: Partial<SearchTarget>,
 ): SearchState {
   const {isRecorded} = at(state.targets, index);
-  const isBroken = state.record.isBroken || isRecorded;
+  const isReplica = index !== state.leader;
+  const isBroken = state.record.isBroken || (isRecorded && isReplica);
   const changed = withTarget(withoutExecuted(state, index), index, {
     ...change,
     pausedAt: 0,
@@ -53,6 +54,9 @@
     promoters: state.promoters.map(promoter => ({
       ...promoter,
       answers: replaced(promoter.answers, index, -1),
+      ...(promoter.from === index
+        ? {primaryEnd: -1, foundEnd: -1, sawStopped: false}
+        : {}),
     })),
   };
 }
@@ -71,6 +75,18 @@
   );
 }
 
+function mayLoseLog(
+  {orders, fence}: SearchState,
+  index: number,
+  logLoss: LogLoss,
+): boolean {
+  const isOrdered = orders.some(
+    ({target, isExecuted, epoch}) =>
+      target === index && (isExecuted || epoch >= fence),
+  );
+  return logLoss === 'always' || !isOrdered;
+}
+
 function* memberFaults(
   state: SearchState,
   logLoss: LogLoss,
@@ -119,13 +135,11 @@
         mayLackCopies: state.mayLackCopies || target.isListed,
       },
     };
-    const isOrdered = state.orders.some(
-      order =>
-        order.target === replica &&
-        (order.isExecuted || order.epoch >= state.fence),
-    );
-    const mayLoseLog = logLoss === 'always' || !isOrdered;
-    if (mayLoseLog && target.log.length > 0 && target.isListed) {
+    if (
+      mayLoseLog(state, replica, logLoss) &&
+      target.log.length > 0 &&
+      target.isListed
+    ) {
       yield {
         kind: 'replicaReturnsEmpty',
         name: `${replica} returns empty`,
@@ -140,6 +154,7 @@
 
 function* primaryFaults(
   state: SearchState,
+  logLoss: LogLoss,
 ): Generator<SearchStep & {readonly kind: FaultKind}> {
   const leader = at(state.targets, state.leader);
   if (leader.isRunning) {
@@ -150,6 +165,18 @@
       state: withoutExecuted(crashed, state.leader),
     };
   }
+  const mayReturnEmpty = mayLoseLog(state, state.leader, logLoss);
+  if (mayReturnEmpty && leader.isListed && leader.log.length > 0) {
+    const returned = withNewStart(state, state.leader, {
+      isRunning: true,
+      log: [],
+    });
+    yield {
+      kind: 'primaryReturnsEmpty',
+      name: `primary ${state.leader} returns empty, as a replica`,
+      state: {...returned, isDemoted: true},
+    };
+  }
   if (leader.isListed) {
     const gone = {isRunning: false, isListed: false};
     const removed = withTarget(state, state.leader, gone);
@@ -235,7 +262,7 @@
   }
   const groups = [
     memberFaults(state, logLoss),
-    primaryFaults(state),
+    primaryFaults(state, logLoss),
     proxyFaults(state),
     storeFaults(state, guards),
   ];
--- a/packages/succession/__tests__/succession_search_promoter.ts
+++ b/packages/succession/__tests__/succession_search_promoter.ts
@@ -76,7 +76,11 @@
         from,
         fromTerm: from === state.leader ? at(state.targets, from).term : 1,
         target,
-        complete,
+        // The row tells the end of the primary that the target has replaced.
+        complete: from === target ? NO_COMPLETE_LOG : complete,
+        primaryEnd: -1,
+        foundEnd: -1,
+        sawStopped: false,
         answers: [-1, -1, -1],
         starts: promoter.starts + 1,
       }),
@@ -127,6 +131,23 @@
   }
 }
 
+/** A promoter finds the primary as a replica, which an earlier one has demoted. */
+function* findSteps(state: SearchState, index: number): Generator<SearchStep> {
+  const {step, from, fromTerm, foundEnd} = at(state.promoters, index);
+  if (step !== 'stopping') {
+    return;
+  }
+  const {isRunning, isListed, term, log} = at(state.targets, from);
+  const isReached = !state.isCut && isRunning && isListed;
+  const isLast = from === state.leader && term === fromTerm;
+  if (isReached && isLast && state.isDemoted && foundEnd !== log.length) {
+    yield {
+      name: `promoter ${index} finds ${from} demoted`,
+      state: withPromoter(state, index, {foundEnd: log.length}),
+    };
+  }
+}
+
 /**
  * A promoter demotes the primary that it replaces, or finds that it can't be
  * reached or leads no more, and compares the logs after that. The answers arrive
@@ -138,19 +159,24 @@
   index: number,
 ): Generator<SearchStep> {
   const promoter = at(state.promoters, index);
-  const {step, from, fromTerm, sawStopped} = promoter;
+  const {step, from, fromTerm, sawStopped, complete} = promoter;
   if (step !== 'ordered' || sawStopped) {
     return;
   }
-  const {isRunning, term} = at(state.targets, from);
+  const {isRunning, term, log} = at(state.targets, from);
   const isReached = !state.isCut && isRunning;
   const isLeading = from === state.leader && term === fromTerm;
   const isDemoted =
     state.isDemoted || (guards.stopsPrimary && isReached && isLeading);
   const isKept = isDemoted && isReached && isLeading;
+  // Whoever demotes it knows its log, and the row tells a later promoter.
+  const isKnown =
+    !state.isDemoted ||
+    (complete.primaryEnd >= 0 && log.length >= complete.primaryEnd);
   const next = withPromoter({...state, isDemoted}, index, {
     sawStopped: true,
-    primaryEnd: isKept ? at(state.targets, from).log.length : -1,
+    primaryEnd: isKept && isKnown ? log.length : -1,
+    foundEnd: isKept && !isKnown ? log.length : -1,
   });
   const name = `promoter ${index} stops ${from}`;
   if (!guards.comparesAgain) {
@@ -261,8 +287,9 @@
     const written = sent === 0 ? state : writeRow(state, guards, index, row);
     const orderEpoch = sent === 0 ? epoch : epoch + 1;
     if (written !== undefined) {
-      const {from, primaryEnd, answers} = promoter;
-      const end = target === from ? primaryEnd : at(answers, target);
+      const {from, primaryEnd, foundEnd, answers} = promoter;
+      const ownEnd = Math.max(primaryEnd, foundEnd);
+      const end = target === from ? ownEnd : at(answers, target);
       const complete = {end, primaryEnd};
       const order = {epoch: orderEpoch, target, isExecuted: false};
       const orders = [...state.orders, order];
@@ -298,6 +325,7 @@
   }
   yield* startSteps(state, guards, index);
   yield* pauseSteps(state, guards, index);
+  yield* findSteps(state, index);
   yield* chooseSteps(state, guards, mix, index);
   yield* stopPrimarySteps(state, guards, index);
   yield* orderSteps(state, guards, mix, index);
--- a/packages/succession/__tests__/succession_search_state.ts
+++ b/packages/succession/__tests__/succession_search_state.ts
@@ -31,6 +31,16 @@
    * of writes is withheld at every target, and the change doesn't end.
    */
   readonly withholdsWhileContested: boolean;
+  /**
+   * A primary that an earlier change has demoted vouches for its own log: it has
+   * not been promoted or rolled back since, as it is still in the term it led.
+   */
+  readonly findsDemotedPrimary: boolean;
+  /**
+   * It does so only if its log is not empty, and no other one is longer: it may
+   * have started without its log.
+   */
+  readonly checksLogOfPrimary: boolean;
 }
 
 /** All guards enabled, as in production. */
@@ -40,12 +50,15 @@
   waitsForPrimary: true,
   startsUncertain: true,
   withholdsWhileContested: true,
+  findsDemotedPrimary: true,
+  checksLogOfPrimary: true,
 };
 
 export type FaultKind =
   | 'primaryCrashes'
   | 'primaryIsCut'
   | 'primaryIsRemoved'
+  | 'primaryReturnsEmpty'
   | 'rowIsUnknown'
   | 'replicaRestarts'
   | 'replicaLeaves'
@@ -115,6 +128,11 @@
   readonly target: number;
   /** Log length of the primary that this promoter demoted; -1 without one. */
   readonly primaryEnd: number;
+  /**
+   * Log length of the primary if this promoter found it demoted, and nobody told
+   * the length that it had; -1 otherwise.
+   */
+  readonly foundEnd: number;
   /** What the last order relied on. */
   readonly complete: CompleteLog;
   /** Log lengths that paused replicas answered; -1 before an answer. */
@@ -168,6 +186,7 @@
   fromTerm: 0,
   target: -1,
   primaryEnd: -1,
+  foundEnd: -1,
   complete: NO_COMPLETE_LOG,
   answers: [-1, -1, -1],
   starts: 0,
--- a/packages/succession/src/absent_primary.ts
+++ b/packages/succession/src/absent_primary.ts
@@ -70,10 +70,16 @@
     );
   }
 
+  function isLeading(target: string): boolean {
+    return (
+      group.positions.leader()?.target === target &&
+      group.link(target)?.isReached() === true
+    );
+  }
+
   function observe(): void {
     const target = last()?.target ?? '';
-    const isAbsent = target !== '' && group.link(target)?.isReached() !== true;
-    if (!isAbsent) {
+    if (target === '' || isLeading(target)) {
       absent = {target: '', since: Infinity};
     } else if (absent.target !== target) {
       absent = {target, since: timer.now()};
--- a/packages/succession/src/choice_context.ts
+++ b/packages/succession/src/choice_context.ts
@@ -23,7 +23,8 @@
 /** The log end that a successor had to reach, and where it is from. */
 export interface RequiredEnd {
   readonly end: LogPosition;
-  readonly source: 'demoted primary' | 'row' | 'comparison' | 'longest log';
+  readonly source:
+    'demoted primary' | 'row' | 'comparison' | 'last primary' | 'longest log';
 }
 
 /** The newest primary that is known, and for how long it is waited for. */
@@ -68,6 +69,8 @@
     'evidence' | 'lastPrimary' | 'remainingWait'
   >;
   readonly considered: readonly ConsideredTarget[];
+  /** Log end of the last primary, if that vouched for its log. */
+  readonly vouchedEnd?: LogPosition | undefined;
   readonly now: Milliseconds;
 }
 
@@ -91,6 +94,7 @@
 function requiredEnd({
   hold,
   considered,
+  vouchedEnd,
 }: ChoiceContextOptions): RequiredEnd | undefined {
   const complete = hold.completeEnd();
   if (complete !== undefined) {
@@ -100,6 +104,9 @@
     const isRecorded = isSame(complete, hold.primary?.completeEnd);
     return {end: complete, source: isRecorded ? 'row' : 'comparison'};
   }
+  if (vouchedEnd !== undefined) {
+    return {end: vouchedEnd, source: 'last primary'};
+  }
   const replaced = hold.primary?.link.target;
   const ends = considered
     .filter(({target}) => target !== replaced)
--- a/packages/succession/src/succession_steps.ts
+++ b/packages/succession/src/succession_steps.ts
@@ -146,14 +146,21 @@
     return createPromotionOrders({
       ...options,
       inquiry,
-      onSelection({successor, considered}: Selection) {
+      onSelection({successor, considered, vouchedEnd}: Selection) {
         const now = timer.now();
         options.onChoice({
           epoch: rowWriter.succession().epoch,
           term: hold.term(),
           selected: successor?.target ?? '',
           considered: withMissingTime(considered, group, now),
-          context: describeContext({group, hold, inquiry, considered, now}),
+          context: describeContext({
+            group,
+            hold,
+            inquiry,
+            considered,
+            vouchedEnd,
+            now,
+          }),
         });
       },
     });
--- a/packages/succession/src/successor_selection.ts
+++ b/packages/succession/src/successor_selection.ts
@@ -1,7 +1,12 @@
 /** Selects the target to promote among the targets of a held group. */
-import {type LogPosition, compareLogPositions} from '@kelpstep/protocol';
+import {
+  EMPTY_LOG_END,
+  type LogPosition,
+  compareLogPositions,
+} from '@kelpstep/protocol';
 import type {Milliseconds} from '@kelpstep/runtime';
 
+import type {LastPrimary} from './absent_primary';
 import {
   type ChoiceVerdict,
   type ConsideredTarget,
@@ -19,6 +24,8 @@
 export interface Selection {
   readonly successor: SuccessorCandidate | undefined;
   readonly considered: readonly ConsideredTarget[];
+  /** Log end of the last primary, if that vouched for its log. */
+  readonly vouchedEnd: LogPosition | undefined;
 }
 
 export interface SelectionOptions {
@@ -53,7 +60,8 @@
  * more and every target that has reached its log end qualifies. Otherwise all
  * other targets must be stopped, and the longest log among them must not lack a
  * commit that a target outside the table received. If it does, or may, the
- * demoted primary itself qualifies.
+ * demoted primary itself qualifies. A last primary that an earlier change has
+ * demoted is one of the stopped targets, and vouches for its own log.
  */
 export function selectSuccessor(options: SelectionOptions): Selection {
   const {hold, inquiry, now, since, preferred, mayLead} = options;
@@ -61,6 +69,7 @@
   const members = hold.members();
   const demotedLogEnd = hold.demotedLogEnd();
   let incomplete: string | undefined;
+  let vouchedEnd: LogPosition | undefined;
 
   function isFresh(answer: TimedAnswer | undefined): answer is TimedAnswer {
     return answer !== undefined && answer.requestedAt >= since;
@@ -88,12 +97,48 @@
     return isKnown ? toCandidate(primary, demotedLogEnd) : undefined;
   }
 
+  /** The newest primary that the change or the group's records know. */
+  function lastPrimary(): LastPrimary | undefined {
+    const recorded = inquiry.lastPrimary();
+    const {primary} = hold;
+    return primary !== undefined && primary.term >= (recorded?.term ?? 0)
+      ? {target: primary.link.target, term: primary.term}
+      : recorded;
+  }
+
+  /**
+   * Log end of the last primary if it is one of the stopped targets and still in
+   * the term that it led: only a newer term can remove commits from its log, so
+   * that log holds them all. One that ends before another log was lost.
+   */
+  function lastPrimaryEnd(
+    stopped: readonly SuccessorCandidate[],
+  ): LogPosition | undefined {
+    const last = lastPrimary();
+    const member = members.find(({link}) => link.target === last?.target);
+    const candidate = stopped.find(({target}) => target === last?.target);
+    const isInItsTerm = member?.answer?.status.term === last?.term;
+    if (last === undefined || candidate === undefined || !isInItsTerm) {
+      return undefined;
+    }
+    const end = candidate.received;
+    const isNewest = members.every(
+      ({answer}) => answer === undefined || answer.status.term <= last.term,
+    );
+    const isWhole =
+      compareLogPositions(end, EMPTY_LOG_END) > 0 &&
+      stopped.every(({received}) => compareLogPositions(received, end) <= 0);
+    return isNewest && isWhole ? end : undefined;
+  }
+
   /** The longest log of the stopped targets, which are all targets. */
   function chooseLongest(
     stopped: readonly SuccessorCandidate[],
   ): SuccessorCandidate | undefined {
+    vouchedEnd = lastPrimaryEnd(stopped);
+    const primaryEnd = demotedLogEnd ?? vouchedEnd;
     function logsUpTo(end: LogPosition): RemainingLogs {
-      return {term: hold.primary?.term, end, primaryEnd: demotedLogEnd};
+      return {term: hold.primary?.term, end, primaryEnd};
     }
     const choice = chooseLongestLog({
       stopped,
@@ -213,5 +258,5 @@
           : 'demoted';
     considered.unshift(describe(target, hold.primaryAnswer(), verdict));
   }
-  return {successor, considered};
+  return {successor, considered, vouchedEnd};
 }
