fix(platform): answer a target that can't be connected to

Cause: any digits were taken for a port, and connect() throws for one that can't exist. The task that opens the connection ended ('task failed'), its result never settled, and the link of the entry counted as reached though it never answered, which takes the proof of freshness from every read.

--- a/packages/rpc/__tests__/peer.spec.ts
+++ b/packages/rpc/__tests__/peer.spec.ts
@@ -115,6 +115,15 @@
     expect(reason).toEqual('closed by the other end');
   });
 
+  // Guards against a task that ends by an exception and answers nobody.
+  test('reports an address without such a port as unreachable', async () => {
+    const transport = createTcpTransport();
+    for (const address of ['127.0.0.1:70000', '127.0.0.1:', '127.0.0.1:0']) {
+      const dialled = await promiseFromFuture(transport.dial(address, 1000));
+      expect(dialled.err && dialled.val.kind).toEqual('unreachable');
+    }
+  });
+
   test('reports a port without a listener as refused', async () => {
     const {address, transport, stop} = await startServer();
     stop();
--- a/packages/rpc/src/tcp_transport.ts
+++ b/packages/rpc/src/tcp_transport.ts
@@ -38,6 +38,14 @@
   };
 }
 
+const HIGHEST_PORT = 65_535;
+
+/** False if opening a connection to the address would throw. */
+export function isDialable(address: Address): boolean {
+  const {port} = parseAddress(address);
+  return Number.isInteger(port) && port > 0 && port <= HIGHEST_PORT;
+}
+
 const LINE_FEED = 0x0a;
 
 /** Splits a byte stream into lines; `undefined` if a line is too long. */
@@ -188,6 +196,11 @@
 
   function dial(address: Address, timeout: number) {
     const deferred = createDeferred<Result<Connection, TransportError>>();
+    if (!isDialable(address)) {
+      const message = `No address to connect to: ${address}.`;
+      deferred.settle(Err({kind: 'unreachable', message}));
+      return deferred.future;
+    }
     const socket = connect(parseAddress(address));
     trackSocket(socket);
     socket.setTimeout(timeout, () => {
