--- a/packages/succession/__tests__/last_primary.spec.ts
+++ b/packages/succession/__tests__/last_primary.spec.ts
@@ -12,12 +12,11 @@
   // on, is demoted, and nobody has asked how far its log reached while it led.
   test('knows the log of a primary that returns during the change', () => {
     const returning = createFakeTarget('c', {...REPLICA, role: 'primary'});
-    const {hold, selected, timer} = setUp(
-      [createFakeTarget('a', shorter), createFakeTarget('b', REPLICA)],
-      returning,
-      1,
-      {mayLackCopies: true},
-    );
+    const {hold, selected, timer} = setUp({
+      members: [createFakeTarget('a', shorter), createFakeTarget('b', REPLICA)],
+      primary: returning,
+      evidence: {mayLackCopies: true},
+    });
     hold.startDemoting();
     hold.refresh();
     expect(hold.demotedLogEnd()).toEqual(undefined);
@@ -30,15 +29,12 @@
 
   // Guards against a log end that drops below the one that the row tells.
   test('does not take a returning primary at its word that has lost its log', () => {
-    const {hold, runtime, timer} = setUp(
-      [createFakeTarget('a', REPLICA)],
-      createFakeTarget('c', {...shorter, role: 'primary'}),
-      1,
-      {mayLackCopies: true},
-      0,
-      undefined,
-      REPLICA.received,
-    );
+    const {hold, runtime, timer} = setUp({
+      members: [createFakeTarget('a', REPLICA)],
+      primary: createFakeTarget('c', {...shorter, role: 'primary'}),
+      demotedEnd: REPLICA.received,
+      evidence: {mayLackCopies: true},
+    });
     runtime.spawn('demote', hold.demotePrimary());
     timer.advance(500);
     expect(hold.primaryAnswer()?.status.role).toEqual('replica');
@@ -54,15 +50,12 @@
     const members = Object.entries(statuses).map(([name, status]) =>
       createFakeTarget(name, status),
     );
-    const last = {target: 'b', term};
-    const {hold, selected, timer} = setUp(
+    const {hold, selected, timer} = setUp({
       members,
-      undefined,
-      2,
+      highestTerm: 2,
       evidence,
-      0,
-      last,
-    );
+      last: {target: 'b', term},
+    });
     hold.refresh();
     timer.advance(100);
     hold.refresh();
--- a/packages/succession/__tests__/selection_setup.ts
+++ b/packages/succession/__tests__/selection_setup.ts
@@ -1,6 +1,7 @@
 /** Targets, a hold and an inquiry for specs of the selection of a successor. */
 import type {LogPosition} from '@kelpstep/protocol';
 import {
+  type Milliseconds,
   type Runtime,
   type VirtualTimer,
   createDeferred,
@@ -81,16 +82,26 @@
   verdictOf(target: string): string | undefined;
 }
 
-/** A hold of these targets, and the selection among them. */
-export function setUp(
-  members: readonly FakeTarget[],
-  primary?: FakeTarget,
-  highestTerm = 1,
-  evidence: CommitEvidence = {mayLackCopies: false},
-  evidenceDelay = 0,
-  last?: LastPrimary,
-  demotedEnd?: LogPosition,
-): Setup {
+export interface SetupOptions {
+  readonly members: readonly FakeTarget[];
+  /** The primary that the hold replaces; it led term 1. */
+  readonly primary?: FakeTarget;
+  /** Log end of the primary that the row tells. */
+  readonly demotedEnd?: LogPosition;
+  /** Highest term known before the hold; 1 by default. */
+  readonly highestTerm?: number;
+  /** What a peer knows; by default that copies are complete. */
+  readonly evidence?: CommitEvidence;
+  readonly evidenceDelay?: Milliseconds;
+  /** The last primary that the proxy knows. */
+  readonly last?: LastPrimary;
+}
+
+/** Creates a hold of these targets, and the selection among them. */
+export function setUp(options: SetupOptions): Setup {
+  const {members, primary, demotedEnd, last} = options;
+  const {highestTerm = 1, evidenceDelay = 0} = options;
+  const {evidence = {mayLackCopies: false}} = options;
   const timer = createVirtualTimer();
   const runtime = createRuntime({timer, random: createRandom(1)});
   const links = [...members, ...(primary ? [primary] : [])];
--- a/packages/succession/__tests__/successor_selection.spec.ts
+++ b/packages/succession/__tests__/successor_selection.spec.ts
@@ -10,10 +10,9 @@
 
   test('waits for a replica whose pause was not accepted', () => {
     const held = createFakeTarget('b', {...REPLICA, term: 9});
-    const {hold, selected, timer} = setUp([
-      createFakeTarget('a', shorter),
-      held,
-    ]);
+    const {hold, selected, timer} = setUp({
+      members: [createFakeTarget('a', shorter), held],
+    });
     hold.refresh();
     expect(selected()).toEqual(undefined);
     timer.advance(100);
@@ -24,7 +23,7 @@
 
   test('pauses again above the term of an earlier pause, which may have ended', () => {
     const held = createFakeTarget('a', {...REPLICA, termHeld: 5});
-    const {hold, selected, timer} = setUp([held]);
+    const {hold, selected, timer} = setUp({members: [held]});
     hold.refresh();
     expect(selected()).toEqual(undefined);
     timer.advance(100);
@@ -36,10 +35,9 @@
   // from having a successor.
   test('demotes a target that should be a replica and is primary', () => {
     const returned = createFakeTarget('b', {...REPLICA, role: 'primary'});
-    const {hold, selected, verdictOf, timer} = setUp([
-      createFakeTarget('a', shorter),
-      returned,
-    ]);
+    const {hold, selected, verdictOf, timer} = setUp({
+      members: [createFakeTarget('a', shorter), returned],
+    });
     hold.refresh();
     expect(selected()).toEqual('a');
     expect(returned.status.role).toEqual('primary');
@@ -57,7 +55,9 @@
   // the change knows of no primary.
   test('leaves a target alone that leads a new term', () => {
     const promoted = createFakeTarget('b', REPLICA);
-    const {hold, timer} = setUp([createFakeTarget('a', REPLICA), promoted]);
+    const {hold, timer} = setUp({
+      members: [createFakeTarget('a', REPLICA), promoted],
+    });
     hold.refresh();
     hold.startDemoting();
     promoted.status = {...REPLICA, role: 'primary', term: 2};
@@ -72,20 +72,22 @@
   // Guards against a choice without the replica that has the only copy because
   // the proxy takes it for the primary.
   test('ends if a target knows a newer term than that of the primary', () => {
-    const {hold, selected} = setUp(
-      [
+    const {hold, selected} = setUp({
+      members: [
         createFakeTarget('a', shorter),
         createFakeTarget('b', {...REPLICA, term: 2}),
       ],
-      createFakeTarget('c', REPLICA),
-    );
+      primary: createFakeTarget('c', REPLICA),
+    });
     hold.refresh();
     expect(hold.isOver()).toEqual(true);
     expect(selected()).toEqual(undefined);
   });
 
   test('does not rely on old answers', () => {
-    const {hold, selected, timer} = setUp([createFakeTarget('a', REPLICA)]);
+    const {hold, selected, timer} = setUp({
+      members: [createFakeTarget('a', REPLICA)],
+    });
     hold.refresh();
     expect(selected()).toEqual('a');
     timer.advance(300);
@@ -94,7 +96,10 @@
 
   test('takes a demoted primary at its word only if it led until then', () => {
     const led = createFakeTarget('c', {...REPLICA, role: 'primary'});
-    const {hold, runtime, timer} = setUp([createFakeTarget('a', REPLICA)], led);
+    const {hold, runtime, timer} = setUp({
+      members: [createFakeTarget('a', REPLICA)],
+      primary: led,
+    });
     const demotion = runtime.spawn('demote', hold.demotePrimary());
     timer.advance(100);
     let isDemoted: boolean | undefined;
@@ -104,10 +109,10 @@
     expect(isDemoted).toEqual(true);
     expect(hold.demotedLogEnd()).toEqual(REPLICA.received);
 
-    const replaced = setUp(
-      [createFakeTarget('a', REPLICA)],
-      createFakeTarget('c', shorter),
-    );
+    const replaced = setUp({
+      members: [createFakeTarget('a', REPLICA)],
+      primary: createFakeTarget('c', shorter),
+    });
     replaced.runtime.spawn('demote', replaced.hold.demotePrimary());
     replaced.timer.advance(500);
     expect(replaced.hold.demotedLogEnd()).toEqual(undefined);
@@ -116,7 +121,7 @@
   test('stops the group again if a pause or a demotion has ended', () => {
     const replica = createFakeTarget('a', REPLICA);
     const primary = createFakeTarget('b', {...REPLICA, role: 'primary'});
-    const {hold, selected, timer} = setUp([replica], primary);
+    const {hold, selected, timer} = setUp({members: [replica], primary});
     hold.startDemoting();
     hold.refresh();
     replica.status = REPLICA;
@@ -132,7 +137,7 @@
   function selectAfterDemotion(evidence: CommitEvidence): Setup {
     const replica = createFakeTarget('a', shorter);
     const primary = createFakeTarget('b', {...REPLICA, role: 'primary'});
-    const setup = setUp([replica], primary, 1, evidence);
+    const setup = setUp({members: [replica], primary, evidence});
     setup.runtime.spawn('demote', setup.hold.demotePrimary());
     setup.timer.advance(100);
     return setup;
@@ -163,15 +168,14 @@
 
   test('waits for a lost primary that alone holds an acknowledged commit', () => {
     const lost = createFakeTarget('b', {...REPLICA, role: 'primary'});
-    const {hold, selected, verdictOf} = setUp(
-      [createFakeTarget('a', shorter)],
-      lost,
-      1,
-      {
+    const {hold, selected, verdictOf} = setUp({
+      members: [createFakeTarget('a', shorter)],
+      primary: lost,
+      evidence: {
         newestCommit: {term: 1, after: shorter.received},
         mayLackCopies: false,
       },
-    );
+    });
     hold.refresh();
     expect(selected()).toEqual(undefined);
     expect(verdictOf('a')).toEqual('incomplete');
@@ -181,10 +185,11 @@
   test('waits for a silent primary while nobody vouches for other copies', () => {
     const members = [createFakeTarget('a', REPLICA)];
     const silent = createFakeTarget('b', {...REPLICA, role: 'primary'});
-    const {hold, selected} = setUp(members, silent, 1, {mayLackCopies: true});
+    const evidence = {mayLackCopies: true};
+    const {hold, selected} = setUp({members, primary: silent, evidence});
     hold.refresh();
     expect(selected()).toEqual(undefined);
-    const unknown = setUp(members, undefined, 1, {mayLackCopies: true});
+    const unknown = setUp({members, evidence});
     unknown.hold.refresh();
     unknown.timer.advance(100);
     unknown.hold.refresh();
@@ -197,10 +202,10 @@
     const primary = createFakeTarget('c', {...REPLICA, role: 'primary'});
     const replica = createFakeTarget('b', shorter);
     const down = createFakeTarget('d', shorter);
-    const {hold, select, timer} = setUp(
-      [createFakeTarget('a', shorter), replica, down],
+    const {hold, select, timer} = setUp({
+      members: [createFakeTarget('a', shorter), replica, down],
       primary,
-    );
+    });
     hold.refresh();
     hold.recordCompleteEnd(shorter.received);
     Object.assign(down.link, {isDown: () => true});
@@ -214,13 +219,11 @@
 
   // Guards against a choice without the evidence of a peer on a slow machine.
   test('waits for a peer that has not answered yet', () => {
-    const {hold, selected, timer} = setUp(
-      [createFakeTarget('a', shorter)],
-      createFakeTarget('b', {...REPLICA, role: 'primary'}),
-      1,
-      {mayLackCopies: false},
-      120,
-    );
+    const {hold, selected, timer} = setUp({
+      members: [createFakeTarget('a', shorter)],
+      primary: createFakeTarget('b', {...REPLICA, role: 'primary'}),
+      evidenceDelay: 120,
+    });
     hold.refresh();
     timer.advance(110);
     hold.refresh();
