refactor(scenarios): find missing commits, and build guards, in one place

The checker asked in three places which acknowledged commits a log lacks, one of them new with the rule 'no primary', and two tests of the search built their guards alike. Each has one function now.

--- a/packages/scenarios/src/statements/rule_checker.ts
+++ b/packages/scenarios/src/statements/rule_checker.ts
@@ -238,19 +238,18 @@
     }
   }
 
-  function holdsAllCommits(log: readonly LogRecord[]): boolean {
-    const present = writeIdsOf(log);
-    return acknowledged.every(({writes}) =>
-      writes.every(id => present.has(id)),
+  /** The acknowledged commits of which a write is not among those present. */
+  function findMissingCommits(
+    present: ReadonlySet<string>,
+  ): AcknowledgedCommit[] {
+    return acknowledged.filter(
+      ({writes}) => !writes.every(id => present.has(id)),
     );
   }
 
   function onPromotion(promotion: PromotionRecord): void {
-    const present = writeIdsOf(promotion.log);
-    for (const {writes} of acknowledged) {
-      if (!writes.every(id => present.has(id))) {
-        report('commit lost', `${writes.join()} at ${promotion.target}`);
-      }
+    for (const {writes} of findMissingCommits(writeIdsOf(promotion.log))) {
+      report('commit lost', `${writes.join()} at ${promotion.target}`);
     }
     const promoter = promotersByEpoch.get(promotion.epoch) ?? promotion.holder;
     promotersByEpoch.set(promotion.epoch, promoter);
@@ -289,10 +288,8 @@
       );
       report('written twice', twice.join());
     }
-    for (const {writes} of acknowledged) {
-      if (!writes.every(id => present.has(id))) {
-        report('commit lost', `${writes.join()} in the end`);
-      }
+    for (const {writes} of findMissingCommits(present)) {
+      report('commit lost', `${writes.join()} in the end`);
     }
     for (const id of reportedNotRun) {
       if (present.has(id)) {
@@ -311,7 +308,7 @@
     onReportedNotRun: writes => writes.forEach(id => reportedNotRun.add(id)),
     onRun,
     onPromotion,
-    holdsAllCommits,
+    holdsAllCommits: log => findMissingCommits(writeIdsOf(log)).length === 0,
     onPrimaryOverdue: since =>
       report('no primary', `since ${Math.round(since)}`),
     finish,
--- a/packages/succession/__tests__/search_tests.ts
+++ b/packages/succession/__tests__/search_tests.ts
@@ -10,6 +10,13 @@
   type SearchGuards,
 } from './succession_search_state';
 
+function guardsWithout(
+  disabled: ReadonlyArray<keyof SearchGuards>,
+): SearchGuards {
+  const changes = Object.fromEntries(disabled.map(guard => [guard, false]));
+  return {...ALL_GUARDS, ...changes};
+}
+
 /**
  * Declares a test that the mix loses no commit with all guards, and that the group
  * can be given a primary whenever a target holds them all.
@@ -35,8 +42,7 @@
   without: ReadonlyArray<keyof SearchGuards>,
 ): void {
   test(`has no primary any more ${name}`, () => {
-    const disabled = Object.fromEntries(without.map(guard => [guard, false]));
-    const guards = {...ALL_GUARDS, ...disabled};
+    const guards = guardsWithout(without);
     const {states, counterexample} = searchSuccession(
       guards,
       mix,
@@ -64,10 +70,8 @@
   } = {},
 ): void {
   test(`loses an acknowledged commit ${name}`, () => {
-    const disabled = Object.fromEntries(without.map(guard => [guard, false]));
-    const guards = {...ALL_GUARDS, ...disabled};
     const {states, counterexample = []} = searchSuccession(
-      guards,
+      guardsWithout(without),
       mix,
       logLoss,
     );
