--- a/packages/stand-ins/__tests__/free_addresses.spec.ts
+++ b/packages/stand-ins/__tests__/free_addresses.spec.ts
@@ -1,3 +1,4 @@
+import {parseAddress} from '@kelpstep/rpc';
 import {expect} from 'earl';
 import {existsSync, readFileSync} from 'node:fs';
 import {describe, test} from 'node:test';
@@ -19,9 +20,8 @@
   // Guards against a stand-in that can't start as another process got its port.
   test('are not given to other sockets before they are used', async () => {
     const [first, last] = readEphemeralPorts();
-    const ports = (await findFreeAddresses(50)).map(address =>
-      Number(address.split(':')[1]),
-    );
+    const addresses = await findFreeAddresses(50);
+    const ports = addresses.map(address => parseAddress(address).port);
     expect(ports.filter(port => port >= first && port <= last)).toEqual([]);
   });
 
--- a/packages/succession/__tests__/search_tests.ts
+++ b/packages/succession/__tests__/search_tests.ts
@@ -17,19 +17,22 @@
   return {...ALL_GUARDS, ...changes};
 }
 
+/** Searches for a lost commit and for a state without service. */
+function searchService(name: string, mix: FaultMix, guards: SearchGuards) {
+  const result = searchSuccession(guards, mix, 'unlessOrdered', 'service');
+  process.stdout.write(
+    `# succession search, ${name}: ${result.states} states\n`,
+  );
+  return result;
+}
+
 /**
  * Declares a test that the mix loses no commit with all guards, and that the group
  * can be given a primary whenever a target holds them all.
  */
 export function testSafety(name: string, mix: FaultMix): void {
   test(`preserves acknowledged commits, and service, if ${name}`, () => {
-    const {states, counterexample} = searchSuccession(
-      ALL_GUARDS,
-      mix,
-      'unlessOrdered',
-      'service',
-    );
-    process.stdout.write(`# succession search, ${name}: ${states} states\n`);
+    const {states, counterexample} = searchService(name, mix, ALL_GUARDS);
     expect(counterexample).toEqual(undefined);
     expect(states > 1000).toEqual(true);
   });
@@ -43,13 +46,7 @@
 ): void {
   test(`has no primary any more ${name}`, () => {
     const guards = guardsWithout(without);
-    const {states, counterexample} = searchSuccession(
-      guards,
-      mix,
-      'unlessOrdered',
-      'service',
-    );
-    process.stdout.write(`# succession search, ${name}: ${states} states\n`);
+    const {counterexample} = searchService(name, mix, guards);
     expect(counterexample === undefined).toEqual(false);
     expect(searchSuccession(guards, mix).counterexample).toEqual(undefined);
   });
